--- /dev/null
+++ b/commands/output.go
@@ -0,0 +1,38 @@
+package commands
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"text/tabwriter"
+
+	"coltsfootvalve/io/cfvoperator"
+)
+
+// client returns the client of the node that the options name.
+func (o operatorOptions) client() *cfvoperator.Client {
+	return cfvoperator.NewClient(o.Node, o.Token)
+}
+
+// isRefusal reports whether a node refused.
+func isRefusal(err error) bool {
+	var r *cfvoperator.Refusal
+	return errors.As(err, &r)
+}
+
+// print writes v as JSON, or as the table of rows whose first is the heading.
+func (c *context) print(o operatorOptions, v any, rows [][]string) error {
+	if o.Output == "json" {
+		enc := json.NewEncoder(c.out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	w := tabwriter.NewWriter(c.out, 0, 4, 2, ' ', 0)
+	for _, row := range rows {
+		for _, cell := range row {
+			fmt.Fprintf(w, "%s\t", cell)
+		}
+		fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/commands/root.go
@@ -0,0 +1,83 @@
+// Package commands holds the command line, one file a command.
+package commands
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of every command.
+const (
+	ExitOK      = 0
+	ExitFailed  = 1 // the command ran and failed
+	ExitUsage   = 2 // the command line is wrong
+	ExitRefused = 3 // the node refused, for example a change that lost a race
+)
+
+// context is what every command has.
+type context struct {
+	out    io.Writer
+	errOut io.Writer
+}
+
+// operatorOptions are the options of commands that ask a node.
+type operatorOptions struct {
+	Node   string `long:"node" value-name:"URL" default:"http://127.0.0.1:7003" env:"COLTSFOOTVALVE_NODE" description:"operator address of a node"`
+	Token  string `long:"token" value-name:"TOKEN" env:"COLTSFOOTVALVE_TOKEN" description:"operators' token"`
+	Output string `long:"output" choice:"table" choice:"json" default:"table" description:"form of the answer"`
+}
+
+// Execute runs the command line and returns its exit code.
+func Execute(args []string, out, errOut io.Writer) int {
+	ctx := &context{out, errOut}
+	p := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	p.Name = "coltsfootvalve"
+	p.LongDescription = "A serving system for prompts that come back after long gaps."
+	addAll(p, ctx)
+	_, err := p.ParseArgs(args)
+	return report(err, out, errOut)
+}
+
+// addAll adds every command; the texts are fixed, so an error is a mistake in them.
+func addAll(p *flags.Parser, ctx *context) {
+	for _, c := range []struct {
+		name, short, long string
+		data              any
+	}{
+		{"serve", "Run a node", "Runs an entry VM's node until SIGTERM, then stops it gracefully.\n\nExample: coltsfootvalve serve --settings node.json", &serveCommand{ctx: ctx}},
+		{"check", "Check a settings file", "Checks a node's settings file and names the field at fault.\n\nExample: coltsfootvalve check --settings node.json", &checkCommand{ctx: ctx}},
+		{"version", "Print the version", "Prints the version of the program.\n\nExample: coltsfootvalve version", &versionCommand{ctx: ctx}},
+		{"status", "Show a node's state", "Shows members, endpoints and settings revision as a node sees them.\n\nExample: coltsfootvalve status --node http://127.0.0.1:7003", &statusCommand{ctx: ctx}},
+		{"explain", "Explain a request", "Shows where a request went and why, at the node that handled it.\n\nExample: coltsfootvalve explain 4f6c0f9e", &explainCommand{ctx: ctx}},
+		{"hash-key", "Hash a workspace's key", "Prints the hash of a key for the setting keyHash; the key is read from standard input.\n\nExample: coltsfootvalve hash-key < key.txt", &hashKeyCommand{ctx: ctx}},
+	} {
+		if _, err := p.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			panic(err)
+		}
+	}
+	addSettings(p, ctx)
+	addDomain(p, ctx)
+}
+
+// report prints the error, if any, and returns the exit code.
+func report(err error, out, errOut io.Writer) int {
+	var fe *flags.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &fe) && fe.Type == flags.ErrHelp:
+		fmt.Fprintln(out, fe.Message)
+		return ExitOK
+	case errors.As(err, &fe):
+		fmt.Fprintln(errOut, "coltsfootvalve:", fe.Message)
+		return ExitUsage
+	}
+	fmt.Fprintln(errOut, "coltsfootvalve:", err)
+	if isRefusal(err) {
+		return ExitRefused
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/commands/serve.go
@@ -0,0 +1,77 @@
+package commands
+
+import (
+	stdcontext "context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"coltsfootvalve/common/cfvlog"
+	"coltsfootvalve/io/cfvnode"
+)
+
+// version is the version of the program.
+const version = "0.1.0"
+
+type serveCommand struct {
+	ctx      *context
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"the node's settings file"`
+}
+
+// Execute runs a node until a signal. The first one stops it gracefully, a second one at
+// once.
+func (c *serveCommand) Execute([]string) error {
+	cfg, err := cfvnode.ReadConfig(c.Settings)
+	if err != nil {
+		return err
+	}
+	if err := cfvlog.SetLevel(cfg.LogLevel); err != nil {
+		return fmt.Errorf("logLevel: %w", err)
+	}
+	n, err := cfvnode.New(cfg, c.ctx.errOut)
+	if err != nil {
+		return err
+	}
+	if err := n.Start(); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	ctx, cancel := stdcontext.WithCancel(stdcontext.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		cancel()
+	}()
+	if s := n.Stop(ctx); s.Cut > 0 {
+		return fmt.Errorf("%d requests were cut", s.Cut)
+	}
+	return nil
+}
+
+type checkCommand struct {
+	ctx      *context
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"the node's settings file"`
+}
+
+// Execute checks a settings file.
+func (c *checkCommand) Execute([]string) error {
+	cfg, err := cfvnode.ReadConfig(c.Settings)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.ctx.out, "%s: good settings for node %s\n", c.Settings, cfg.Name)
+	return err
+}
+
+type versionCommand struct {
+	ctx *context
+}
+
+// Execute prints the version.
+func (c *versionCommand) Execute([]string) error {
+	_, err := fmt.Fprintln(c.ctx.out, "coltsfootvalve", version)
+	return err
+}
--- /dev/null
+++ b/common/cfvhttp/json.go
@@ -0,0 +1,107 @@
+// Package cfvhttp has the small helpers that every HTTP client and server here shares.
+package cfvhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// MaxReply bounds a control reply in bytes.
+const MaxReply = 8 << 20
+
+// StatusError is a reply with a status other than 2xx.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error returns the status and the start of the body.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d: %s", e.Status, e.Body)
+}
+
+// WriteJSON writes v as the reply.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// ReadJSON reads the request's body into v, at most limit bytes, and answers 400 itself
+// when it can't. It reports whether v was read.
+func ReadJSON(w http.ResponseWriter, r *http.Request, limit int64, v any) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	if err := dec.Decode(v); err != nil {
+		WriteJSON(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
+		return false
+	}
+	return true
+}
+
+// Call sends in as JSON and reads the reply into out; either may be nil.
+func Call(ctx context.Context, c *http.Client, method, url string, in, out any) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("%s %s: %w", method, url, err)
+		}
+	}()
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxReply))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode/100 != 2 {
+		return &StatusError{resp.StatusCode, strings.TrimSpace(string(data[:min(len(data), 300)]))}
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(data, out)
+}
+
+// NotSent reports whether the request's connection was never made, so that no byte of it
+// can have reached the other end.
+func NotSent(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return true
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// NewClient returns a client with its own connections, for one kind of peer.
+func NewClient(dialTimeout time.Duration, perHost int) *http.Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         d.DialContext,
+		MaxIdleConnsPerHost: perHost,
+		IdleConnTimeout:     90 * time.Second,
+		DisableCompression:  true,
+	}}
+}
--- /dev/null
+++ b/core/cfvbooking/record.go
@@ -0,0 +1,151 @@
+// Package cfvbooking is the journal by which a request with an idempotency key runs at
+// most once: claims are written by compare-and-swap before anything is sent.
+package cfvbooking
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// State is what is known of a claimed request.
+type State int
+
+// The states of a record.
+const (
+	StatePending State = iota // claimed; it may have run
+	StateDone                 // ran, and its answer is known
+	StateNotRun               // never sent; the key may be claimed again
+)
+
+// MaxAnswerBytes is the largest answer body that is kept.
+const MaxAnswerBytes = 16 << 10
+
+// Answer is a service's answer to a request.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	Kept        bool // false when the body was too large to keep
+}
+
+// Record is one claimed key.
+type Record struct {
+	Key         string
+	Fingerprint string // of method, path and body, to tell a resend from another request
+	Attempt     string // names the one dispatch that the claim allows
+	Entry       string
+	Started     uint64 // when the entry's process started
+	State       State
+	Answer      Answer
+	At          time.Time
+}
+
+// Segment names a part of the journal that is no longer written.
+type Segment struct {
+	Name    string
+	Expires time.Time
+}
+
+// Tail is the part of a journal that is written by compare-and-swap.
+type Tail struct {
+	Segments []Segment
+	Records  []Record
+}
+
+type recordJSON struct {
+	Key         string `json:"key"`
+	Fingerprint string `json:"fingerprint"`
+	Attempt     string `json:"attempt"`
+	Entry       string `json:"entry"`
+	Started     uint64 `json:"started"`
+	State       int    `json:"state"`
+	Status      int    `json:"status,omitempty"`
+	ContentType string `json:"contentType,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	Kept        bool   `json:"kept,omitempty"`
+	AtMillis    int64  `json:"atMillis"`
+}
+
+type segmentJSON struct {
+	Name          string `json:"name"`
+	ExpiresMillis int64  `json:"expiresMillis"`
+}
+
+type tailJSON struct {
+	Segments []segmentJSON `json:"segments"`
+	Records  []recordJSON  `json:"records"`
+}
+
+// EncodeTail returns the tail as JSON.
+func EncodeTail(t Tail) []byte {
+	j := tailJSON{Segments: make([]segmentJSON, 0, len(t.Segments)), Records: toRecordsJSON(t.Records)}
+	for _, s := range t.Segments {
+		j.Segments = append(j.Segments, segmentJSON{s.Name, s.Expires.UnixMilli()})
+	}
+	return mustEncode(j)
+}
+
+// DecodeTail reads a tail; no data is an empty one.
+func DecodeTail(data []byte) (t Tail, err error) {
+	if len(data) == 0 {
+		return t, nil
+	}
+	var j tailJSON
+	if err = json.Unmarshal(data, &j); err != nil {
+		return t, fmt.Errorf("booking journal: %w", err)
+	}
+	for _, s := range j.Segments {
+		t.Segments = append(t.Segments, Segment{s.Name, time.UnixMilli(s.ExpiresMillis)})
+	}
+	t.Records = fromRecordsJSON(j.Records)
+	return t, nil
+}
+
+// EncodeSegment returns the records of a segment as JSON.
+func EncodeSegment(records []Record) []byte {
+	return mustEncode(toRecordsJSON(records))
+}
+
+// DecodeSegment reads the records of a segment.
+func DecodeSegment(data []byte) (records []Record, err error) {
+	var j []recordJSON
+	if err = json.Unmarshal(data, &j); err != nil {
+		return nil, fmt.Errorf("booking segment: %w", err)
+	}
+	return fromRecordsJSON(j), nil
+}
+
+func mustEncode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // strings, numbers and bytes always encode
+	}
+	return data
+}
+
+func toRecordsJSON(records []Record) []recordJSON {
+	out := make([]recordJSON, 0, len(records))
+	for _, r := range records {
+		out = append(out, recordJSON{
+			Key: r.Key, Fingerprint: r.Fingerprint, Attempt: r.Attempt,
+			Entry: r.Entry, Started: r.Started, State: int(r.State),
+			Status: r.Answer.Status, ContentType: r.Answer.ContentType,
+			Body: r.Answer.Body, Kept: r.Answer.Kept, AtMillis: r.At.UnixMilli(),
+		})
+	}
+	return out
+}
+
+func fromRecordsJSON(list []recordJSON) []Record {
+	out := make([]Record, 0, len(list))
+	for _, j := range list {
+		out = append(out, Record{
+			Key: j.Key, Fingerprint: j.Fingerprint, Attempt: j.Attempt,
+			Entry: j.Entry, Started: j.Started, State: State(j.State),
+			Answer: Answer{j.Status, j.ContentType, j.Body, j.Kept},
+			At:     time.UnixMilli(j.AtMillis),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/core/cfvcatalog/catalog.go
@@ -0,0 +1,247 @@
+// Package cfvcatalog is the settings tree as request handling reads it: workspaces by
+// key, services with their limits, and endpoints cut into groups.
+package cfvcatalog
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sort"
+	"strings"
+	"time"
+
+	"coltsfootvalve/core/cfvmove"
+	"coltsfootvalve/core/cfvowner"
+	"coltsfootvalve/core/cfvslot"
+	"coltsfootvalve/core/cfvtree"
+)
+
+// Workspace is one workspace with its limits.
+type Workspace struct {
+	Name        string
+	CacheSecret string
+	Priority    int
+	PerSecond   int
+	Concurrent  int
+}
+
+// Service is one service with its limits.
+type Service struct {
+	Name         string
+	Plain        bool
+	HonoursKey   bool
+	Idempotent   map[string]bool // by method
+	Priority     int
+	QueueFor     time.Duration
+	QueueLength  int
+	Limit        time.Duration
+	Silence      time.Duration
+	MaxBody      int64
+	RetryPercent int
+	Plan         cfvmove.Plan
+}
+
+// Group is one group of endpoints of a service.
+type Group struct {
+	Key       string
+	Region    string
+	Domain    string
+	Drained   bool // no endpoint of it gets new work
+	Endpoints []cfvslot.EndpointConfig
+}
+
+// Catalog is one revision of the settings. It is immutable.
+type Catalog struct {
+	revision   uint64
+	tree       cfvtree.Tree
+	workspaces map[string]Workspace
+	services   map[string]Service
+	groups     map[string][]Group
+	longest    time.Duration
+	window     time.Duration
+}
+
+// New returns the catalog of a tree.
+func New(revision uint64, t cfvtree.Tree) *Catalog {
+	c := &Catalog{
+		revision:   revision,
+		tree:       t,
+		workspaces: make(map[string]Workspace),
+		services:   make(map[string]Service),
+		groups:     make(map[string][]Group),
+		window:     millis(t.Int(cfvtree.Root, cfvtree.BookingWindow)),
+	}
+	var endpoints []string
+	for _, p := range t.Paths() {
+		level, err := cfvtree.LevelOf(p)
+		if err != nil {
+			continue
+		}
+		switch level {
+		case cfvtree.LevelWorkspace:
+			c.addWorkspace(p)
+		case cfvtree.LevelService:
+			c.addService(p)
+		case cfvtree.LevelEndpoint:
+			endpoints = append(endpoints, p)
+		}
+	}
+	c.addEndpoints(endpoints)
+	return c
+}
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func (c *Catalog) addWorkspace(p string) {
+	hash := c.tree.Text(p, cfvtree.KeyHash)
+	if hash == "" {
+		return
+	}
+	secret := c.tree.Text(p, cfvtree.CacheSecret)
+	if secret == "" {
+		secret = hash
+	}
+	c.workspaces[hash] = Workspace{
+		Name:        cfvtree.Base(p),
+		CacheSecret: secret,
+		Priority:    c.tree.Int(p, cfvtree.Priority),
+		PerSecond:   c.tree.Int(p, cfvtree.RequestsPerSecond),
+		Concurrent:  c.tree.Int(p, cfvtree.ConcurrentRequests),
+	}
+}
+
+func (c *Catalog) addService(p string) {
+	t := c.tree
+	s := Service{
+		Name:         cfvtree.Base(p),
+		Plain:        t.Text(p, cfvtree.ServiceKind) == "plain",
+		HonoursKey:   t.Bool(p, cfvtree.HonoursKey),
+		Idempotent:   make(map[string]bool),
+		Priority:     t.Int(p, cfvtree.Priority),
+		QueueFor:     millis(t.Int(p, cfvtree.QueueMillis)),
+		QueueLength:  t.Int(p, cfvtree.QueueLength),
+		Limit:        millis(t.Int(p, cfvtree.RequestMillis)),
+		Silence:      millis(t.Int(p, cfvtree.SilenceMillis)),
+		MaxBody:      int64(t.Int(p, cfvtree.MaxBodyBytes)),
+		RetryPercent: t.Int(p, cfvtree.RetryPercent),
+	}
+	for _, m := range strings.Split(t.Text(p, cfvtree.IdempotentMethods), ",") {
+		s.Idempotent[strings.TrimSpace(m)] = true
+	}
+	s.Plan = cfvmove.Plan{
+		Service:   s.Name,
+		From:      t.Text(p, cfvtree.ActiveVersion),
+		To:        t.Text(p, cfvtree.MoveTo),
+		Start:     time.UnixMilli(int64(t.Int(p, cfvtree.MoveStart))),
+		Deadline:  time.UnixMilli(int64(t.Int(p, cfvtree.MoveDeadline))),
+		TakenBack: t.Bool(p, cfvtree.MoveTakenBack),
+		ProbeMost: t.Int(p, cfvtree.BadShareLimit),
+	}
+	c.services[s.Name] = s
+	c.longest = max(c.longest, s.Limit)
+}
+
+// addEndpoints cuts the endpoints of each service and domain into groups.
+func (c *Catalog) addEndpoints(paths []string) {
+	byPlace := make(map[cfvowner.Group][]string)
+	for _, p := range paths {
+		parts := strings.Split(p, "/")
+		place := cfvowner.Group{Service: c.tree.Text(p, cfvtree.EndpointService), Region: parts[1], Domain: parts[2]}
+		byPlace[place] = append(byPlace[place], p)
+	}
+	for place, list := range byPlace {
+		index := cfvowner.Partition(list)
+		byIndex := make(map[int][]string)
+		for _, p := range list {
+			byIndex[index[p]] = append(byIndex[index[p]], p)
+		}
+		for i, members := range byIndex {
+			place.Index = i
+			c.groups[place.Service] = append(c.groups[place.Service], c.group(place, members))
+		}
+	}
+	for _, list := range c.groups {
+		sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	}
+}
+
+func (c *Catalog) group(place cfvowner.Group, paths []string) Group {
+	g := Group{Key: place.String(), Region: place.Region, Domain: place.Domain, Drained: true}
+	for _, p := range paths {
+		e := c.endpoint(p, g.Key)
+		g.Drained = g.Drained && e.Drained
+		g.Endpoints = append(g.Endpoints, e)
+	}
+	return g
+}
+
+func (c *Catalog) endpoint(p, group string) cfvslot.EndpointConfig {
+	t := c.tree
+	version := t.Text(p, cfvtree.EndpointVersion)
+	if version == "" {
+		version = t.Text("services/"+t.Text(p, cfvtree.EndpointService), cfvtree.ActiveVersion)
+	}
+	return cfvslot.EndpointConfig{
+		Name:     strings.TrimPrefix(p, "regions/"),
+		Group:    group,
+		Address:  t.Text(p, cfvtree.Address),
+		Version:  version,
+		Cold:     t.Int(p, cfvtree.ColdSlots),
+		Warm:     t.Int(p, cfvtree.WarmSlots),
+		RampStep: millis(t.Int(p, cfvtree.RampStepMillis)),
+		Drained:  t.Bool(p, cfvtree.Drained),
+	}
+}
+
+// Revision returns the revision of the settings.
+func (c *Catalog) Revision() uint64 { return c.revision }
+
+// Tree returns the settings.
+func (c *Catalog) Tree() cfvtree.Tree { return c.tree }
+
+// Longest returns the longest run that any service allows.
+func (c *Catalog) Longest() time.Duration { return c.longest }
+
+// BookingWindow returns how long an idempotency key is remembered.
+func (c *Catalog) BookingWindow() time.Duration { return c.window }
+
+// HashKey returns the hash under which a workspace's key is stored.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// WorkspaceByKey returns the workspace whose key is given.
+func (c *Catalog) WorkspaceByKey(key string) (Workspace, bool) {
+	w, ok := c.workspaces[HashKey(key)]
+	return w, ok
+}
+
+// Service returns a service by name.
+func (c *Catalog) Service(name string) (Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Services returns every service, sorted by name.
+func (c *Catalog) Services() []Service {
+	out := make([]Service, 0, len(c.services))
+	for _, s := range c.services {
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Groups returns the groups of a service, sorted by key.
+func (c *Catalog) Groups(service string) []Group { return c.groups[service] }
+
+// Group returns a group by its key.
+func (c *Catalog) Group(key string) (Group, bool) {
+	service, _, _ := strings.Cut(key, "/")
+	for _, g := range c.groups[service] {
+		if g.Key == key {
+			return g, true
+		}
+	}
+	return Group{}, false
+}
--- /dev/null
+++ b/core/cfvslot/table.go
@@ -0,0 +1,440 @@
+package cfvslot
+
+import (
+	"sort"
+	"time"
+
+	"coltsfootvalve/common/cfverror"
+	"coltsfootvalve/core/cfvowner"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// UseWithin is how long after its request was sent an entry may start to use a slot.
+const UseWithin = 500 * time.Millisecond
+
+// releasedKept is the number of released slots remembered, so that a reservation that
+// arrives after its own release gives nothing away.
+const releasedKept = 4096
+
+// Request asks for a slot in a group.
+type Request struct {
+	Slot        string // chosen by the entry, so that it can release what it never heard of
+	Group       string
+	Entry       string
+	Started     uint64 // when the entry's process started
+	Workspace   string
+	Priority    int
+	PromptKey   string // prefers the endpoint that has the prompt; empty for the least loaded
+	Version     string // version the endpoint must run; empty for any
+	Exclude     []string
+	QueueFor    time.Duration
+	QueueLength int
+	Limit       time.Duration // longest run of the request
+}
+
+// Grant is a slot given.
+type Grant struct {
+	Slot     string
+	Endpoint string
+	Address  string
+	Version  string
+	Level    Level
+	Waited   time.Duration // in the owner's queue
+}
+
+// Decision answers one request: a grant, or the reason of a refusal.
+type Decision struct {
+	Slot   string
+	Grant  *Grant
+	Reason cfverror.Reason
+}
+
+// Outcome is how a request that held a slot ended.
+type Outcome int
+
+// The outcomes.
+const (
+	OutcomeUnused      Outcome = iota // never sent
+	OutcomeDone                       // whole answer received
+	OutcomeFailed                     // the endpoint answered with a fault, or not to the end
+	OutcomeUnreachable                // no connection to the endpoint
+)
+
+// Release gives a slot back.
+type Release struct {
+	Slot     string
+	Endpoint string
+	Outcome  Outcome
+	BootID   string // boot identity that the answer named; empty if none came
+	Leaving  bool   // the answer said that the endpoint is leaving
+}
+
+// Held is one slot that an entry has in use.
+type Held struct {
+	Slot      string
+	Endpoint  string
+	Workspace string
+	BootID    string
+	Limit     time.Duration
+}
+
+// Table holds the endpoints and queues of the groups that a node owns. It is not safe
+// for concurrent use.
+type Table struct {
+	endpoints map[string]*endpoint
+	bySlot    map[string]*endpoint
+	queues    map[string]*queue
+	leases    map[string]*lease
+	longest   time.Duration
+	released  *lru.Cache[string, struct{}]
+}
+
+// New returns an empty table.
+func New() *Table {
+	released, err := lru.New[string, struct{}](releasedKept)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &Table{
+		endpoints: make(map[string]*endpoint),
+		bySlot:    make(map[string]*endpoint),
+		queues:    make(map[string]*queue),
+		leases:    make(map[string]*lease),
+		released:  released,
+	}
+}
+
+// Setup is what a node owns.
+type Setup struct {
+	Endpoints []EndpointConfig
+	Entries   []string      // the listed entries of the region
+	Longest   time.Duration // longest run of any request
+}
+
+// Configure sets the endpoints of the groups that the node owns now. Endpoints that are
+// new here stay unsettled until each listed entry has told what it has in flight there.
+func (t *Table) Configure(now time.Time, s Setup) []Decision {
+	t.longest = s.Longest
+	keep := make(map[string]bool, len(s.Endpoints))
+	groups := make(map[string]bool)
+	for _, cfg := range s.Endpoints {
+		keep[cfg.Name] = true
+		groups[cfg.Group] = true
+		e, ok := t.endpoints[cfg.Name]
+		if !ok {
+			e = newEndpoint(cfg)
+			e.unsettle(now, s.Entries, s.Longest)
+			t.endpoints[cfg.Name] = e
+		}
+		e.cfg = cfg
+		e.bound = max(e.bound, cfg.Cold)
+	}
+	for name, e := range t.endpoints {
+		if !keep[name] {
+			t.drop(name, e)
+		}
+	}
+	var out []Decision
+	for g := range t.leases {
+		if !groups[g] {
+			delete(t.leases, g)
+		}
+	}
+	for g, q := range t.queues {
+		if !groups[g] {
+			out = append(out, q.refuseAll(cfverror.ReasonNotOwner)...)
+			delete(t.queues, g)
+		}
+	}
+	return append(out, t.pumpAll(now)...)
+}
+
+func (t *Table) drop(name string, e *endpoint) {
+	for id := range e.slots {
+		delete(t.bySlot, id)
+	}
+	delete(t.endpoints, name)
+}
+
+// Reserve places the request, queues it, or refuses it. A queued request has no decision
+// yet; the decisions returned may also be those of other requests.
+func (t *Table) Reserve(now time.Time, r Request) []Decision {
+	if t.released.Contains(r.Slot) {
+		return []Decision{{Slot: r.Slot, Reason: cfverror.ReasonCallerGone}}
+	}
+	if !t.owns(r.Group) {
+		return []Decision{{Slot: r.Slot, Reason: cfverror.ReasonNotOwner}}
+	}
+	q := t.queue(r.Group)
+	if q.empty() {
+		if g := t.place(now, r); g != nil {
+			return []Decision{{Slot: r.Slot, Grant: g}}
+		}
+	}
+	reason := t.whyNot(now, r)
+	if r.QueueFor <= 0 || reason == cfverror.ReasonDrained || reason == cfverror.ReasonNoEndpoint {
+		return []Decision{{Slot: r.Slot, Reason: reason}}
+	}
+	evicted, queued := q.push(now, r)
+	if !queued {
+		return []Decision{{Slot: r.Slot, Reason: cfverror.ReasonQueueFull}}
+	}
+	var out []Decision
+	if evicted != "" {
+		out = append(out, Decision{Slot: evicted, Reason: cfverror.ReasonQueueFull})
+	}
+	return append(out, t.pump(now, r.Group)...)
+}
+
+// Release gives a slot back, learns from how its request ended, and returns the
+// decisions of queued requests that can go now.
+func (t *Table) Release(now time.Time, r Release) []Decision {
+	t.released.Add(r.Slot, struct{}{})
+	for _, q := range t.queues {
+		q.remove(r.Slot)
+	}
+	e, ok := t.endpoints[r.Endpoint]
+	if holder := t.bySlot[r.Slot]; holder != nil {
+		e, ok = holder, true
+		delete(holder.slots, r.Slot)
+		delete(t.bySlot, r.Slot)
+	}
+	if !ok {
+		return nil
+	}
+	e.observeBoot(now, r.BootID)
+	e.leaving = e.leaving || (r.Leaving && r.BootID == e.bootID)
+	switch r.Outcome {
+	case OutcomeDone:
+		e.success(now, r.BootID)
+	case OutcomeUnreachable:
+		e.unreachable(now)
+	}
+	return t.pump(now, e.cfg.Group)
+}
+
+// Observe takes a load report.
+func (t *Table) Observe(now time.Time, name string, l Load) []Decision {
+	e, ok := t.endpoints[name]
+	if !ok {
+		return nil
+	}
+	e.observeBoot(now, l.BootID)
+	e.leaving = l.Leaving
+	if l.Version != "" {
+		e.version = l.Version
+	}
+	return t.pump(now, e.cfg.Group)
+}
+
+// Unreachable says that an endpoint could not be reached for its load report.
+func (t *Table) Unreachable(now time.Time, name string) {
+	if e, ok := t.endpoints[name]; ok {
+		e.unreachable(now)
+	}
+}
+
+// Tick refuses those that waited too long, frees slots past their limit and serves
+// queues that can go on.
+func (t *Table) Tick(now time.Time) []Decision {
+	var out []Decision
+	for _, e := range t.endpoints {
+		e.settleByTime(now)
+		for id, s := range e.slots {
+			if now.Sub(s.granted) > s.limit+UseWithin {
+				delete(e.slots, id)
+				delete(t.bySlot, id)
+			}
+		}
+	}
+	for _, q := range t.queues {
+		out = append(out, q.expire(now)...)
+	}
+	return append(out, t.pumpAll(now)...)
+}
+
+func (t *Table) owns(group string) bool {
+	for _, e := range t.endpoints {
+		if e.cfg.Group == group {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Table) queue(group string) *queue {
+	q, ok := t.queues[group]
+	if !ok {
+		q = &queue{}
+		t.queues[group] = q
+	}
+	return q
+}
+
+func (t *Table) pumpAll(now time.Time) []Decision {
+	groups := make([]string, 0, len(t.queues))
+	for g := range t.queues {
+		groups = append(groups, g)
+	}
+	sort.Strings(groups)
+	var out []Decision
+	for _, g := range groups {
+		out = append(out, t.pump(now, g)...)
+	}
+	return out
+}
+
+// pump places queued requests of the group in order while they fit.
+func (t *Table) pump(now time.Time, group string) []Decision {
+	q, ok := t.queues[group]
+	if !ok || q.empty() {
+		return nil
+	}
+	held := t.heldByWorkspace(group)
+	var out []Decision
+	for _, w := range q.inOrder(held) {
+		if g := t.place(now, w.request); g != nil {
+			q.remove(w.request.Slot)
+			g.Waited = now.Sub(w.since)
+			out = append(out, Decision{Slot: w.request.Slot, Grant: g})
+		}
+	}
+	return out
+}
+
+func (t *Table) heldByWorkspace(group string) map[string]int {
+	out := make(map[string]int)
+	for _, e := range t.endpoints {
+		if e.cfg.Group != group {
+			continue
+		}
+		for _, s := range e.slots {
+			out[s.workspace]++
+		}
+	}
+	return out
+}
+
+// place reserves a slot for the request if one is free.
+func (t *Table) place(now time.Time, r Request) *Grant {
+	e := t.choose(now, r)
+	if e == nil {
+		return nil
+	}
+	e.slots[r.Slot] = &slot{r.Slot, r.Entry, r.Started, r.Workspace, e.bootID, now, r.Limit}
+	t.bySlot[r.Slot] = e
+	return &Grant{
+		Slot:     r.Slot,
+		Endpoint: e.cfg.Name,
+		Address:  e.cfg.Address,
+		Version:  e.version,
+		Level:    Level{e.cfg.Name, e.bootID, e.limit()},
+	}
+}
+
+// candidates returns the endpoints that fit the request, whether or not they are free.
+func (t *Table) candidates(r Request) map[string]*endpoint {
+	out := make(map[string]*endpoint)
+	for name, e := range t.endpoints {
+		if e.cfg.Group == r.Group && (r.Version == "" || r.Version == e.version) && !contains(r.Exclude, name) {
+			out[name] = e
+		}
+	}
+	return out
+}
+
+// free returns how many more requests the endpoint may get now.
+func (t *Table) free(now time.Time, e *endpoint) int {
+	if e.shut(now) {
+		return 0
+	}
+	if e.isCold() {
+		if !t.leases[e.cfg.Group].covers(now, t.longest) {
+			return 0
+		}
+		return e.limit() - len(e.slots)
+	}
+	if !e.settled {
+		return e.limit()/2 - len(e.slots)
+	}
+	return e.limit() - len(e.slots)
+}
+
+// choose picks the endpoint: the one that the prompt prefers if its load is near the
+// mean, else the one with the smallest share of its slots in use.
+func (t *Table) choose(now time.Time, r Request) *endpoint {
+	var names []string
+	var total int
+	all := t.candidates(r)
+	for name, e := range all {
+		if t.free(now, e) > 0 {
+			names = append(names, name)
+			total += len(e.slots)
+		}
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	sort.Strings(names)
+	if r.PromptKey != "" {
+		for _, name := range cfvowner.Rank(r.PromptKey, names) {
+			e := all[name]
+			if withinMean(len(e.slots), total, len(names)) {
+				return e
+			}
+		}
+	}
+	return leastLoaded(names, all)
+}
+
+// withinMean reports whether one more request keeps an endpoint at or below a quarter
+// above the mean load, counting the new request.
+func withinMean(load, total, n int) bool {
+	return 4*(load+1)*n <= 5*(total+1)+4*n
+}
+
+func leastLoaded(names []string, all map[string]*endpoint) *endpoint {
+	best := all[names[0]]
+	for _, name := range names[1:] {
+		e := all[name]
+		if len(e.slots)*best.limit() < len(best.slots)*e.limit() {
+			best = e
+		}
+	}
+	return best
+}
+
+// whyNot returns the reason for which no endpoint can take the request now.
+func (t *Table) whyNot(now time.Time, r Request) cfverror.Reason {
+	all := t.candidates(r)
+	if len(all) == 0 {
+		return cfverror.ReasonNoEndpoint
+	}
+	reason := cfverror.ReasonDrained
+	for _, e := range all {
+		switch {
+		case e.cfg.Drained || e.leaving:
+		case now.Before(e.downUntil):
+			if reason == cfverror.ReasonDrained {
+				reason = cfverror.ReasonConnect
+			}
+		case e.isCold():
+			if reason != cfverror.ReasonEndpointsFull {
+				reason = cfverror.ReasonEndpointsCold
+			}
+		default:
+			reason = cfverror.ReasonEndpointsFull
+		}
+	}
+	return reason
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/cfvtree/head.go
@@ -0,0 +1,90 @@
+package cfvtree
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Head names the pieces of one accepted revision of the tree.
+type Head struct {
+	Revision uint64
+	ChangeID string
+	Author   string
+	Time     time.Time
+	Changes  []string
+	Pieces   []string
+	Retired  []Retired
+}
+
+// Retired is a piece that the head no longer names. It is removed when it has been
+// retired for long enough that no reader still wants it.
+type Retired struct {
+	Name string
+	At   time.Time
+}
+
+type retiredJSON struct {
+	Name     string `json:"name"`
+	AtMillis int64  `json:"atMillis"`
+}
+
+type headJSON struct {
+	Revision uint64   `json:"revision"`
+	ChangeID string   `json:"changeId"`
+	Author   string   `json:"author"`
+	Time     string   `json:"time"`
+	Changes  []string `json:"changes"`
+	Pieces   []string `json:"pieces"`
+
+	Retired []retiredJSON `json:"retired,omitempty"`
+}
+
+// EncodeHead returns the head as JSON.
+func EncodeHead(h Head) []byte {
+	var retired []retiredJSON
+	for _, r := range h.Retired {
+		retired = append(retired, retiredJSON{r.Name, r.At.UnixMilli()})
+	}
+	data, err := json.Marshal(headJSON{
+		Revision: h.Revision,
+		ChangeID: h.ChangeID,
+		Author:   h.Author,
+		Time:     h.Time.UTC().Format(time.RFC3339Nano),
+		Changes:  h.Changes,
+		Pieces:   h.Pieces,
+		Retired:  retired,
+	})
+	if err != nil {
+		panic(err) // strings and numbers always encode
+	}
+	return data
+}
+
+// DecodeHead reads a head.
+func DecodeHead(data []byte) (h Head, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("settings head: %w", err)
+		}
+	}()
+	var j headJSON
+	if err = json.Unmarshal(data, &j); err != nil {
+		return h, err
+	}
+	at, err := time.Parse(time.RFC3339Nano, j.Time)
+	if err != nil {
+		return h, fmt.Errorf("time: %w", err)
+	}
+	if j.Revision == 0 {
+		return h, fmt.Errorf("revision: missing")
+	}
+	if len(j.Pieces) != PieceCount {
+		return h, fmt.Errorf("pieces: want %d, got %d", PieceCount, len(j.Pieces))
+	}
+	h = Head{j.Revision, j.ChangeID, j.Author, at, j.Changes, j.Pieces, nil}
+	for _, r := range j.Retired {
+		h.Retired = append(h.Retired, Retired{r.Name, time.UnixMilli(r.AtMillis)})
+	}
+	return h, nil
+}
--- /dev/null
+++ b/core/cfvtree/tree.go
@@ -0,0 +1,258 @@
+package cfvtree
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Tree is an immutable tree of settings. The zero value is empty and valid.
+type Tree struct {
+	nodes map[string]node
+}
+
+type node map[Name]Value
+
+// Change sets or unsets one setting at one path. A change with Remove set and no name
+// removes the node.
+type Change struct {
+	Path   string
+	Name   Name
+	Value  Value
+	Remove bool
+}
+
+// String returns the change as an operator would read it.
+func (c Change) String() string {
+	switch {
+	case c.Remove && c.Name == "":
+		return "remove " + c.Path
+	case c.Remove:
+		return fmt.Sprintf("unset %s %s", c.Path, c.Name)
+	case c.Name == "":
+		return "add " + c.Path
+	default:
+		return fmt.Sprintf("set %s %s=%s", c.Path, c.Name, c.Value)
+	}
+}
+
+// Apply returns the tree with the changes made, or an error that names the path and the
+// setting at fault; then nothing is changed.
+func (t Tree) Apply(changes []Change) (out Tree, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("settings: %w", err)
+		}
+	}()
+	out.nodes = make(map[string]node, len(t.nodes)+len(changes))
+	for p, n := range t.nodes {
+		out.nodes[p] = n
+	}
+	for _, c := range changes {
+		if err = out.applyOne(c); err != nil {
+			return Tree{}, err
+		}
+	}
+	if err = out.validate(); err != nil {
+		return Tree{}, err
+	}
+	return out, nil
+}
+
+func (t Tree) applyOne(c Change) error {
+	level, err := LevelOf(c.Path)
+	if err != nil {
+		return err
+	}
+	if c.Remove && c.Name == "" {
+		delete(t.nodes, c.Path)
+		return nil
+	}
+	n := t.nodes[c.Path].copy()
+	t.nodes[c.Path] = n
+	if c.Name == "" {
+		return nil
+	}
+	if c.Remove {
+		delete(n, c.Name)
+		return nil
+	}
+	f, ok := fields[c.Name]
+	if !ok {
+		return fmt.Errorf("%s: %s: no such setting", c.Path, c.Name)
+	}
+	if !f.AllowedAt(level) {
+		return fmt.Errorf("%s: %s: not allowed at level %s", c.Path, c.Name, level)
+	}
+	if err := f.check(c.Value); err != nil {
+		return fmt.Errorf("%s: %w", c.Path, err)
+	}
+	n[c.Name] = c.Value
+	return nil
+}
+
+func (n node) copy() node {
+	out := make(node, len(n)+1)
+	for k, v := range n {
+		out[k] = v
+	}
+	return out
+}
+
+// validate checks what holds between settings.
+func (t Tree) validate() error {
+	hashes := make(map[string]string)
+	for _, p := range t.Paths() {
+		level, err := LevelOf(p)
+		if err != nil {
+			return err
+		}
+		if cold, warm := t.Int(p, ColdSlots), t.Int(p, WarmSlots); cold > warm {
+			return fmt.Errorf("%s: coldSlots %d is above warmSlots %d", p, cold, warm)
+		}
+		switch level {
+		case LevelWorkspace:
+			if err := t.validateWorkspace(p, hashes); err != nil {
+				return err
+			}
+		case LevelEndpoint:
+			if err := t.validateEndpoint(p); err != nil {
+				return err
+			}
+		case LevelService:
+			if t.Text(p, MoveTo) != "" && t.Int(p, MoveDeadline) <= t.Int(p, MoveStart) {
+				return fmt.Errorf("%s: moveDeadline: must lie after moveStart", p)
+			}
+		}
+	}
+	return nil
+}
+
+func (t Tree) validateWorkspace(p string, hashes map[string]string) error {
+	h := t.Text(p, KeyHash)
+	if h == "" {
+		return nil
+	}
+	if other, ok := hashes[h]; ok {
+		return fmt.Errorf("%s: keyHash: same key as %s", p, other)
+	}
+	hashes[h] = p
+	return nil
+}
+
+func (t Tree) validateEndpoint(p string) error {
+	if t.Text(p, Address) == "" {
+		return fmt.Errorf("%s: address: missing", p)
+	}
+	s := t.Text(p, EndpointService)
+	if s == "" {
+		return fmt.Errorf("%s: service: missing", p)
+	}
+	if _, ok := t.nodes["services/"+s]; !ok {
+		return fmt.Errorf("%s: service: no service %q", p, s)
+	}
+	return nil
+}
+
+// Lookup returns the value in force at path and the path that gave it; the origin is
+// empty for a default.
+func (t Tree) Lookup(path string, name Name) (v Value, origin string) {
+	for p := path; ; p = parentOf(p) {
+		if v, ok := t.nodes[p][name]; ok {
+			return v, p
+		}
+		if p == Root {
+			return fields[name].Default, ""
+		}
+	}
+}
+
+// Int returns the integer in force at path.
+func (t Tree) Int(path string, name Name) int {
+	v, _ := t.Lookup(path, name)
+	return v.number
+}
+
+// Bool returns the boolean in force at path.
+func (t Tree) Bool(path string, name Name) bool {
+	v, _ := t.Lookup(path, name)
+	return v.flag
+}
+
+// Text returns the text in force at path.
+func (t Tree) Text(path string, name Name) string {
+	v, _ := t.Lookup(path, name)
+	return v.text
+}
+
+// Has reports whether a node stands at path.
+func (t Tree) Has(path string) bool {
+	_, ok := t.nodes[path]
+	return ok
+}
+
+// Paths returns the paths of all nodes, sorted.
+func (t Tree) Paths() []string {
+	out := make([]string, 0, len(t.nodes))
+	for p := range t.nodes {
+		out = append(out, p)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Len returns the number of nodes.
+func (t Tree) Len() int { return len(t.nodes) }
+
+// At returns the paths of all nodes of a level, sorted.
+func (t Tree) At(level Level) []string {
+	var out []string
+	for _, p := range t.Paths() {
+		if l, _ := LevelOf(p); l == level {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Own returns the names of the settings that stand at the node itself, sorted.
+func (t Tree) Own(path string) []Name {
+	var out []Name
+	for name := range t.nodes[path] {
+		out = append(out, name)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// Base returns the last part of a path.
+func Base(path string) string {
+	return path[strings.LastIndexByte(path, '/')+1:]
+}
+
+// Diff returns the changes that turn from into to, sorted by path and name.
+func Diff(from, to Tree) []Change {
+	var out []Change
+	for _, p := range from.Paths() {
+		if !to.Has(p) {
+			out = append(out, Change{Path: p, Remove: true})
+			continue
+		}
+		for _, name := range from.Own(p) {
+			if _, ok := to.nodes[p][name]; !ok {
+				out = append(out, Change{Path: p, Name: name, Remove: true})
+			}
+		}
+	}
+	for _, p := range to.Paths() {
+		if !from.Has(p) {
+			out = append(out, Change{Path: p})
+		}
+		for _, name := range to.Own(p) {
+			if v, ok := from.nodes[p][name]; !ok || v != to.nodes[p][name] {
+				out = append(out, Change{Path: p, Name: name, Value: to.nodes[p][name]})
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/cfvcaller/complete.go
@@ -0,0 +1,156 @@
+package cfvcaller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"coltsfootvalve/common/cfverror"
+	"coltsfootvalve/io/cfvopenai"
+	"coltsfootvalve/io/cfvserve"
+
+	"github.com/labstack/echo/v4"
+)
+
+// maxCompletionBytes bounds a completion's body before its service is known.
+const maxCompletionBytes = 64 << 20
+
+// complete serves a chat or text completion.
+func (a *API) complete(c echo.Context) error {
+	body, err := readBody(c, maxCompletionBytes)
+	if err != nil {
+		return err
+	}
+	req, err := cfvopenai.DecodeRequest(body)
+	if err != nil {
+		a.cfg.Metrics.Refused(cfverror.ReasonBadRequest)
+		return cfverror.NotRun(cfverror.ReasonBadRequest, "%v", err)
+	}
+	svc, err := a.service(req.Model, false)
+	if err != nil {
+		return err
+	}
+	if int64(len(body)) > svc.MaxBody {
+		return cfverror.NotRun(cfverror.ReasonBodyTooLarge, "body: larger than %d bytes", svc.MaxBody)
+	}
+	s := &streamWriter{c: c}
+	reply, err := a.cfg.Server.Complete(c.Request().Context(), cfvserve.Completion{
+		RequestID: requestIDOf(c), Workspace: workspaceOf(c), Service: svc, Path: c.Request().URL.Path, Request: req,
+	}, s.emit)
+	switch {
+	case err != nil && s.begun:
+		return s.breakOff(err)
+	case err != nil:
+		return err
+	case req.Stream && reply.Status == http.StatusOK:
+		return s.end()
+	}
+	return writeReply(c, reply)
+}
+
+// streamWriter passes the chunks of a stream on to the caller.
+type streamWriter struct {
+	c     echo.Context
+	begun bool
+}
+
+func (s *streamWriter) emit(chunk cfvopenai.Answer) error {
+	if !s.begun {
+		s.begun = true
+		s.c.Response().Header().Set("Content-Type", "text/event-stream")
+		s.c.Response().Header().Set("Cache-Control", "no-store")
+		s.c.Response().WriteHeader(http.StatusOK)
+	}
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return cfverror.Unknown(cfverror.ReasonInternal, "%v", err)
+	}
+	return s.write(string(data))
+}
+
+func (s *streamWriter) write(data string) error {
+	if _, err := fmt.Fprintf(s.c.Response(), "data: %s\n\n", data); err != nil {
+		return cfverror.Unknown(cfverror.ReasonCallerGone, "the caller left")
+	}
+	s.c.Response().Flush()
+	return nil
+}
+
+func (s *streamWriter) end() error {
+	return s.write(cfvopenai.EndMark)
+}
+
+// breakOff tells the caller that the stream is not whole: an error event, and no end
+// mark.
+func (s *streamWriter) breakOff(err error) error {
+	r := cfverror.From(err)
+	data, merr := json.Marshal(errorJSON{errorBody{
+		Message: r.Message, Type: "coltsfootvalve_error", Code: string(r.Reason), Reason: string(r.Reason), Ran: string(cfverror.RanYes),
+	}})
+	if merr != nil {
+		return merr
+	}
+	return s.write(string(data))
+}
+
+// passedHeaders are the headers of an answer that the caller gets.
+var passedHeaders = []string{"Content-Type", cfvserve.HeaderReplay, cfvopenai.HeaderVersion, "Location", "Etag", "Last-Modified", "Retry-After"}
+
+func writeReply(c echo.Context, r cfvserve.Reply) error {
+	for _, name := range passedHeaders {
+		if v := r.Header.Get(name); v != "" {
+			c.Response().Header().Set(name, v)
+		}
+	}
+	c.Response().WriteHeader(r.Status)
+	_, err := c.Response().Write(r.Body)
+	if err != nil {
+		return cfverror.Unknown(cfverror.ReasonCallerGone, "the caller left")
+	}
+	return nil
+}
+
+// call serves a call of a plain service.
+func (a *API) call(c echo.Context) error {
+	svc, err := a.service(c.Param("service"), true)
+	if err != nil {
+		return err
+	}
+	body, err := readBody(c, svc.MaxBody)
+	if err != nil {
+		return err
+	}
+	key := c.Request().Header.Get(HeaderKey)
+	if len(key) > maxKeyBytes {
+		return cfverror.NotRun(cfverror.ReasonBadRequest, "%s: longer than %d bytes", HeaderKey, maxKeyBytes)
+	}
+	path := "/" + c.Param("*")
+	if q := c.Request().URL.RawQuery; q != "" {
+		path += "?" + q
+	}
+	reply, err := a.cfg.Server.Call(c.Request().Context(), cfvserve.Call{
+		RequestID: requestIDOf(c), Workspace: workspaceOf(c), Service: svc,
+		Method: c.Request().Method, Path: path, Header: forwarded(c.Request().Header), Body: body, Key: key,
+	})
+	if err != nil {
+		return err
+	}
+	return writeReply(c, reply)
+}
+
+// forwarded returns the headers of a caller that the service gets: never the key.
+func forwarded(h http.Header) http.Header {
+	out := make(http.Header)
+	for _, name := range []string{"Content-Type", "Accept", "Accept-Language", "If-None-Match", "If-Modified-Since", HeaderKey} {
+		if v := h.Values(name); len(v) > 0 {
+			out[http.CanonicalHeaderKey(name)] = v
+		}
+	}
+	for name, v := range h {
+		if strings.HasPrefix(name, "X-App-") {
+			out[name] = v
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/cfvetcd/client.go
@@ -0,0 +1,146 @@
+package cfvetcd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"coltsfootvalve/common/cfvhttp"
+)
+
+// ErrConflict says that a key was not at the expected revision.
+var ErrConflict = errors.New("key was changed by another writer")
+
+// Config configures a client.
+type Config struct {
+	Addresses []string      // base URLs, tried in turn
+	Timeout   time.Duration // of one call
+	Silence   time.Duration // longest quiet time of a watch
+}
+
+// Client calls the key-value service. It is safe for concurrent use.
+type Client struct {
+	cfg  Config
+	http *http.Client
+	next atomic.Uint64
+}
+
+// New returns a client.
+func New(cfg Config) *Client {
+	return &Client{cfg: cfg, http: cfvhttp.NewClient(time.Second, 8)}
+}
+
+func (c *Client) base() string {
+	return c.cfg.Addresses[int(c.next.Load())%len(c.cfg.Addresses)]
+}
+
+func (c *Client) call(ctx context.Context, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	err := cfvhttp.Call(ctx, c.http, http.MethodPost, c.base()+path, in, out)
+	if err != nil {
+		c.next.Add(1)
+	}
+	return err
+}
+
+// Get reads a key. A key that does not exist has revision 0.
+func (c *Client) Get(ctx context.Context, key string) (value []byte, revision int64, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("read key %q: %w", key, err)
+		}
+	}()
+	var resp RangeResponse
+	if err = c.call(ctx, "/v3/kv/range", RangeRequest{Key: []byte(key)}, &resp); err != nil {
+		return nil, 0, err
+	}
+	if len(resp.KVs) == 0 {
+		return nil, 0, nil
+	}
+	return resp.KVs[0].Value, resp.KVs[0].ModRevision, nil
+}
+
+// Swap writes a key if its revision is the expected one, 0 for a new key, and returns
+// the new revision. ErrConflict means that nothing was written; any other error leaves
+// that open.
+func (c *Client) Swap(ctx context.Context, key string, value []byte, expected, lease int64) (revision int64, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("swap key %q: %w", key, err)
+		}
+	}()
+	req := TxnRequest{
+		Compare: []Compare{{Target: "MOD", Result: "EQUAL", Key: []byte(key), ModRevision: expected}},
+		Success: []Operation{{Put: &PutRequest{Key: []byte(key), Value: value, Lease: lease}}},
+	}
+	var resp TxnResponse
+	if err = c.call(ctx, "/v3/kv/txn", req, &resp); err != nil {
+		return 0, err
+	}
+	if !resp.Succeeded {
+		return 0, ErrConflict
+	}
+	return resp.Header.Revision, nil
+}
+
+// Put writes a key whatever its revision.
+func (c *Client) Put(ctx context.Context, key string, value []byte, lease int64) error {
+	req := TxnRequest{Success: []Operation{{Put: &PutRequest{Key: []byte(key), Value: value, Lease: lease}}}}
+	var resp TxnResponse
+	return c.call(ctx, "/v3/kv/txn", req, &resp)
+}
+
+// Delete removes a key.
+func (c *Client) Delete(ctx context.Context, key string) error {
+	req := TxnRequest{Success: []Operation{{Delete: &DeleteRequest{Key: []byte(key)}}}}
+	var resp TxnResponse
+	return c.call(ctx, "/v3/kv/txn", req, &resp)
+}
+
+// Grant returns a lease of the given length.
+func (c *Client) Grant(ctx context.Context, length time.Duration) (id int64, err error) {
+	var resp GrantResponse
+	err = c.call(ctx, "/v3/lease/grant", GrantRequest{TTL: int64(length / time.Second)}, &resp)
+	return resp.ID, err
+}
+
+// Watch calls changed after each change of the key and once at the start, until the
+// connection ends or stays quiet for longer than the service's progress notices allow.
+func (c *Client) Watch(ctx context.Context, key string, changed func()) (err error) {
+	defer func() { err = fmt.Errorf("watch key %q: %w", key, err) }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	quiet := time.AfterFunc(c.cfg.Silence, cancel)
+	defer quiet.Stop()
+	body, err := json.Marshal(WatchRequest{Create: RangeRequest{Key: []byte(key)}})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base()+"/v3/watch", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		c.next.Add(1)
+		return err
+	}
+	defer resp.Body.Close()
+	dec := json.NewDecoder(resp.Body)
+	for first := true; ; first = false {
+		var frame WatchFrame
+		if err := dec.Decode(&frame); err != nil {
+			return err
+		}
+		quiet.Reset(c.cfg.Silence)
+		if first || len(frame.Result.Events) > 0 {
+			changed()
+		}
+	}
+}
--- /dev/null
+++ b/io/cfvnode/config.go
@@ -0,0 +1,200 @@
+// Package cfvnode assembles one entry VM's node: its parts, its listeners, and how it
+// starts and stops.
+package cfvnode
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"time"
+)
+
+// Config is what a node learns from its settings file.
+type Config struct {
+	Name              string
+	Region            string
+	FailureDomain     string
+	CallerAddress     string
+	PeerAddress       string
+	OperatorAddress   string
+	KeyValueAddresses []string
+	VMListAddress     string
+	OperatorToken     string
+	LogLevel          string
+	DrainGrace        time.Duration // how long new requests are still taken once readiness is off
+	DrainLimit        time.Duration // how long running requests may take to end
+	ProbeEvery        time.Duration
+	SuspectFor        time.Duration
+	ListEvery         time.Duration
+	Certificate       string // file names; empty for plain connections
+	Key               string
+	Authority         string
+	CallerCertificate string
+	CallerKey         string
+}
+
+// DefaultConfig returns the defaults of a node.
+func DefaultConfig() Config {
+	return Config{
+		LogLevel:   "info",
+		DrainGrace: 2 * time.Second,
+		DrainLimit: 30 * time.Second,
+		ProbeEvery: 200 * time.Millisecond,
+		SuspectFor: 1500 * time.Millisecond,
+		ListEvery:  time.Second,
+	}
+}
+
+type configJSON struct {
+	Name              string   `json:"name"`
+	Region            string   `json:"region"`
+	FailureDomain     string   `json:"failureDomain"`
+	CallerAddress     string   `json:"callerAddress"`
+	PeerAddress       string   `json:"peerAddress"`
+	OperatorAddress   string   `json:"operatorAddress"`
+	KeyValueAddresses []string `json:"keyValueAddresses"`
+	VMListAddress     string   `json:"vmListAddress"`
+	OperatorToken     string   `json:"operatorToken"`
+	LogLevel          string   `json:"logLevel"`
+	DrainGraceMillis  *int64   `json:"drainGraceMillis"`
+	DrainLimitMillis  *int64   `json:"drainLimitMillis"`
+	ProbeEveryMillis  *int64   `json:"probeEveryMillis"`
+	SuspectForMillis  *int64   `json:"suspectForMillis"`
+	ListEveryMillis   *int64   `json:"listEveryMillis"`
+	Certificate       string   `json:"certificate"`
+	Key               string   `json:"key"`
+	Authority         string   `json:"authority"`
+	CallerCertificate string   `json:"callerCertificate"`
+	CallerKey         string   `json:"callerKey"`
+}
+
+// ReadConfig reads a settings file; an error names the file and the field.
+func ReadConfig(file string) (cfg Config, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("settings file %s: %w", file, err)
+		}
+	}()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return cfg, err
+	}
+	return DecodeConfig(data)
+}
+
+// DecodeConfig reads a node's settings. Unknown fields are refused.
+func DecodeConfig(data []byte) (cfg Config, err error) {
+	var j configJSON
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err = dec.Decode(&j); err != nil {
+		return cfg, describe(err)
+	}
+	cfg = DefaultConfig()
+	cfg.Name, cfg.Region, cfg.FailureDomain = j.Name, j.Region, j.FailureDomain
+	cfg.CallerAddress, cfg.PeerAddress, cfg.OperatorAddress = j.CallerAddress, j.PeerAddress, j.OperatorAddress
+	cfg.KeyValueAddresses, cfg.VMListAddress = j.KeyValueAddresses, j.VMListAddress
+	cfg.OperatorToken = j.OperatorToken
+	cfg.Certificate, cfg.Key, cfg.Authority = j.Certificate, j.Key, j.Authority
+	cfg.CallerCertificate, cfg.CallerKey = j.CallerCertificate, j.CallerKey
+	if j.LogLevel != "" {
+		cfg.LogLevel = j.LogLevel
+	}
+	setMillis(&cfg.DrainGrace, j.DrainGraceMillis)
+	setMillis(&cfg.DrainLimit, j.DrainLimitMillis)
+	setMillis(&cfg.ProbeEvery, j.ProbeEveryMillis)
+	setMillis(&cfg.SuspectFor, j.SuspectForMillis)
+	setMillis(&cfg.ListEvery, j.ListEveryMillis)
+	return cfg, cfg.validate()
+}
+
+func setMillis(d *time.Duration, ms *int64) {
+	if ms != nil {
+		*d = time.Duration(*ms) * time.Millisecond
+	}
+}
+
+// describe names the field of a type error as an operator would.
+func describe(err error) error {
+	var te *json.UnmarshalTypeError
+	if errors.As(err, &te) {
+		return fmt.Errorf("%s: want %s, got %s", te.Field, te.Type, te.Value)
+	}
+	return err
+}
+
+func (c Config) validate() error {
+	for _, f := range []struct{ name, value string }{
+		{"name", c.Name}, {"region", c.Region}, {"failureDomain", c.FailureDomain},
+	} {
+		if f.value == "" {
+			return fmt.Errorf("%s: missing", f.name)
+		}
+	}
+	for _, f := range []struct{ name, value string }{
+		{"callerAddress", c.CallerAddress}, {"peerAddress", c.PeerAddress}, {"operatorAddress", c.OperatorAddress},
+	} {
+		if err := checkAddress(f.value); err != nil {
+			return fmt.Errorf("%s: %w", f.name, err)
+		}
+	}
+	if len(c.KeyValueAddresses) == 0 {
+		return fmt.Errorf("keyValueAddresses: missing")
+	}
+	for i, a := range c.KeyValueAddresses {
+		if err := checkURL(a); err != nil {
+			return fmt.Errorf("keyValueAddresses[%d]: %w", i, err)
+		}
+	}
+	if err := checkURL(c.VMListAddress); err != nil {
+		return fmt.Errorf("vmListAddress: %w", err)
+	}
+	return c.validateTimes()
+}
+
+func (c Config) validateTimes() error {
+	for _, f := range []struct {
+		name  string
+		value time.Duration
+	}{
+		{"probeEveryMillis", c.ProbeEvery}, {"suspectForMillis", c.SuspectFor}, {"listEveryMillis", c.ListEvery},
+	} {
+		if f.value <= 0 {
+			return fmt.Errorf("%s: want more than 0, got %d", f.name, f.value.Milliseconds())
+		}
+	}
+	if c.DrainGrace < 0 || c.DrainLimit < 0 {
+		return fmt.Errorf("drainGraceMillis and drainLimitMillis: want 0 or more")
+	}
+	if (c.Certificate == "") != (c.Key == "") || (c.Certificate == "") != (c.Authority == "") {
+		return fmt.Errorf("certificate, key and authority: want all three or none")
+	}
+	if (c.CallerCertificate == "") != (c.CallerKey == "") {
+		return fmt.Errorf("callerCertificate and callerKey: want both or none")
+	}
+	return nil
+}
+
+// checkAddress wants an IP number and a port.
+func checkAddress(s string) error {
+	host, _, err := net.SplitHostPort(s)
+	if err != nil {
+		return fmt.Errorf("want an IP number and a port, got %q", s)
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("want an IP number, got %q", host)
+	}
+	return nil
+}
+
+func checkURL(s string) error {
+	u, err := url.Parse(s)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return fmt.Errorf("want an http or https URL, got %q", s)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/cfvnode/node.go
@@ -0,0 +1,302 @@
+package cfvnode
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"coltsfootvalve/common/cfvlog"
+	"coltsfootvalve/common/cfvmetric"
+	"coltsfootvalve/core/cfvcatalog"
+	"coltsfootvalve/core/cfvmember"
+	"coltsfootvalve/io/cfvbook"
+	"coltsfootvalve/io/cfvcaller"
+	"coltsfootvalve/io/cfvetcd"
+	"coltsfootvalve/io/cfvforward"
+	"coltsfootvalve/io/cfvmembership"
+	"coltsfootvalve/io/cfvoperator"
+	"coltsfootvalve/io/cfvpeer"
+	"coltsfootvalve/io/cfvplace"
+	"coltsfootvalve/io/cfvserve"
+	"coltsfootvalve/io/cfvsettings"
+	"coltsfootvalve/io/cfvvmlist"
+)
+
+// Timings of a node.
+const (
+	probeWithin     = 150 * time.Millisecond
+	keyValueTimeout = time.Second
+	watchSilence    = 3 * time.Second
+	listTimeout     = time.Second
+	configureEvery  = 50 * time.Millisecond
+	headerTimeout   = 10 * time.Second
+	idleTimeout     = 2 * time.Minute
+)
+
+// Node is one entry VM's node.
+type Node struct {
+	cfg     Config
+	self    cfvmember.Member
+	log     cfvlog.Logger
+	metrics *cfvmetric.Registry
+	tls     *cfvpeer.TLSConfig
+
+	keyValue   *cfvetcd.Client
+	vmList     *cfvvmlist.Client
+	peers      *cfvpeer.Client
+	forward    *cfvforward.Client
+	members    *cfvmembership.Runner
+	settings   *cfvsettings.Store
+	owner      *cfvplace.Owner
+	entry      *cfvplace.Entry
+	desk       *cfvbook.Desk
+	limits     *limits
+	suspicions *cfvserve.Suspicions
+	traces     *cfvserve.Traces
+	server     *cfvserve.Server
+	callers    *cfvcaller.API
+
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+	listeners []*http.Server
+	configure configured
+}
+
+// configured is what the owner was configured by.
+type configured struct {
+	catalog *cfvcatalog.Catalog
+	view    string
+	force   bool
+}
+
+// New returns a node that has not started.
+func New(cfg Config, logs io.Writer) (n *Node, err error) {
+	n = &Node{cfg: cfg, metrics: cfvmetric.New(), log: cfvlog.New(logs, cfg.Name)}
+	n.self = cfvmember.Member{
+		Name: cfg.Name, Address: cfg.PeerAddress, Region: cfg.Region, Domain: cfg.FailureDomain,
+		Started: uint64(time.Now().UnixMilli()),
+	}
+	if cfg.Certificate != "" {
+		if n.tls, err = cfvpeer.LoadTLS(cfg.Certificate, cfg.Key, cfg.Authority); err != nil {
+			return nil, err
+		}
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.keyValue = cfvetcd.New(cfvetcd.Config{Addresses: cfg.KeyValueAddresses, Timeout: keyValueTimeout, Silence: watchSilence})
+	n.vmList = cfvvmlist.New(cfvvmlist.Config{Address: cfg.VMListAddress, Timeout: listTimeout})
+	n.peers = cfvpeer.NewClient(cfvpeer.ClientConfig{TLS: n.tls})
+	n.forward = cfvforward.New()
+	n.limits = newLimits(n)
+	n.suspicions = cfvserve.NewSuspicions()
+	n.traces = cfvserve.NewTraces()
+	n.buildControl()
+	n.buildServing()
+	return n, nil
+}
+
+// buildControl makes the parts that agree with the peers and the platform.
+func (n *Node) buildControl() {
+	n.settings = cfvsettings.New(cfvsettings.Config{
+		KeyValue: cfvsettings.KeyValue{
+			Get: n.keyValue.Get, Swap: n.keyValue.Swap, Put: n.keyValue.Put, Delete: n.keyValue.Delete, Watch: n.keyValue.Watch,
+		},
+		Fetch:   n.peers.FetchSettings,
+		Log:     n.log.Part("settings"),
+		Metrics: n.metrics,
+	})
+	n.members = cfvmembership.New(cfvmembership.Config{
+		Self:        n.self,
+		ProbeEvery:  n.cfg.ProbeEvery,
+		ProbeWithin: probeWithin,
+		SuspectFor:  n.cfg.SuspectFor,
+		ListEvery:   n.cfg.ListEvery,
+		Seed:        n.self.Started,
+		Log:         n.log.Part("membership"),
+		Metrics:     n.metrics,
+		Probe:       n.peers.Probe,
+		ReadList:    n.vmList.Read,
+		News:        n.news,
+		TakeNews:    n.takeNews,
+		TakeList:    n.takeList,
+		Gone:        n.entryGone,
+	})
+	n.owner = cfvplace.NewOwner(cfvplace.OwnerConfig{
+		Self: n.self, Recognise: n.recognise, ReadLoad: n.forward.Load, View: n.members.View,
+		Log: n.log.Part("owner"), Metrics: n.metrics,
+	})
+	n.desk = cfvbook.New(n.ctx, cfvbook.Config{
+		KeyValue: cfvbook.KeyValue{Get: n.keyValue.Get, Swap: n.keyValue.Swap, Grant: n.keyValue.Grant},
+		Window:   func() time.Duration { return n.settings.Catalog().BookingWindow() },
+		Log:      n.log.Part("bookings"),
+		Metrics:  n.metrics,
+	})
+}
+
+// buildServing makes the parts that requests pass through.
+func (n *Node) buildServing() {
+	n.entry = cfvplace.NewEntry(cfvplace.EntryConfig{
+		Self: n.self, Reserve: n.reserve, Release: n.release, View: n.members.View, Catalog: n.settings.Catalog,
+		Log: n.log.Part("placement"), Metrics: n.metrics,
+	})
+	n.server = cfvserve.New(cfvserve.Config{
+		Self: n.self, Catalog: n.settings.Catalog, Acquire: n.entry.Acquire, Forward: n.forward,
+		Claim: n.claim, Conclude: n.conclude, Admit: n.limits.admit, Dismiss: n.limits.dismiss,
+		Alive:    n.alive,
+		PickMove: func(s cfvcatalog.Service, _ string) string { return s.Plan.From },
+		TakeRun:  func(cfvserve.Run) {},
+		Log:      n.log.Part("requests"), Metrics: n.metrics, Traces: n.traces, Suspicion: n.suspicions,
+	})
+	n.callers = cfvcaller.New(cfvcaller.Config{Catalog: n.settings.Catalog, Server: n.server, Metrics: n.metrics})
+}
+
+// Start opens the listeners and starts the node's work.
+func (n *Node) Start() (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("start node %s: %w", n.cfg.Name, err)
+		}
+	}()
+	operators := cfvoperator.New(cfvoperator.Config{
+		Token: n.cfg.OperatorToken, Settings: n.settings, Traces: n.traces, Metrics: n.metrics,
+		Status: n.status, Reload: n.reload,
+	})
+	if err = n.listenPeers(); err != nil {
+		return err
+	}
+	if err = n.listenCallers(); err != nil {
+		return err
+	}
+	if err = n.listen(n.cfg.OperatorAddress, &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: headerTimeout}, "", ""); err != nil {
+		return err
+	}
+	for _, run := range []func(context.Context){n.members.Run, n.settings.Run, n.owner.Run, n.entry.Run, n.keepConfigured} {
+		n.wg.Go(func() { run(n.ctx) })
+	}
+	n.log.Part("node").Info("The node serves callers on %s.", n.cfg.CallerAddress)
+	return nil
+}
+
+func (n *Node) listenPeers() error {
+	handler := cfvpeer.NewHandler(cfvpeer.Handlers{
+		Probe: n.members.HandleProbe, Reserve: n.owner.Reserve, Release: n.owner.Release,
+		Recognise: n.entry.Recognise, FetchSettings: n.settings.HandleFetch,
+		Claim: n.desk.Claim, Conclude: n.desk.Conclude,
+		Admit: n.limits.handleAdmit, Dismiss: n.limits.handleDismiss,
+	})
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, Protocols: new(http.Protocols)}
+	if n.tls == nil {
+		s.Protocols.SetUnencryptedHTTP2(true)
+		return n.listen(n.cfg.PeerAddress, s, "", "")
+	}
+	s.Protocols.SetHTTP2(true)
+	s.TLSConfig = n.tls.Server()
+	return n.listen(n.cfg.PeerAddress, s, n.cfg.Certificate, n.cfg.Key)
+}
+
+func (n *Node) listenCallers() error {
+	s := &http.Server{Handler: n.callers.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return n.listen(n.cfg.CallerAddress, s, n.cfg.CallerCertificate, n.cfg.CallerKey)
+}
+
+func (n *Node) listen(address string, s *http.Server, cert, key string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	n.listeners = append(n.listeners, s)
+	n.wg.Go(func() {
+		if cert != "" {
+			err = s.ServeTLS(l, cert, key)
+		} else {
+			err = s.Serve(l)
+		}
+		if err != http.ErrServerClosed {
+			n.log.Part("node").Warn("The listener on %s ended: %v.", address, err)
+		}
+	})
+	return nil
+}
+
+// keepConfigured configures the owner when settings or membership have changed.
+func (n *Node) keepConfigured(ctx context.Context) {
+	t := time.NewTicker(configureEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.configureOnce()
+		}
+	}
+}
+
+func (n *Node) configureOnce() {
+	view := n.members.View()
+	catalog := n.settings.Catalog()
+	signature := fmt.Sprint(view.Serving, view.Listed)
+	n.limits.expire()
+	if catalog == n.configure.catalog && signature == n.configure.view && !n.configure.force {
+		return
+	}
+	n.configure = configured{catalog: catalog, view: signature}
+	n.owner.Configure(catalog, view)
+}
+
+// reload reads the certificates between entry VMs anew.
+func (n *Node) reload() error {
+	if n.tls == nil {
+		return nil
+	}
+	return n.tls.Reload()
+}
+
+// Stopped says how a node stopped.
+type Stopped struct {
+	Cut int64 // requests that still ran at the limit
+}
+
+// Stop ends the node: readiness goes off and the peers are told, new requests are taken
+// until callers have had time to notice, running ones finish, then the listeners close.
+// When ctx ends first, what still runs is cut.
+func (n *Node) Stop(ctx context.Context) Stopped {
+	log := n.log.Part("node")
+	log.Info("The node stops; %d requests run.", n.callers.Running())
+	n.callers.Leave()
+	n.members.Leave(ctx)
+	sleep(ctx, n.cfg.DrainGrace)
+	n.callers.Stop()
+	limit, cancel := context.WithTimeout(ctx, n.cfg.DrainLimit)
+	defer cancel()
+	for limit.Err() == nil && (n.callers.Running() > 0 || n.server.Concluding() > 0) {
+		sleep(limit, 10*time.Millisecond)
+	}
+	out := Stopped{Cut: n.callers.Running()}
+	n.close(limit, out.Cut > 0)
+	log.Info("The node has stopped; %d requests were cut.", out.Cut)
+	return out
+}
+
+func (n *Node) close(ctx context.Context, hard bool) {
+	n.cancel()
+	for _, s := range n.listeners {
+		if hard || s.Shutdown(ctx) != nil {
+			_ = s.Close()
+		}
+	}
+	n.wg.Wait()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/cfvopenai/events.go
@@ -0,0 +1,51 @@
+package cfvopenai
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+)
+
+// MaxEventBytes bounds one event of a stream.
+const MaxEventBytes = 1 << 20
+
+// Events reads the data of server-sent events.
+type Events struct {
+	scanner *bufio.Scanner
+}
+
+// NewEvents returns a reader of the events in r.
+func NewEvents(r io.Reader) *Events {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 0, 4096), MaxEventBytes)
+	return &Events{s}
+}
+
+// Next returns the data of the next event; io.EOF means that the connection ended. Data
+// lines of one event are joined by line breaks; comments and other fields are skipped.
+func (e *Events) Next() (data []byte, err error) {
+	seen := false
+	for e.scanner.Scan() {
+		line := bytes.TrimSuffix(e.scanner.Bytes(), []byte("\r"))
+		if len(line) == 0 {
+			if seen {
+				return data, nil
+			}
+			continue
+		}
+		value, ok := bytes.CutPrefix(line, []byte("data:"))
+		if !ok {
+			continue
+		}
+		if seen {
+			data = append(data, '\n')
+		}
+		data = append(data, bytes.TrimPrefix(value, []byte(" "))...)
+		seen = true
+	}
+	if err := e.scanner.Err(); err != nil {
+		return nil, fmt.Errorf("read event: %w", err)
+	}
+	return nil, io.EOF
+}
--- /dev/null
+++ b/io/cfvopenai/messages.go
@@ -0,0 +1,117 @@
+// Package cfvopenai has the messages of the OpenAI-style protocol that callers and model
+// engines speak, with the usual engine extensions for cache separation and priority.
+package cfvopenai
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// Message is one turn of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Request is a chat or text completion request as far as routing needs it.
+type Request struct {
+	Model     string    `json:"model"`
+	Messages  []Message `json:"messages,omitempty"`
+	Prompt    string    `json:"prompt,omitempty"`
+	Stream    bool      `json:"stream,omitempty"`
+	MaxTokens int       `json:"max_tokens,omitempty"`
+	CacheSalt string    `json:"cache_salt,omitempty"`
+	Priority  int       `json:"priority,omitempty"`
+	Adapter   string    `json:"adapter,omitempty"`
+}
+
+// DecodeRequest reads a request and checks the fields that routing needs.
+func DecodeRequest(data []byte) (r Request, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("request body: %w", err)
+		}
+	}()
+	if err = json.Unmarshal(data, &r); err != nil {
+		return r, err
+	}
+	if r.Model == "" {
+		return r, fmt.Errorf("model: missing")
+	}
+	if len(r.Messages) == 0 && r.Prompt == "" {
+		return r, fmt.Errorf("messages or prompt: missing")
+	}
+	if r.MaxTokens < 0 {
+		return r, fmt.Errorf("max_tokens: want 0 or more, got %d", r.MaxTokens)
+	}
+	return r, nil
+}
+
+// Text returns the whole prompt as one text.
+func (r Request) Text() string {
+	if len(r.Messages) == 0 {
+		return r.Prompt
+	}
+	var b strings.Builder
+	for _, m := range r.Messages {
+		b.WriteString(m.Role)
+		b.WriteByte('\n')
+		b.WriteString(m.Content)
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// Usage counts tokens.
+type Usage struct {
+	PromptTokens     int          `json:"prompt_tokens"`
+	CompletionTokens int          `json:"completion_tokens"`
+	TotalTokens      int          `json:"total_tokens"`
+	Details          UsageDetails `json:"prompt_tokens_details"`
+}
+
+// UsageDetails counts the prompt tokens that came from the cache.
+type UsageDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// Choice is one choice of an answer or of a chunk of a stream.
+type Choice struct {
+	Index        int      `json:"index"`
+	Message      *Message `json:"message,omitempty"`
+	Delta        *Message `json:"delta,omitempty"`
+	Text         string   `json:"text,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Answer is a whole answer or one chunk of a stream.
+type Answer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Offset  *int     `json:"offset,omitempty"` // index of the chunk's token in the stream
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// EndMark is the data of the last event of a stream.
+const EndMark = "[DONE]"
+
+// Headers that entries and engines exchange.
+const (
+	HeaderRequestID  = "X-Request-Id"
+	HeaderBootID     = "X-Boot-Id"
+	HeaderVersion    = "X-Model-Version"
+	HeaderLeaving    = "X-Leaving"
+	HeaderResumeFrom = "X-Resume-From"
+)
+
+// LoadReport is an engine's or a plain service's report of its load.
+type LoadReport struct {
+	BootID  string `json:"bootId"`
+	Version string `json:"version"`
+	Running int    `json:"running"`
+	Waiting int    `json:"waiting"`
+	Leaving bool   `json:"leaving"`
+}
--- /dev/null
+++ b/io/cfvpeer/codec.go
@@ -0,0 +1,223 @@
+package cfvpeer
+
+import (
+	"time"
+
+	"coltsfootvalve/common/cfverror"
+	"coltsfootvalve/core/cfvbooking"
+	"coltsfootvalve/core/cfvlimit"
+	"coltsfootvalve/core/cfvmember"
+	"coltsfootvalve/core/cfvmove"
+	"coltsfootvalve/core/cfvslot"
+	"coltsfootvalve/io/cfvwire"
+)
+
+// convert maps a slice with a codec.
+func convert[A, B any](list []A, f func(A) B) []B {
+	out := make([]B, 0, len(list))
+	for _, a := range list {
+		out = append(out, f(a))
+	}
+	return out
+}
+
+func millis(d time.Duration) int64    { return d.Milliseconds() }
+func duration(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func memberToWire(m cfvmember.Member) *cfvwire.Member {
+	return &cfvwire.Member{
+		Name: m.Name, Address: m.Address, Region: m.Region, Domain: m.Domain,
+		Started: m.Started, Incarnation: m.Incarnation, Status: uint32(m.Status),
+	}
+}
+
+func memberFromWire(m *cfvwire.Member) cfvmember.Member {
+	return cfvmember.Member{
+		Name: m.GetName(), Address: m.GetAddress(), Region: m.GetRegion(), Domain: m.GetDomain(),
+		Started: m.GetStarted(), Incarnation: m.GetIncarnation(),
+		Status: cfvmember.Status(min(m.GetStatus(), uint32(cfvmember.StatusDead))),
+	}
+}
+
+func suspicionToWire(s cfvlimit.Suspicion) *cfvwire.Suspicion {
+	return &cfvwire.Suspicion{Fingerprint: s.Fingerprint, Endpoints: s.Endpoints, UntilMillis: s.Until.UnixMilli()}
+}
+
+func suspicionFromWire(s *cfvwire.Suspicion) cfvlimit.Suspicion {
+	return cfvlimit.Suspicion{Fingerprint: s.GetFingerprint(), Endpoints: s.GetEndpoints(), Until: time.UnixMilli(s.GetUntilMillis())}
+}
+
+func evidenceToWire(e cfvmove.Evidence) *cfvwire.Evidence {
+	return &cfvwire.Evidence{
+		Service: e.Service, Version: e.Version, Reporter: e.Reporter, Started: e.Started,
+		Requests: e.Requests, Failures: e.Failures, Slow: e.Slow, AtMillis: e.At.UnixMilli(),
+	}
+}
+
+func evidenceFromWire(e *cfvwire.Evidence) cfvmove.Evidence {
+	return cfvmove.Evidence{
+		Service: e.GetService(), Version: e.GetVersion(), Reporter: e.GetReporter(), Started: e.GetStarted(),
+		Requests: e.GetRequests(), Failures: e.GetFailures(), Slow: e.GetSlow(), At: time.UnixMilli(e.GetAtMillis()),
+	}
+}
+
+func verdictToWire(v cfvmove.Verdict) *cfvwire.Verdict {
+	return &cfvwire.Verdict{Service: v.Service, Version: v.Version, MoveStartMillis: v.Start.UnixMilli(), Cause: v.Cause}
+}
+
+func verdictFromWire(v *cfvwire.Verdict) cfvmove.Verdict {
+	return cfvmove.Verdict{Service: v.GetService(), Version: v.GetVersion(), Start: time.UnixMilli(v.GetMoveStartMillis()), Cause: v.GetCause()}
+}
+
+func probeToWire(p Probe) *cfvwire.ProbeRequest {
+	out := &cfvwire.ProbeRequest{
+		From:             memberToWire(p.From),
+		Updates:          convert(p.News.Updates, memberToWire),
+		SettingsRevision: p.News.Revision,
+		Suspicions:       convert(p.News.Suspicions, suspicionToWire),
+		Evidence:         convert(p.News.Evidence, evidenceToWire),
+		Verdicts:         convert(p.News.Verdicts, verdictToWire),
+	}
+	if p.Target != nil {
+		out.Target = memberToWire(*p.Target)
+	}
+	return out
+}
+
+func probeFromWire(p *cfvwire.ProbeRequest) Probe {
+	out := Probe{From: memberFromWire(p.GetFrom()), News: News{
+		Updates:    convert(p.GetUpdates(), memberFromWire),
+		Revision:   p.GetSettingsRevision(),
+		Suspicions: convert(p.GetSuspicions(), suspicionFromWire),
+		Evidence:   convert(p.GetEvidence(), evidenceFromWire),
+		Verdicts:   convert(p.GetVerdicts(), verdictFromWire),
+	}}
+	if p.GetTarget() != nil {
+		m := memberFromWire(p.GetTarget())
+		out.Target = &m
+	}
+	return out
+}
+
+func probeReplyToWire(r ProbeReply) *cfvwire.ProbeResponse {
+	return &cfvwire.ProbeResponse{
+		Name: r.Name, Answered: r.Answered,
+		Updates:          convert(r.News.Updates, memberToWire),
+		SettingsRevision: r.News.Revision,
+		Suspicions:       convert(r.News.Suspicions, suspicionToWire),
+		Evidence:         convert(r.News.Evidence, evidenceToWire),
+		Verdicts:         convert(r.News.Verdicts, verdictToWire),
+	}
+}
+
+func probeReplyFromWire(r *cfvwire.ProbeResponse) ProbeReply {
+	return ProbeReply{Name: r.GetName(), Answered: r.GetAnswered(), News: News{
+		Updates:    convert(r.GetUpdates(), memberFromWire),
+		Revision:   r.GetSettingsRevision(),
+		Suspicions: convert(r.GetSuspicions(), suspicionFromWire),
+		Evidence:   convert(r.GetEvidence(), evidenceFromWire),
+		Verdicts:   convert(r.GetVerdicts(), verdictFromWire),
+	}}
+}
+
+func requestToWire(r cfvslot.Request) *cfvwire.ReserveRequest {
+	return &cfvwire.ReserveRequest{
+		Slot: r.Slot, Group: r.Group, Entry: r.Entry, Started: r.Started, Workspace: r.Workspace,
+		Priority: int32(r.Priority), PromptKey: r.PromptKey, Version: r.Version, Exclude: r.Exclude,
+		QueueMillis: millis(r.QueueFor), QueueLength: int32(r.QueueLength), LimitMillis: millis(r.Limit),
+	}
+}
+
+func requestFromWire(r *cfvwire.ReserveRequest) cfvslot.Request {
+	return cfvslot.Request{
+		Slot: r.GetSlot(), Group: r.GetGroup(), Entry: r.GetEntry(), Started: r.GetStarted(), Workspace: r.GetWorkspace(),
+		Priority: int(r.GetPriority()), PromptKey: r.GetPromptKey(), Version: r.GetVersion(), Exclude: r.GetExclude(),
+		QueueFor: duration(r.GetQueueMillis()), QueueLength: int(r.GetQueueLength()), Limit: duration(r.GetLimitMillis()),
+	}
+}
+
+func levelToWire(l cfvslot.Level) *cfvwire.Level {
+	return &cfvwire.Level{Endpoint: l.Endpoint, BootId: l.BootID, Bound: int32(l.Bound)}
+}
+
+func levelFromWire(l *cfvwire.Level) cfvslot.Level {
+	return cfvslot.Level{Endpoint: l.GetEndpoint(), BootID: l.GetBootId(), Bound: int(l.GetBound())}
+}
+
+func decisionToWire(d cfvslot.Decision) *cfvwire.ReserveResponse {
+	if d.Grant == nil {
+		return &cfvwire.ReserveResponse{Reason: string(d.Reason)}
+	}
+	return &cfvwire.ReserveResponse{
+		Endpoint: d.Grant.Endpoint, Address: d.Grant.Address, Version: d.Grant.Version, Level: levelToWire(d.Grant.Level),
+		WaitedMillis: millis(d.Grant.Waited),
+	}
+}
+
+func decisionFromWire(slot string, r *cfvwire.ReserveResponse) cfvslot.Decision {
+	if r.GetEndpoint() == "" {
+		return cfvslot.Decision{Slot: slot, Reason: cfverror.Reason(r.GetReason())}
+	}
+	return cfvslot.Decision{Slot: slot, Grant: &cfvslot.Grant{
+		Slot: slot, Endpoint: r.GetEndpoint(), Address: r.GetAddress(), Version: r.GetVersion(), Level: levelFromWire(r.GetLevel()),
+		Waited: duration(r.GetWaitedMillis()),
+	}}
+}
+
+func releaseToWire(r cfvslot.Release) *cfvwire.Release {
+	return &cfvwire.Release{Slot: r.Slot, Endpoint: r.Endpoint, Outcome: uint32(r.Outcome), BootId: r.BootID, Leaving: r.Leaving}
+}
+
+func releaseFromWire(r *cfvwire.Release) cfvslot.Release {
+	return cfvslot.Release{
+		Slot: r.GetSlot(), Endpoint: r.GetEndpoint(), Outcome: cfvslot.Outcome(r.GetOutcome()),
+		BootID: r.GetBootId(), Leaving: r.GetLeaving(),
+	}
+}
+
+func heldToWire(h cfvslot.Held) *cfvwire.Held {
+	return &cfvwire.Held{Slot: h.Slot, Endpoint: h.Endpoint, Workspace: h.Workspace, BootId: h.BootID, LimitMillis: millis(h.Limit)}
+}
+
+func heldFromWire(h *cfvwire.Held) cfvslot.Held {
+	return cfvslot.Held{
+		Slot: h.GetSlot(), Endpoint: h.GetEndpoint(), Workspace: h.GetWorkspace(),
+		BootID: h.GetBootId(), Limit: duration(h.GetLimitMillis()),
+	}
+}
+
+func inventoryToWire(i cfvslot.Inventory) *cfvwire.RecogniseResponse {
+	return &cfvwire.RecogniseResponse{
+		Promised: i.Promised, Entry: i.Entry, Started: i.Started,
+		Held: convert(i.Held, heldToWire), Levels: convert(i.Levels, levelToWire),
+	}
+}
+
+func inventoryFromWire(group string, asked time.Time, r *cfvwire.RecogniseResponse) cfvslot.Inventory {
+	return cfvslot.Inventory{
+		Entry: r.GetEntry(), Started: r.GetStarted(), Group: group, Asked: asked, Promised: r.GetPromised(),
+		Held: convert(r.GetHeld(), heldFromWire), Levels: convert(r.GetLevels(), levelFromWire),
+	}
+}
+
+func answerToWire(a cfvbooking.Answer) *cfvwire.Answer {
+	return &cfvwire.Answer{Status: int32(a.Status), ContentType: a.ContentType, Body: a.Body, Kept: a.Kept}
+}
+
+func answerFromWire(a *cfvwire.Answer) cfvbooking.Answer {
+	return cfvbooking.Answer{Status: int(a.GetStatus()), ContentType: a.GetContentType(), Body: a.GetBody(), Kept: a.GetKept()}
+}
+
+func claimReplyToWire(r ClaimReply) *cfvwire.ClaimResponse {
+	return &cfvwire.ClaimResponse{
+		Won: r.Won, State: uint32(r.Record.State), Reason: r.Reason, Fingerprint: r.Record.Fingerprint,
+		Attempt: r.Record.Attempt, Entry: r.Record.Entry, Started: r.Record.Started, Answer: answerToWire(r.Record.Answer),
+	}
+}
+
+func claimReplyFromWire(key string, r *cfvwire.ClaimResponse) ClaimReply {
+	return ClaimReply{Won: r.GetWon(), Reason: r.GetReason(), Record: cfvbooking.Record{
+		Key: key, Fingerprint: r.GetFingerprint(), Attempt: r.GetAttempt(), Entry: r.GetEntry(), Started: r.GetStarted(),
+		State: cfvbooking.State(r.GetState()), Answer: answerFromWire(r.GetAnswer()),
+	}}
+}
--- /dev/null
+++ b/io/cfvplace/owner.go
@@ -0,0 +1,343 @@
+// Package cfvplace places requests: its owner side runs the slots of the groups that the
+// node owns, its entry side asks owners for slots and keeps those it has in use.
+package cfvplace
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"coltsfootvalve/common/cfverror"
+	"coltsfootvalve/common/cfvlog"
+	"coltsfootvalve/common/cfvmetric"
+	"coltsfootvalve/core/cfvcatalog"
+	"coltsfootvalve/core/cfvmember"
+	"coltsfootvalve/core/cfvowner"
+	"coltsfootvalve/core/cfvslot"
+	"coltsfootvalve/io/cfvmembership"
+	"coltsfootvalve/io/cfvopenai"
+	"coltsfootvalve/io/cfvpeer"
+)
+
+// Periods of an owner's work.
+const (
+	tickEvery      = 50 * time.Millisecond
+	loadEvery      = 500 * time.Millisecond
+	recogniseEvery = time.Second
+	reconcileEvery = 15 * time.Second
+	callWithin     = 400 * time.Millisecond
+)
+
+// LeaseLength is how long a promise to an owner holds.
+const LeaseLength = 3 * time.Second
+
+// OwnerConfig configures an owner. The functions are its seams.
+type OwnerConfig struct {
+	Self      cfvmember.Member
+	Recognise func(ctx context.Context, entry string, r cfvpeer.Recognise) (cfvslot.Inventory, error)
+	ReadLoad  func(ctx context.Context, address string) (cfvopenai.LoadReport, error)
+	View      func() cfvmembership.View
+	Log       cfvlog.Logger
+	Metrics   *cfvmetric.Registry
+}
+
+// Owner runs the slots of the groups that a node owns.
+type Owner struct {
+	cfg OwnerConfig
+
+	mu        sync.Mutex
+	table     *cfvslot.Table
+	owned     map[string]bool
+	endpoints map[string]string // addresses by name
+	leases    map[string]*cfvowner.Lease
+	waiters   map[string]chan cfvslot.Decision
+	leaving   map[string]bool // endpoint addresses that the VM list calls leaving
+	last      time.Time       // of the last reconciliation
+}
+
+// NewOwner returns an owner of nothing.
+func NewOwner(cfg OwnerConfig) *Owner {
+	return &Owner{
+		cfg:     cfg,
+		table:   cfvslot.New(),
+		owned:   make(map[string]bool),
+		leases:  make(map[string]*cfvowner.Lease),
+		waiters: make(map[string]chan cfvslot.Decision),
+		leaving: make(map[string]bool),
+	}
+}
+
+// Run does the owner's periodic work until the context ends.
+func (o *Owner) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { every(ctx, tickEvery, o.tick) })
+	wg.Go(func() { every(ctx, loadEvery, o.readLoads) })
+	wg.Go(func() { every(ctx, recogniseEvery, o.recognise) })
+	wg.Wait()
+}
+
+func every(ctx context.Context, period time.Duration, f func(context.Context)) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f(ctx)
+		}
+	}
+}
+
+// Configure takes the settings and the membership in force.
+func (o *Owner) Configure(c *cfvcatalog.Catalog, v cfvmembership.View) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	setup := cfvslot.Setup{Entries: v.Listed, Longest: c.Longest()}
+	owned := make(map[string]bool)
+	o.endpoints = make(map[string]string)
+	for _, s := range c.Services() {
+		for _, g := range c.Groups(s.Name) {
+			if g.Region != o.cfg.Self.Region || cfvowner.Owner(g.Key, v.Serving[g.Region]) != o.cfg.Self.Name {
+				continue
+			}
+			owned[g.Key] = true
+			setup.Endpoints = append(setup.Endpoints, o.overlay(g.Endpoints)...)
+		}
+	}
+	o.noteOwned(owned)
+	o.deliver(o.table.Configure(time.Now(), setup))
+}
+
+// overlay marks the endpoints that the VM list calls leaving; the caller holds the lock.
+func (o *Owner) overlay(list []cfvslot.EndpointConfig) []cfvslot.EndpointConfig {
+	out := append([]cfvslot.EndpointConfig(nil), list...)
+	for i := range out {
+		o.endpoints[out[i].Name] = out[i].Address
+		if o.leaving[out[i].Address] {
+			out[i].Drained = true
+		}
+	}
+	return out
+}
+
+func (o *Owner) noteOwned(owned map[string]bool) {
+	for g := range owned {
+		if !o.owned[g] {
+			o.cfg.Metrics.Count("owner.takeovers", 1)
+			o.cfg.Log.Info("This node owns group %s.", g)
+		}
+	}
+	for g := range o.owned {
+		if !owned[g] {
+			delete(o.leases, g)
+			o.cfg.Log.Info("This node no longer owns group %s.", g)
+		}
+	}
+	o.owned = owned
+	o.cfg.Metrics.Gauge("owner.groups", int64(len(owned)))
+}
+
+// SetLeaving takes the addresses of the endpoints that the VM list calls leaving and
+// reports whether they changed.
+func (o *Owner) SetLeaving(addresses map[string]bool) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	changed := len(addresses) != len(o.leaving)
+	for a := range addresses {
+		changed = changed || !o.leaving[a]
+	}
+	o.leaving = addresses
+	return changed
+}
+
+// Reserve answers a request for a slot; one that is queued waits.
+func (o *Owner) Reserve(done <-chan struct{}, r cfvslot.Request) cfvslot.Decision {
+	ch := make(chan cfvslot.Decision, 1)
+	o.mu.Lock()
+	if !o.owned[r.Group] {
+		o.mu.Unlock()
+		return cfvslot.Decision{Slot: r.Slot, Reason: cfverror.ReasonNotOwner}
+	}
+	o.waiters[r.Slot] = ch
+	o.deliver(o.table.Reserve(time.Now(), r))
+	o.mu.Unlock()
+	select {
+	case d := <-ch:
+		return d
+	case <-done:
+		o.Release([]cfvslot.Release{{Slot: r.Slot}})
+		o.mu.Lock()
+		delete(o.waiters, r.Slot)
+		o.mu.Unlock()
+		return cfvslot.Decision{Slot: r.Slot, Reason: cfverror.ReasonCallerGone}
+	}
+}
+
+// deliver hands decisions to those that wait for them; the caller holds the lock.
+func (o *Owner) deliver(list []cfvslot.Decision) {
+	for _, d := range list {
+		if d.Grant == nil {
+			o.cfg.Metrics.Count("owner.refused."+string(d.Reason), 1)
+		} else {
+			o.cfg.Metrics.Count("owner.granted", 1)
+		}
+		if ch, ok := o.waiters[d.Slot]; ok {
+			delete(o.waiters, d.Slot)
+			ch <- d
+		}
+	}
+}
+
+// Release takes slots back.
+func (o *Owner) Release(list []cfvslot.Release) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	for _, r := range list {
+		o.deliver(o.table.Release(now, r))
+	}
+}
+
+// EntryGone says that an entry's processes that started before the time have ended.
+func (o *Owner) EntryGone(entry string, before uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.deliver(o.table.EntryGone(time.Now(), entry, before))
+}
+
+// Statuses returns the state of every endpoint that the node owns.
+func (o *Owner) Statuses() []cfvslot.Status {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Statuses(time.Now())
+}
+
+func (o *Owner) tick(context.Context) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.deliver(o.table.Tick(time.Now()))
+}
+
+// readLoads reads the load report of every endpoint that the node owns.
+func (o *Owner) readLoads(ctx context.Context) {
+	o.mu.Lock()
+	list := make(map[string]string, len(o.endpoints))
+	for name, address := range o.endpoints {
+		list[name] = address
+	}
+	o.mu.Unlock()
+	var wg sync.WaitGroup
+	for name, address := range list {
+		wg.Go(func() { o.readLoad(ctx, name, address) })
+	}
+	wg.Wait()
+}
+
+func (o *Owner) readLoad(ctx context.Context, name, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	report, err := o.cfg.ReadLoad(ctx, address)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	if err != nil {
+		o.cfg.Metrics.Count("owner.loadFailed", 1)
+		o.table.Unreachable(now, name)
+		return
+	}
+	load := cfvslot.Load{BootID: report.BootID, Version: report.Version, Leaving: report.Leaving}
+	o.deliver(o.table.Observe(now, name, load))
+}
+
+// recognise asks the entries for promises and inventories where they are needed.
+func (o *Owner) recognise(ctx context.Context) {
+	view := o.cfg.View()
+	o.mu.Lock()
+	groups := make(map[string]bool)
+	for _, g := range o.table.ColdGroups() {
+		groups[g] = true
+	}
+	for g := range o.table.Unsettled() {
+		groups[g] = true
+	}
+	reconcile := time.Since(o.last) >= reconcileEvery
+	if reconcile {
+		o.last = time.Now()
+	}
+	owned := make([]string, 0, len(o.owned))
+	for g := range o.owned {
+		owned = append(owned, g)
+	}
+	o.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, g := range owned {
+		if groups[g] {
+			wg.Go(func() { o.recogniseGroup(ctx, g, LeaseLength, view) })
+		} else if reconcile {
+			wg.Go(func() { o.recogniseGroup(ctx, g, 0, view) })
+		}
+	}
+	wg.Wait()
+}
+
+// recogniseGroup asks every listed entry about one group, then takes the answers.
+func (o *Owner) recogniseGroup(ctx context.Context, group string, length time.Duration, view cfvmembership.View) {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	answers := make(chan cfvslot.Inventory, len(view.Listed))
+	for _, entry := range view.Listed {
+		go func() {
+			asked := time.Now()
+			inv, err := o.cfg.Recognise(ctx, entry, cfvpeer.Recognise{Group: group, Owner: o.cfg.Self.Name, Lease: length})
+			if err != nil {
+				inv = cfvslot.Inventory{}
+			}
+			inv.Asked = asked
+			answers <- inv
+		}()
+	}
+	var list []cfvslot.Inventory
+	for range view.Listed {
+		if inv := <-answers; inv.Entry != "" {
+			list = append(list, inv)
+		}
+	}
+	o.takeInventories(group, length, view.Listed, list)
+}
+
+func (o *Owner) takeInventories(group string, length time.Duration, listed []string, list []cfvslot.Inventory) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.owned[group] {
+		return
+	}
+	now := time.Now()
+	if length > 0 {
+		o.deliver(o.renew(now, group, length, listed, list))
+	}
+	for _, inv := range list {
+		inv.Group = group
+		o.deliver(o.table.Adopt(now, inv))
+	}
+}
+
+// renew counts the promises and extends the group's lease if a majority made them.
+func (o *Owner) renew(now time.Time, group string, length time.Duration, listed []string, list []cfvslot.Inventory) []cfvslot.Decision {
+	lease, ok := o.leases[group]
+	if !ok {
+		lease = cfvowner.NewLease()
+		o.leases[group] = lease
+	}
+	for _, inv := range list {
+		if inv.Promised {
+			lease.Renew(inv.Asked, inv.Entry, length)
+		}
+	}
+	until := lease.Until(now, listed)
+	if until.IsZero() {
+		o.cfg.Metrics.Count("owner.leaseMissing", 1)
+		return nil
+	}
+	return o.table.SetLease(now, group, until, listed)
+}
--- /dev/null
+++ b/io/cfvserve/completion.go
@@ -0,0 +1,203 @@
+package cfvserve
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"coltsfootvalve/common/cfverror"
+	"coltsfootvalve/core/cfvcatalog"
+	"coltsfootvalve/core/cfvprompt"
+	"coltsfootvalve/core/cfvstream"
+	"coltsfootvalve/io/cfvforward"
+	"coltsfootvalve/io/cfvopenai"
+	"coltsfootvalve/io/cfvplace"
+)
+
+// confirmWithin bounds the question whether an endpoint that broke off went down.
+const confirmWithin = 300 * time.Millisecond
+
+// Completion is a caller's request to a model engine.
+type Completion struct {
+	RequestID string
+	Workspace cfvcatalog.Workspace
+	Service   cfvcatalog.Service
+	Path      string
+	Request   cfvopenai.Request
+}
+
+// Reply is how a request was answered.
+type Reply struct {
+	Status  int
+	Header  http.Header
+	Body    []byte
+	First   time.Duration // until the first token
+	Version string
+}
+
+// Complete runs a completion. Chunks of a stream go to emit as they come, each once; a
+// whole answer is in the reply.
+func (s *Server) Complete(ctx context.Context, c Completion, emit func(cfvopenai.Answer) error) (Reply, error) {
+	r := s.newRequest(c.RequestID, c.Workspace, c.Service)
+	r.print = r.scope.Fingerprint(c.Path + "\x00" + c.Request.Text())
+	r.routeKey = r.scope.RouteKey(c.Request.Text())
+	done, refusal := s.admit(ctx, r)
+	if refusal != nil {
+		return Reply{}, s.finish(r, refusal)
+	}
+	defer done()
+	ctx, cancel := context.WithTimeout(ctx, c.Service.Limit)
+	defer cancel()
+	r.version = s.cfg.PickMove(c.Service, moveKey(r))
+	reply, err := s.completeWithRetries(ctx, r, c, emit)
+	return reply, s.finish(r, err)
+}
+
+// moveKey returns the key that keeps a prompt on one version during a move.
+func moveKey(r *request) string {
+	if r.routeKey != "" {
+		return r.routeKey
+	}
+	return r.id
+}
+
+func (s *Server) newRequest(id string, w cfvcatalog.Workspace, svc cfvcatalog.Service) *request {
+	return &request{
+		id: id, workspace: w, service: svc, started: time.Now(),
+		scope: cfvprompt.Scope{Secret: w.CacheSecret, Service: svc.Name},
+		trace: s.cfg.Traces.Start(id, w.Name),
+	}
+}
+
+func (s *Server) completeWithRetries(ctx context.Context, r *request, c Completion, emit func(cfvopenai.Answer) error) (Reply, error) {
+	check := cfvstream.New(c.RequestID)
+	for {
+		reply, err := s.completeOnce(ctx, r, c, check, emit)
+		if err == nil {
+			return reply, nil
+		}
+		refusal := cfverror.From(err)
+		if !retryable(refusal) {
+			return reply, refusal
+		}
+		if s.cfg.Suspicion.Blocked(r.print) {
+			return reply, cfverror.Unknown(cfverror.ReasonQuarantined, "this request crashed endpoints and is not run again")
+		}
+		if refusal := s.mayRetry(ctx, r, refusal); refusal != nil {
+			return reply, refusal
+		}
+	}
+}
+
+// retryable reports whether a completion may be tried again: generating has no effect
+// beyond its answer, so all that matters is whether another try can help.
+func retryable(r *cfverror.Refusal) bool {
+	switch r.Reason {
+	case cfverror.ReasonConnect, cfverror.ReasonEndpointFailed, cfverror.ReasonEndpointSilent,
+		cfverror.ReasonAnswerTruncated, cfverror.ReasonAnswerCrossed,
+		cfverror.ReasonNotOwner, cfverror.ReasonOwnerUnreachable:
+		return true
+	}
+	return false
+}
+
+// completeOnce places and sends the request once.
+func (s *Server) completeOnce(ctx context.Context, r *request, c Completion, check *cfvstream.Checker, emit func(cfvopenai.Answer) error) (Reply, error) {
+	slot, refusal := s.acquire(ctx, r)
+	if refusal != nil {
+		return Reply{}, refusal
+	}
+	call, err := s.engineCall(r, c, slot)
+	if err != nil {
+		slot.Release(outcome(err), "", false)
+		return Reply{}, err
+	}
+	began := time.Now()
+	reply, meta, err := s.sendCompletion(ctx, r, c, call, check, emit)
+	slot.Release(outcome(err), meta.BootID, meta.Leaving)
+	s.cfg.TakeRun(Run{r.service.Name, slot.Grant.Version, err != nil && countsAgainst(err), firstSince(began, reply, err)})
+	if err != nil {
+		r.exclude = append(r.exclude, slot.Grant.Endpoint)
+		s.suspect(ctx, r, slot, err)
+	}
+	if check.Next() > 0 {
+		r.version = slot.Grant.Version
+	}
+	return reply, err
+}
+
+// countsAgainst reports whether a failure speaks against the version that ran.
+func countsAgainst(err error) bool {
+	switch cfverror.From(err).Reason {
+	case cfverror.ReasonCallerGone, cfverror.ReasonConnect:
+		return false
+	}
+	return true
+}
+
+func firstSince(began time.Time, reply Reply, err error) time.Duration {
+	if err != nil || reply.First == 0 {
+		return time.Since(began)
+	}
+	return reply.First
+}
+
+func (s *Server) engineCall(r *request, c Completion, slot *cfvplace.Slot) (cfvforward.Call, error) {
+	out := c.Request
+	out.CacheSalt = r.scope.Salt()
+	out.Priority = min(r.workspace.Priority, r.service.Priority)
+	body, err := json.Marshal(out)
+	if err != nil {
+		return cfvforward.Call{}, cfverror.NotRun(cfverror.ReasonBadRequest, "%v", err)
+	}
+	return cfvforward.Call{
+		RequestID: c.RequestID, Address: slot.Grant.Address, Method: http.MethodPost, Path: c.Path,
+		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Silence: r.service.Silence,
+	}, nil
+}
+
+func (s *Server) sendCompletion(ctx context.Context, r *request, c Completion, call cfvforward.Call, check *cfvstream.Checker, emit func(cfvopenai.Answer) error) (Reply, cfvforward.Meta, error) {
+	began := time.Now()
+	if !c.Request.Stream {
+		a, err := s.cfg.Forward.Whole(ctx, call, r.service.Limit)
+		reply := Reply{Status: a.Status, Header: a.Header, Body: a.Body, First: time.Since(began), Version: a.Meta.Version}
+		return reply, a.Meta, failed(a, err)
+	}
+	var reply Reply
+	a, err := s.cfg.Forward.Stream(ctx, call, r.service.Limit, check, func(chunk cfvopenai.Answer) error {
+		if reply.First == 0 {
+			reply.First = time.Since(began)
+		}
+		return emit(chunk)
+	})
+	reply.Status, reply.Header, reply.Body, reply.Version = a.Status, a.Header, a.Body, a.Meta.Version
+	return reply, a.Meta, failed(a, err)
+}
+
+// failed returns the error of an answer: a server's error status is one too.
+func failed(a cfvforward.Answer, err error) error {
+	if err != nil || a.Status < http.StatusInternalServerError {
+		return err
+	}
+	return cfverror.Unknown(cfverror.ReasonEndpointFailed, "the endpoint answered with status %d", a.Status)
+}
+
+// suspect notes that the request may have crashed an endpoint: it broke off, and the
+// endpoint is down or at another boot.
+func (s *Server) suspect(ctx context.Context, r *request, slot *cfvplace.Slot, err error) {
+	switch cfverror.From(err).Reason {
+	case cfverror.ReasonEndpointFailed, cfverror.ReasonAnswerTruncated:
+	default:
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmWithin)
+	defer cancel()
+	report, err := s.cfg.Forward.Load(ctx, slot.Grant.Address)
+	if err == nil && report.BootID == slot.Grant.Level.BootID {
+		return
+	}
+	s.cfg.Metrics.Count("quarantine.suspected", 1)
+	r.trace.Note("endpoint %s went down while it ran the request", slot.Grant.Endpoint)
+	s.cfg.Suspicion.Crashed(r.print, slot.Grant.Endpoint+"@"+slot.Grant.Level.BootID)
+}
--- /dev/null
+++ b/io/cfvserve/server.go
@@ -0,0 +1,196 @@
+// Package cfvserve carries one caller's request from admission to its whole answer:
+// limits, placement, claims, sending, retries and resumption.
+package cfvserve
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"coltsfootvalve/common/cfverror"
+	"coltsfootvalve/common/cfvlog"
+	"coltsfootvalve/common/cfvmetric"
+	"coltsfootvalve/core/cfvbooking"
+	"coltsfootvalve/core/cfvcatalog"
+	"coltsfootvalve/core/cfvlimit"
+	"coltsfootvalve/core/cfvmember"
+	"coltsfootvalve/core/cfvprompt"
+	"coltsfootvalve/core/cfvslot"
+	"coltsfootvalve/io/cfvforward"
+	"coltsfootvalve/io/cfvpeer"
+	"coltsfootvalve/io/cfvplace"
+)
+
+// Bounds of handling one request.
+const (
+	maxAttempts  = 4
+	backoffFirst = 20 * time.Millisecond
+	backoffMost  = time.Second
+)
+
+// Config configures a server. The functions are its seams.
+type Config struct {
+	Self      cfvmember.Member
+	Catalog   func() *cfvcatalog.Catalog
+	Acquire   func(ctx context.Context, a cfvplace.Ask) (*cfvplace.Slot, *cfverror.Refusal)
+	Forward   *cfvforward.Client
+	Claim     func(ctx context.Context, c cfvbooking.Claim) (cfvpeer.ClaimReply, error)
+	Conclude  func(ctx context.Context, c cfvbooking.Conclusion) (bool, error)
+	Admit     func(ctx context.Context, a cfvlimit.Admission) cfverror.Reason
+	Dismiss   func(workspace, requestID string)
+	Alive     func(entry string, started uint64) bool
+	PickMove  func(service cfvcatalog.Service, key string) (version string)
+	TakeRun   func(Run)
+	Log       cfvlog.Logger
+	Metrics   *cfvmetric.Registry
+	Traces    *Traces
+	Suspicion *Suspicions
+}
+
+// Run is how one request ended at one version, as evidence for a move.
+type Run struct {
+	Service string
+	Version string
+	Failed  bool
+	First   time.Duration // time to first token, or to the answer of a plain service
+}
+
+// Server handles requests.
+type Server struct {
+	cfg Config
+
+	concluding atomic.Int64
+
+	mu      sync.Mutex
+	budgets map[string]*cfvlimit.Budget
+}
+
+// Concluding returns the number of claimed requests whose end is not written yet.
+func (s *Server) Concluding() int64 { return s.concluding.Load() }
+
+// New returns a server.
+func New(cfg Config) *Server {
+	return &Server{cfg: cfg, budgets: make(map[string]*cfvlimit.Budget)}
+}
+
+// request is one request while it is handled.
+type request struct {
+	id        string
+	workspace cfvcatalog.Workspace
+	service   cfvcatalog.Service
+	scope     cfvprompt.Scope
+	print     string
+	routeKey  string
+	version   string
+	exclude   []string
+	tries     int
+	started   time.Time
+	trace     *Trace
+}
+
+// Retries of one service share a budget.
+func (s *Server) budget(service string) *cfvlimit.Budget {
+	b, ok := s.budgets[service]
+	if !ok {
+		b = cfvlimit.NewBudget(time.Now())
+		s.budgets[service] = b
+	}
+	return b
+}
+
+func (s *Server) succeeded(r *request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget(r.service.Name).Success(r.service.RetryPercent)
+}
+
+// mayRetry reports whether the request may be tried once more, counts the retry by its
+// reason, and waits for the back-off.
+func (s *Server) mayRetry(ctx context.Context, r *request, why *cfverror.Refusal) *cfverror.Refusal {
+	if r.tries >= maxAttempts || ctx.Err() != nil {
+		return why
+	}
+	s.mu.Lock()
+	allowed := s.budget(r.service.Name).Take(time.Now())
+	s.mu.Unlock()
+	if !allowed {
+		s.cfg.Metrics.Refused(cfverror.ReasonRetryBudget)
+		return why
+	}
+	s.cfg.Metrics.Retried(why.Reason)
+	r.trace.Note("retry after %s", why.Reason)
+	t := time.NewTimer(cfvlimit.Backoff(r.tries-1, backoffFirst, backoffMost, rand.Float64()))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return why
+	}
+}
+
+// admit checks the quarantine and the workspace's limits. The function returned counts
+// the request out.
+func (s *Server) admit(ctx context.Context, r *request) (func(), *cfverror.Refusal) {
+	if s.cfg.Suspicion.Blocked(r.print) {
+		return nil, cfverror.NotRun(cfverror.ReasonQuarantined, "this request crashed endpoints and is not run again")
+	}
+	w := r.workspace
+	if w.Concurrent == 0 && w.PerSecond == 0 {
+		return func() {}, nil
+	}
+	reason := s.cfg.Admit(ctx, cfvlimit.Admission{
+		Workspace: w.Name, RequestID: r.id, Entry: s.cfg.Self.Name, Started: s.cfg.Self.Started,
+		Concurrent: w.Concurrent, PerSecond: w.PerSecond, Limit: r.service.Limit,
+	})
+	if reason != "" {
+		return nil, cfverror.NotRun(reason, "workspace %s is over its limit", w.Name)
+	}
+	return func() { s.cfg.Dismiss(w.Name, r.id) }, nil
+}
+
+// acquire asks for a slot and notes where the request goes.
+func (s *Server) acquire(ctx context.Context, r *request) (*cfvplace.Slot, *cfverror.Refusal) {
+	r.tries++
+	slot, refusal := s.cfg.Acquire(ctx, cfvplace.Ask{
+		Service: r.service, Workspace: r.workspace, RequestID: r.id,
+		RouteKey: r.routeKey, Version: r.version, Exclude: r.exclude,
+	})
+	if refusal != nil {
+		r.trace.Note("no slot: %s", refusal.Reason)
+		return nil, refusal
+	}
+	r.trace.Note("slot on %s in group %s by owner %s", slot.Grant.Endpoint, slot.Group, slot.Owner)
+	return slot, nil
+}
+
+// outcome returns what a failure says of the endpoint.
+func outcome(err error) cfvslot.Outcome {
+	if err == nil {
+		return cfvslot.OutcomeDone
+	}
+	switch cfverror.From(err).Reason {
+	case cfverror.ReasonConnect:
+		return cfvslot.OutcomeUnreachable
+	case cfverror.ReasonCallerGone:
+		return cfvslot.OutcomeUnused
+	default:
+		return cfvslot.OutcomeFailed
+	}
+}
+
+// finish counts how the request ended.
+func (s *Server) finish(r *request, err error) error {
+	if err == nil {
+		s.cfg.Metrics.Count("served."+r.service.Name, 1)
+		s.succeeded(r)
+		return nil
+	}
+	refusal := cfverror.From(err)
+	s.cfg.Metrics.Refused(refusal.Reason)
+	r.trace.Note("refused: %s, ran: %s", refusal.Reason, refusal.Ran)
+	s.cfg.Log.Request(r.id).Info("Request of workspace %s for %s is refused: %s, ran: %s.", r.workspace.Name, r.service.Name, refusal.Reason, refusal.Ran)
+	return refusal
+}
--- /dev/null
+++ b/io/cfvserve/suspicions.go
@@ -0,0 +1,57 @@
+package cfvserve
+
+import (
+	"sync"
+	"time"
+
+	"coltsfootvalve/core/cfvlimit"
+)
+
+// Bounds of what is told to peers with one probe.
+const (
+	suspicionsSent  = 4
+	suspicionsTimes = 24
+)
+
+// Suspicions is the quarantine of a node, safe for concurrent use.
+type Suspicions struct {
+	mu    sync.Mutex
+	inner *cfvlimit.Quarantine
+}
+
+// NewSuspicions returns an empty quarantine.
+func NewSuspicions() *Suspicions {
+	return &Suspicions{inner: cfvlimit.NewQuarantine()}
+}
+
+// Blocked reports whether a request is quarantined.
+func (s *Suspicions) Blocked(print string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inner.Blocked(time.Now(), print)
+}
+
+// Crashed notes that an endpoint went down while it ran the request.
+func (s *Suspicions) Crashed(print, endpointBoot string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inner.Crashed(time.Now(), print, endpointBoot)
+}
+
+// Merge takes what a peer suspects.
+func (s *Suspicions) Merge(list []cfvlimit.Suspicion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.inner.Expire(now)
+	for _, x := range list {
+		s.inner.Merge(now, x)
+	}
+}
+
+// Updates returns what to tell a peer.
+func (s *Suspicions) Updates() []cfvlimit.Suspicion {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inner.Updates(suspicionsSent, suspicionsTimes)
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Runs all tests with fixed seeds and the race detector. SEED=n repeats them with another
+# seed. A test named on a line "test: NAME" of KNOWN-RED.txt may fail; any other may not.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+seed="${SEED:-1}"
+out="$(mktemp)"
+trap 'rm -f "$out"' EXIT
+CFV_SEED="$seed" go test -race -count=1 "$@" ./... 2>&1 | tee "$out"
+code="${PIPESTATUS[0]}"
+[ "$code" -eq 0 ] && exit 0
+
+if grep -qE '^(panic:|FAIL.*\[(build|setup) failed\])' "$out"; then exit "$code"; fi
+bad=0
+while read -r name; do
+  root="${name%%/*}"
+  grep -qxF "test: $root" KNOWN-RED.txt 2>/dev/null || { echo "not a known red: $name"; bad=1; }
+done < <(sed -nE 's/^ *--- FAIL: ([^ ]+).*/\1/p' "$out")
+grep -q -- '--- FAIL:' "$out" || bad=1
+exit "$bad"
--- /dev/null
+++ b/standins/cfvfakeengine/engine.go
@@ -0,0 +1,242 @@
+// Package cfvfakeengine is a stand-in for a model engine: OpenAI-style completions with
+// server-sent events, a plain cost model, a bounded prefix cache and ways to fail.
+package cfvfakeengine
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"coltsfootvalve/common/cfvhttp"
+	"coltsfootvalve/io/cfvopenai"
+	"coltsfootvalve/standins/cfvfault"
+)
+
+// bytesPerToken is the length of a token of the stand-in.
+const bytesPerToken = 4
+
+// Config configures an engine.
+type Config struct {
+	Name            string
+	Version         string
+	PrefillPerToken time.Duration
+	DecodePerToken  time.Duration
+	MaxBatch        int
+	ColdBears       int           // requests that a cold engine bears at once; more make it fall over
+	ColdFor         time.Duration // how long a started engine stays cold
+	ColdFactor      int           // how much slower a cold engine is
+	CacheBlocks     int
+	LoadLag         time.Duration
+	CrashOn         string // a prompt with this text crashes the engine
+	EnforceFencing  bool
+	Vary            Behaviours
+}
+
+// Stats counts what an engine did.
+type Stats struct {
+	Requests    int `json:"requests"`
+	Running     int `json:"running"`
+	MostRunning int `json:"mostRunning"`
+	MostCold    int `json:"mostCold"`
+	Crashes     int `json:"crashes"`
+	Cancelled   int `json:"cancelled"`
+	Prefilled   int `json:"prefilledTokens"`
+	Cached      int `json:"cachedTokens"`
+}
+
+// Engine is one model engine.
+type Engine struct {
+	cfg   Config
+	fault cfvfault.Switch
+	cache *cache
+	batch *batch
+
+	mu      sync.Mutex
+	boot    int
+	booted  time.Time
+	ctx     context.Context
+	crash   context.CancelFunc
+	leaving bool
+	version string
+	fence   int64
+	served  map[string]int
+	stats   Stats
+	reports []timedReport
+}
+
+type timedReport struct {
+	at     time.Time
+	report cfvopenai.LoadReport
+}
+
+// New returns an engine that has just started.
+func New(cfg Config) *Engine {
+	e := &Engine{cfg: cfg, version: cfg.Version, cache: newCache(cfg.CacheBlocks), batch: newBatch(cfg.MaxBatch)}
+	e.served = make(map[string]int)
+	e.start()
+	return e
+}
+
+// start begins a new boot; callers hold the lock or own the engine alone.
+func (e *Engine) start() {
+	e.boot++
+	e.booted = time.Now()
+	e.ctx, e.crash = context.WithCancel(context.Background())
+	e.cache.clear()
+}
+
+// Restart ends every running request and starts the engine anew, cold.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.restartLocked()
+}
+
+func (e *Engine) restartLocked() {
+	e.crash()
+	e.stats.Running = 0
+	e.start()
+	e.reports = nil
+}
+
+// Leave makes the engine say that it is leaving.
+func (e *Engine) Leave(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// SetFault makes the engine fail.
+func (e *Engine) SetFault(f cfvfault.Fault) { e.fault.Set(f) }
+
+// Stats returns what the engine did so far.
+func (e *Engine) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stats
+}
+
+// Handler returns the engine's routes.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
+	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
+	mux.HandleFunc("GET /load", e.serveLoad)
+	mux.HandleFunc("POST /orders/version", e.serveVersionOrder)
+	mux.HandleFunc("POST /kv/import", e.serveImport)
+	mux.HandleFunc("POST /kv/export", e.serveExport)
+	mux.Handle("POST /fault", &e.fault)
+	mux.HandleFunc("POST /restart", func(w http.ResponseWriter, _ *http.Request) { e.Restart() })
+	mux.HandleFunc("POST /leave", func(w http.ResponseWriter, _ *http.Request) { e.Leave(true) })
+	mux.HandleFunc("POST /return", func(w http.ResponseWriter, _ *http.Request) { e.Leave(false) })
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		cfvhttp.WriteJSON(w, http.StatusOK, e.Stats())
+	})
+	return mux
+}
+
+func (e *Engine) bootID() string {
+	return fmt.Sprintf("%s-boot-%d", e.cfg.Name, e.boot)
+}
+
+func (e *Engine) isCold() bool {
+	return time.Since(e.booted) < e.cfg.ColdFor
+}
+
+// run is one request inside the engine.
+type run struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	request cfvopenai.Request
+	id      string
+	resume  int
+	factor  int
+	cached  int
+	prompt  int
+	started time.Time
+	bootID  string
+	version string
+}
+
+// begin counts a request in. A cold engine that gets more than it bears falls over, and
+// so does one that meets the prompt that crashes it.
+func (e *Engine) begin(ctx context.Context, req cfvopenai.Request) (r *run, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.Requests++
+	e.stats.Running++
+	e.stats.MostRunning = max(e.stats.MostRunning, e.stats.Running)
+	r = &run{request: req, factor: 1, bootID: e.bootID(), version: e.version, started: time.Now()}
+	if e.isCold() {
+		e.stats.MostCold = max(e.stats.MostCold, e.stats.Running)
+		r.factor = max(1, e.cfg.ColdFactor)
+	}
+	overloaded := e.isCold() && e.cfg.ColdBears > 0 && e.stats.Running > e.cfg.ColdBears
+	poisoned := e.cfg.CrashOn != "" && strings.Contains(req.Text(), e.cfg.CrashOn)
+	if overloaded || poisoned {
+		e.stats.Crashes++
+		e.restartLocked()
+		return r, false
+	}
+	boot := e.ctx
+	r.ctx, r.cancel = context.WithCancel(ctx)
+	context.AfterFunc(boot, r.cancel)
+	e.served[e.version]++
+	r.factor *= e.cfg.Vary.factor(e.version, e.served[e.version], e.stats.Running)
+	return r, true
+}
+
+// end counts a request out, unless a restart has done so.
+func (e *Engine) end(r *run) {
+	r.cancel()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.bootID == e.bootID() {
+		e.stats.Running--
+	}
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
+	if e.fault.Take(r.URL.Path).Mode == cfvfault.Outage {
+		cfvfault.DropConnection(w)
+	}
+	e.mu.Lock()
+	now := time.Now()
+	e.reports = append(e.reports, timedReport{now, cfvopenai.LoadReport{
+		BootID: e.bootID(), Version: e.version, Running: e.stats.Running, Waiting: e.batch.waiting(), Leaving: e.leaving,
+	}})
+	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.cfg.LoadLag {
+		e.reports = e.reports[1:]
+	}
+	report := e.reports[0].report
+	e.mu.Unlock()
+	cfvhttp.WriteJSON(w, http.StatusOK, report)
+}
+
+// VersionOrder is an order to load a version, fenced by a number that only grows.
+type VersionOrder struct {
+	Version string `json:"version"`
+	Fence   int64  `json:"fence"`
+}
+
+func (e *Engine) serveVersionOrder(w http.ResponseWriter, r *http.Request) {
+	var o VersionOrder
+	if !cfvhttp.ReadJSON(w, r, 1<<16, &o) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.cfg.EnforceFencing && o.Fence < e.fence {
+		cfvhttp.WriteJSON(w, http.StatusConflict, map[string]string{"error": "old fencing number"})
+		return
+	}
+	e.fence = max(e.fence, o.Fence)
+	if e.version != o.Version {
+		e.version = o.Version
+		e.cache.clear()
+	}
+	cfvhttp.WriteJSON(w, http.StatusOK, o)
+}
--- /dev/null
+++ b/standins/cfvfakekv/watch.go
@@ -0,0 +1,75 @@
+package cfvfakekv
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"coltsfootvalve/common/cfvhttp"
+	"coltsfootvalve/io/cfvetcd"
+	"coltsfootvalve/standins/cfvfault"
+)
+
+// progressEvery is the period of progress notices on a quiet watch.
+const progressEvery = time.Second
+
+// watchBuffer is the number of events that a slow watch may fall behind.
+const watchBuffer = 256
+
+func (s *Server) serveWatch(w http.ResponseWriter, r *http.Request) {
+	var req cfvetcd.WatchRequest
+	if !cfvhttp.ReadJSON(w, r, 1<<16, &req) {
+		return
+	}
+	if s.fault.Take(r.URL.Path).Mode == cfvfault.Outage {
+		cfvfault.DropConnection(w)
+	}
+	wt := &watcher{key: string(req.Create.Key), end: string(req.Create.RangeEnd), events: make(chan cfvetcd.Event, watchBuffer)}
+	s.mu.Lock()
+	s.stats.Watches++
+	s.store.watchers[wt] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.store.watchers, wt)
+		s.mu.Unlock()
+	}()
+	s.streamWatch(w, r, wt)
+}
+
+func (s *Server) streamWatch(w http.ResponseWriter, r *http.Request, wt *watcher) {
+	tick := time.NewTicker(progressEvery)
+	defer tick.Stop()
+	enc := json.NewEncoder(w)
+	for first := true; ; first = false {
+		var events []cfvetcd.Event
+		if !first {
+			select {
+			case <-r.Context().Done():
+				return
+			case e, ok := <-wt.events:
+				if !ok {
+					return
+				}
+				events = append(events, e)
+			case <-tick.C:
+			}
+		}
+		switch s.fault.Take(r.URL.Path).Mode {
+		case cfvfault.Outage:
+			cfvfault.DropConnection(w)
+		case cfvfault.Silent:
+			<-r.Context().Done()
+			return
+		}
+		s.mu.Lock()
+		h := s.store.header()
+		s.mu.Unlock()
+		if enc.Encode(cfvetcd.WatchFrame{Result: cfvetcd.WatchResult{Header: h, Events: events}}) != nil {
+			return
+		}
+		if f, ok := w.(http.Flusher); ok {
+			f.Flush()
+		}
+	}
+}
--- /dev/null
+++ b/standins/cfvfakeplain/service.go
@@ -0,0 +1,146 @@
+// Package cfvfakeplain is a stand-in for a plain service, such as an order desk: it runs
+// calls, counts the runs by idempotency key and by request, and can be told to fail.
+package cfvfakeplain
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"coltsfootvalve/common/cfvhttp"
+	"coltsfootvalve/io/cfvopenai"
+	"coltsfootvalve/standins/cfvfault"
+)
+
+// HeaderKey is the header that carries an idempotency key.
+const HeaderKey = "Idempotency-Key"
+
+// Config configures a service.
+type Config struct {
+	Name       string
+	HonoursKey bool // run a key at most once by itself
+	Work       time.Duration
+}
+
+// Service is one plain service.
+type Service struct {
+	cfg   Config
+	fault cfvfault.Switch
+
+	mu      sync.Mutex
+	boot    int
+	runs    map[string]int
+	leaving bool
+	running int
+}
+
+// New returns a service that has run nothing.
+func New(cfg Config) *Service {
+	return &Service{cfg: cfg, boot: 1, runs: make(map[string]int)}
+}
+
+// SetFault makes the service fail.
+func (s *Service) SetFault(f cfvfault.Fault) { s.fault.Set(f) }
+
+// Runs returns how often each key or request id was run.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.runs))
+	for k, n := range s.runs {
+		out[k] = n
+	}
+	return out
+}
+
+// Handler returns the service's routes; any path not its own is a call.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /load", s.serveLoad)
+	mux.Handle("POST /fault", &s.fault)
+	mux.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { s.leave(true) })
+	mux.HandleFunc("POST /return", func(http.ResponseWriter, *http.Request) { s.leave(false) })
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) {
+		cfvhttp.WriteJSON(w, http.StatusOK, s.Runs())
+	})
+	mux.HandleFunc("/", s.serveCall)
+	return mux
+}
+
+func (s *Service) leave(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+func (s *Service) bootID() string { return fmt.Sprintf("%s-boot-%d", s.cfg.Name, s.boot) }
+
+func (s *Service) serveLoad(w http.ResponseWriter, r *http.Request) {
+	if s.fault.Take(r.URL.Path).Mode == cfvfault.Outage {
+		cfvfault.DropConnection(w)
+	}
+	s.mu.Lock()
+	report := cfvopenai.LoadReport{BootID: s.bootID(), Running: s.running, Leaving: s.leaving}
+	s.mu.Unlock()
+	cfvhttp.WriteJSON(w, http.StatusOK, report)
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	f := s.fault.Take(r.URL.Path)
+	body, err := io.ReadAll(io.LimitReader(r.Body, 8<<20))
+	if err != nil || f.Mode == cfvfault.Outage {
+		cfvfault.DropConnection(w)
+	}
+	run := s.run(r)
+	time.Sleep(s.cfg.Work + f.Delay())
+	switch f.Mode {
+	case cfvfault.LoseAnswers:
+		cfvfault.DropConnection(w)
+	case cfvfault.Silent:
+		<-r.Context().Done()
+		return
+	case cfvfault.Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	s.mu.Lock()
+	boot, leaving := s.bootID(), s.leaving
+	s.mu.Unlock()
+	w.Header().Set(cfvopenai.HeaderBootID, boot)
+	id := r.Header.Get(cfvopenai.HeaderRequestID)
+	if f.Mode == cfvfault.Cross {
+		id = "other-" + id
+	}
+	w.Header().Set(cfvopenai.HeaderRequestID, id)
+	if leaving {
+		w.Header().Set(cfvopenai.HeaderLeaving, "true")
+	}
+	answer := fmt.Sprintf("{\"service\":%q,\"method\":%q,\"path\":%q,\"run\":%d,\"bytes\":%d}\n", s.cfg.Name, r.Method, r.URL.Path, run, len(body))
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if r.Method == http.MethodPost {
+		w.WriteHeader(http.StatusCreated)
+	}
+	if f.Mode == cfvfault.Truncate {
+		answer = answer[:len(answer)/2]
+	}
+	_, _ = io.WriteString(w, answer)
+}
+
+// run counts one run of the call and returns its number.
+func (s *Service) run(r *http.Request) int {
+	key := r.Header.Get(HeaderKey)
+	if key == "" {
+		key = r.Header.Get(cfvopenai.HeaderRequestID)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cfg.HonoursKey && s.runs[key] > 0 {
+		return s.runs[key]
+	}
+	s.runs[key]++
+	return s.runs[key]
+}
--- /dev/null
+++ b/standins/cfvfakevmlist/list.go
@@ -0,0 +1,67 @@
+// Package cfvfakevmlist is a stand-in for the platform's list of live and leaving VMs:
+// JSON over HTTP, as old as its lag.
+package cfvfakevmlist
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"coltsfootvalve/common/cfvhttp"
+	"coltsfootvalve/io/cfvvmlist"
+)
+
+// Config configures a list.
+type Config struct {
+	Lag time.Duration
+}
+
+// List is one VM list.
+type List struct {
+	cfg Config
+
+	mu       sync.Mutex
+	versions []version
+}
+
+type version struct {
+	at  time.Time
+	vms []cfvvmlist.VM
+}
+
+// New returns an empty list.
+func New(cfg Config) *List {
+	return &List{cfg: cfg, versions: []version{{}}}
+}
+
+// Set replaces the list; readers see it after the lag.
+func (l *List) Set(vms []cfvvmlist.VM) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = append(l.versions, version{time.Now(), vms})
+}
+
+func (l *List) read() []cfvvmlist.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for len(l.versions) > 1 && now.Sub(l.versions[1].at) >= l.cfg.Lag {
+		l.versions = l.versions[1:]
+	}
+	return l.versions[0].vms
+}
+
+// Handler returns the list's routes.
+func (l *List) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /vms", func(w http.ResponseWriter, _ *http.Request) {
+		cfvhttp.WriteJSON(w, http.StatusOK, cfvvmlist.Document{VMs: l.read()})
+	})
+	mux.HandleFunc("PUT /vms", func(w http.ResponseWriter, r *http.Request) {
+		var d cfvvmlist.Document
+		if cfvhttp.ReadJSON(w, r, 8<<20, &d) {
+			l.Set(d.VMs)
+		}
+	})
+	return mux
+}
--- /dev/null
+++ b/standins/main.go
@@ -0,0 +1,120 @@
+// Command standins runs the stand-ins of the outside systems, a verb each: small servers
+// that speak their protocols and can be told to fail.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"coltsfootvalve/standins/cfvfakeengine"
+	"coltsfootvalve/standins/cfvfakekv"
+	"coltsfootvalve/standins/cfvfakeplain"
+	"coltsfootvalve/standins/cfvfakevmlist"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// listenOptions are the options of every stand-in.
+type listenOptions struct {
+	Listen string `long:"listen" value-name:"ADDRESS" required:"true" description:"IP number and port to listen on"`
+}
+
+// serve serves until a signal.
+func (o listenOptions) serve(h http.Handler) error {
+	l, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", o.Listen, err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	if err := s.Serve(l); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+type kvCommand struct {
+	listenOptions
+	Writes  int           `long:"writes" default:"500" description:"writes a second"`
+	Reads   int           `long:"reads" default:"2000" description:"reads a second"`
+	Latency time.Duration `long:"latency" default:"2ms" description:"time of a call"`
+}
+
+// Execute runs the key-value service.
+func (c *kvCommand) Execute([]string) error {
+	return c.serve(cfvfakekv.New(cfvfakekv.Config{WritesPerSecond: c.Writes, ReadsPerSecond: c.Reads, Latency: c.Latency}).Handler())
+}
+
+type engineCommand struct {
+	listenOptions
+	Name      string        `long:"name" required:"true" description:"name of the engine"`
+	Version   string        `long:"version" default:"v1" description:"version of the weights"`
+	Prefill   time.Duration `long:"prefill" default:"50us" description:"prefill time of a token"`
+	Decode    time.Duration `long:"decode" default:"5ms" description:"decode time of a token"`
+	Batch     int           `long:"batch" default:"32" description:"requests that run at once"`
+	ColdBears int           `long:"cold-bears" default:"4" description:"requests that a cold engine bears"`
+	ColdFor   time.Duration `long:"cold-for" default:"3s" description:"how long a started engine stays cold"`
+	Blocks    int           `long:"blocks" default:"256" description:"blocks in the prefix cache"`
+	Lag       time.Duration `long:"lag" default:"500ms" description:"age of load reports"`
+	CrashOn   string        `long:"crash-on" description:"text of a prompt that crashes the engine"`
+	Fencing   bool          `long:"fencing" description:"refuse orders with an old fencing number"`
+}
+
+// Execute runs a model engine.
+func (c *engineCommand) Execute([]string) error {
+	return c.serve(cfvfakeengine.New(cfvfakeengine.Config{
+		Name: c.Name, Version: c.Version, PrefillPerToken: c.Prefill, DecodePerToken: c.Decode, MaxBatch: c.Batch,
+		ColdBears: c.ColdBears, ColdFor: c.ColdFor, ColdFactor: 3, CacheBlocks: c.Blocks, LoadLag: c.Lag,
+		CrashOn: c.CrashOn, EnforceFencing: c.Fencing,
+	}).Handler())
+}
+
+type plainCommand struct {
+	listenOptions
+	Name       string        `long:"name" required:"true" description:"name of the service"`
+	HonoursKey bool          `long:"honours-key" description:"run an idempotency key at most once"`
+	Work       time.Duration `long:"work" default:"5ms" description:"time of a call"`
+}
+
+// Execute runs a plain service.
+func (c *plainCommand) Execute([]string) error {
+	return c.serve(cfvfakeplain.New(cfvfakeplain.Config{Name: c.Name, HonoursKey: c.HonoursKey, Work: c.Work}).Handler())
+}
+
+type vmListCommand struct {
+	listenOptions
+	Lag time.Duration `long:"lag" default:"1s" description:"age of the list"`
+}
+
+// Execute runs the VM list.
+func (c *vmListCommand) Execute([]string) error {
+	return c.serve(cfvfakevmlist.New(cfvfakevmlist.Config{Lag: c.Lag}).Handler())
+}
+
+func main() {
+	p := flags.NewNamedParser("standins", flags.Default)
+	for _, c := range []struct {
+		name, short string
+		data        any
+	}{
+		{"kv", "Run the key-value service", &kvCommand{}},
+		{"engine", "Run a model engine", &engineCommand{}},
+		{"plain", "Run a plain service", &plainCommand{}},
+		{"vmlist", "Run the VM list", &vmListCommand{}},
+	} {
+		if _, err := p.AddCommand(c.name, c.short, c.short+".", c.data); err != nil {
+			panic(err)
+		}
+	}
+	if _, err := p.Parse(); err != nil {
+		os.Exit(1)
+	}
+}
