--- a/core/cfvslot/table.go
+++ b/core/cfvslot/table.go
@@ -40,6 +40,7 @@
 	Address  string
 	Version  string
 	Level    Level
+	Epoch    string        // of the owner's hold on the group
 	Waited   time.Duration // in the owner's queue
 }
 
@@ -86,6 +87,7 @@
 	bySlot    map[string]*endpoint
 	queues    map[string]*queue
 	leases    map[string]*lease
+	epochs    map[string]string // by group, from the configuration that took it over
 	longest   time.Duration
 	released  *lru.Cache[string, struct{}]
 }
@@ -101,12 +103,14 @@
 		bySlot:    make(map[string]*endpoint),
 		queues:    make(map[string]*queue),
 		leases:    make(map[string]*lease),
+		epochs:    make(map[string]string),
 		released:  released,
 	}
 }
 
 // Setup is what a node owns.
 type Setup struct {
+	Epoch     string // names this configuration; no other one of any node has it
 	Endpoints []EndpointConfig
 	Entries   []string      // the listed entries of the region
 	Longest   time.Duration // longest run of any request
@@ -121,6 +125,9 @@
 	for _, cfg := range s.Endpoints {
 		keep[cfg.Name] = true
 		groups[cfg.Group] = true
+		if t.epochs[cfg.Group] == "" {
+			t.epochs[cfg.Group] = s.Epoch
+		}
 		e, ok := t.endpoints[cfg.Name]
 		if !ok {
 			e = newEndpoint(cfg)
@@ -136,8 +143,9 @@
 		}
 	}
 	var out []Decision
-	for g := range t.leases {
+	for g := range t.epochs {
 		if !groups[g] {
+			delete(t.epochs, g)
 			delete(t.leases, g)
 		}
 	}
@@ -254,6 +262,12 @@
 	return append(out, t.pumpAll(now)...)
 }
 
+// Epoch returns the name of this node's hold on a group. It is what entries recognise,
+// so that a slot given before the group was lost is not used after it was regained.
+func (t *Table) Epoch(group string) string {
+	return t.epochs[group]
+}
+
 func (t *Table) owns(group string) bool {
 	for _, e := range t.endpoints {
 		if e.cfg.Group == group {
@@ -329,6 +343,7 @@
 		Endpoint: e.cfg.Name,
 		Address:  e.cfg.Address,
 		Version:  e.version,
+		Epoch:    t.epochs[e.cfg.Group],
 		Level:    Level{e.cfg.Name, e.bootID, e.limit()},
 	}
 }
--- a/io/cfvpeer/codec.go
+++ b/io/cfvpeer/codec.go
@@ -150,7 +150,7 @@
 	}
 	return &cfvwire.ReserveResponse{
 		Endpoint: d.Grant.Endpoint, Address: d.Grant.Address, Version: d.Grant.Version, Level: levelToWire(d.Grant.Level),
-		WaitedMillis: millis(d.Grant.Waited),
+		WaitedMillis: millis(d.Grant.Waited), Epoch: d.Grant.Epoch,
 	}
 }
 
@@ -160,7 +160,7 @@
 	}
 	return cfvslot.Decision{Slot: slot, Grant: &cfvslot.Grant{
 		Slot: slot, Endpoint: r.GetEndpoint(), Address: r.GetAddress(), Version: r.GetVersion(), Level: levelFromWire(r.GetLevel()),
-		Waited: duration(r.GetWaitedMillis()),
+		Waited: duration(r.GetWaitedMillis()), Epoch: r.GetEpoch(),
 	}}
 }
 
--- a/io/cfvpeer/messages.go
+++ b/io/cfvpeer/messages.go
@@ -38,7 +38,7 @@
 // Recognise asks for an inventory and, with a lease length, for a promise.
 type Recognise struct {
 	Group string
-	Owner string
+	Owner string // epoch of the owner's hold on the group
 	Lease time.Duration
 }
 
--- a/io/cfvplace/entry.go
+++ b/io/cfvplace/entry.go
@@ -190,7 +190,7 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	late := now.Sub(sent) > g.Waited+cfvslot.UseWithin
-	foreign := !e.promises.Allows(now, group, owner)
+	foreign := !e.promises.Allows(now, group, g.Epoch)
 	if late || foreign || e.drained(group, g.Endpoint) {
 		e.outbox[group] = append(e.outbox[group], cfvslot.Release{Slot: g.Slot, Endpoint: g.Endpoint})
 		return nil, cfverror.NotRun(cfverror.ReasonNotOwner, "the slot given in group %s can't be used any more", group)
--- a/io/cfvplace/owner.go
+++ b/io/cfvplace/owner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -45,14 +46,15 @@
 type Owner struct {
 	cfg OwnerConfig
 
-	mu        sync.Mutex
-	table     *cfvslot.Table
-	owned     map[string]bool
-	endpoints map[string]string // addresses by name
-	leases    map[string]*cfvowner.Lease
-	waiters   map[string]chan cfvslot.Decision
-	leaving   map[string]bool // endpoint addresses that the VM list calls leaving
-	last      time.Time       // of the last reconciliation
+	mu         sync.Mutex
+	table      *cfvslot.Table
+	owned      map[string]bool
+	endpoints  map[string]string // addresses by name
+	leases     map[string]*cfvowner.Lease
+	waiters    map[string]chan cfvslot.Decision
+	leaving    map[string]bool // endpoint addresses that the VM list calls leaving
+	last       time.Time       // of the last reconciliation
+	configured int
 }
 
 // NewOwner returns an owner of nothing.
@@ -93,7 +95,12 @@
 func (o *Owner) Configure(c *cfvcatalog.Catalog, v cfvmembership.View) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	setup := cfvslot.Setup{Entries: v.Listed, Longest: c.Longest()}
+	o.configured++
+	setup := cfvslot.Setup{
+		Epoch:   fmt.Sprintf("%s/%d/%d", o.cfg.Self.Name, o.cfg.Self.Started, o.configured),
+		Entries: v.Listed,
+		Longest: c.Longest(),
+	}
 	owned := make(map[string]bool)
 	o.endpoints = make(map[string]string)
 	for _, s := range c.Services() {
@@ -285,11 +292,14 @@
 func (o *Owner) recogniseGroup(ctx context.Context, group string, length time.Duration, view cfvmembership.View) {
 	ctx, cancel := context.WithTimeout(ctx, callWithin)
 	defer cancel()
+	o.mu.Lock()
+	epoch := o.table.Epoch(group)
+	o.mu.Unlock()
 	answers := make(chan cfvslot.Inventory, len(view.Listed))
 	for _, entry := range view.Listed {
 		go func() {
 			asked := time.Now()
-			inv, err := o.cfg.Recognise(ctx, entry, cfvpeer.Recognise{Group: group, Owner: o.cfg.Self.Name, Lease: length})
+			inv, err := o.cfg.Recognise(ctx, entry, cfvpeer.Recognise{Group: group, Owner: epoch, Lease: length})
 			if err != nil {
 				inv = cfvslot.Inventory{}
 			}
@@ -303,13 +313,13 @@
 			list = append(list, inv)
 		}
 	}
-	o.takeInventories(group, length, view.Listed, list)
+	o.takeInventories(group, epoch, length, view.Listed, list)
 }
 
-func (o *Owner) takeInventories(group string, length time.Duration, listed []string, list []cfvslot.Inventory) {
+func (o *Owner) takeInventories(group, epoch string, length time.Duration, listed []string, list []cfvslot.Inventory) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.owned[group] {
+	if !o.owned[group] || o.table.Epoch(group) != epoch {
 		return
 	}
 	now := time.Now()
