Probe own suspects again before they are held for dead

Cause: with 5% of messages lost, a member that missed one probe round was dead 1.5 s later unless the suspicion reached it by gossip and its refutation came back in that time; in larger fleets it often did not.

Ruled out: a longer suspicion (costs detection time in every real failure).

Change: a node probes the members that its own probes made suspect again each period, which carries the suspicion to them and the refutation back.

--- a/core/cfvmember/table.go
+++ b/core/cfvmember/table.go
@@ -70,6 +70,7 @@
 type entry struct {
 	member    Member
 	suspected time.Time
+	mine      bool // the suspicion comes from this node's own probe
 	sent      int
 	listed    bool
 }
@@ -178,9 +179,23 @@
 	}
 	e.member.Status = StatusSuspect
 	e.suspected = now
+	e.mine = true
 	e.sent = 0
 }
 
+// Recheck returns the members that this node's own probes made suspect, sorted by name.
+// They are probed again each period, so that a lost message alone kills nobody.
+func (t *Table) Recheck() []Member {
+	var out []Member
+	for _, e := range t.members {
+		if e.mine && e.member.Status == StatusSuspect {
+			out = append(out, e.member)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
 // Tick declares dead those that stayed suspect too long and returns their names.
 func (t *Table) Tick(now time.Time) []string {
 	var out []string
@@ -267,6 +282,7 @@
 		e.suspected = now
 	}
 	e.member = m
+	e.mine = false
 	e.sent = 0
 }
 
--- a/io/cfvmembership/runner.go
+++ b/io/cfvmembership/runner.go
@@ -125,8 +125,12 @@
 		r.cfg.Metrics.Count("membership.died", 1)
 		r.cfg.Log.Warn("%s is dead: it did not refute the suspicion.", name)
 	}
+	suspects := r.table.Recheck()
 	m, ok := r.table.NextProbe()
 	r.mu.Unlock()
+	for _, s := range suspects {
+		go r.exchange(ctx, s, nil)
+	}
 	if ok {
 		r.probe(ctx, m)
 	}
