--- a/io/cfvsettings/change.go
+++ b/io/cfvsettings/change.go
@@ -198,10 +198,9 @@
 				return nil
 			}
 		}
-		select {
-		case <-ctx.Done():
-			return cfverror.Unknown(cfverror.ReasonOutcomeUnknown, "the change may be accepted: its answer was lost")
-		case <-time.After(settlePause):
+		s.cfg.Sleep(ctx, settlePause)
+		if ctx.Err() != nil {
+			break
 		}
 	}
 	return cfverror.Unknown(cfverror.ReasonOutcomeUnknown, "the change may be accepted: its answer was lost")
--- a/io/cfvsettings/store.go
+++ b/io/cfvsettings/store.go
@@ -40,6 +40,7 @@
 	KeyValue KeyValue
 	Fetch    func(ctx context.Context, address string, f cfvpeer.FetchSettings) (cfvpeer.Settings, error)
 	Applied  func(*cfvcatalog.Catalog)
+	Sleep    func(ctx context.Context, d time.Duration) // nil sleeps on the clock
 	Log      cfvlog.Logger
 	Metrics  *cfvmetric.Registry
 }
@@ -65,6 +66,9 @@
 
 // New returns a store with an empty tree at revision zero.
 func New(cfg Config) *Store {
+	if cfg.Sleep == nil {
+		cfg.Sleep = sleep
+	}
 	s := &Store{cfg: cfg}
 	s.current.Store(&snapshot{
 		pieces:  make(map[string][]byte),
@@ -92,12 +96,12 @@
 		}
 		s.cfg.Metrics.Count("settings.watchEnded", 1)
 		s.cfg.Log.Debug("The watch ended: %v.", err)
-		s.pause(ctx)
+		s.cfg.Sleep(ctx, retryWatch)
 	}
 }
 
-func (s *Store) pause(ctx context.Context) {
-	t := time.NewTimer(retryWatch)
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
