Prove serving under faults through real nodes, and mend three faults found

Integration tests start nodes and stand-ins in one process over loopback through one builder. Found and mended, each failing before: - A request that had met a fault on every endpoint of its group was refused with noEndpoint: excluded endpoints are now used when there is no other. - A request that ran out of its service's time was reported as callerGone; it is requestTimeout, ran unknown, status 504. - The same exclusion made a stock check whose answer was lost a 503. Ruled out for the first: retrying without exclusion at once, which would ask the failed endpoint again while a good one is free.

--- a/common/cfverror/refusal.go
+++ b/common/cfverror/refusal.go
@@ -31,6 +31,7 @@
 	ReasonConnect          Reason = "connectFailed"
 	ReasonEndpointFailed   Reason = "endpointFailed"
 	ReasonEndpointSilent   Reason = "endpointSilent"
+	ReasonTimeout          Reason = "requestTimeout"
 	ReasonAnswerTruncated  Reason = "answerTruncated"
 	ReasonAnswerCrossed    Reason = "answerCrossed"
 	ReasonClaimUnavailable Reason = "claimUnavailable"
--- a/io/cfvcaller/api.go
+++ b/io/cfvcaller/api.go
@@ -219,7 +219,7 @@
 		return http.StatusConflict
 	case cfverror.ReasonEndpointFailed, cfverror.ReasonAnswerCrossed, cfverror.ReasonAnswerTruncated:
 		return http.StatusBadGateway
-	case cfverror.ReasonEndpointSilent:
+	case cfverror.ReasonEndpointSilent, cfverror.ReasonTimeout:
 		return http.StatusGatewayTimeout
 	case cfverror.ReasonInternal:
 		return http.StatusInternalServerError
--- a/io/cfvforward/client.go
+++ b/io/cfvforward/client.go
@@ -120,12 +120,20 @@
 	case cfvhttp.NotSent(err):
 		return cfverror.NotRun(cfverror.ReasonConnect, "no connection to endpoint %s", call.Address)
 	case ctx.Err() != nil:
-		return cfverror.Unknown(cfverror.ReasonCallerGone, "the caller left")
+		return ended(ctx)
 	default:
 		return cfverror.Unknown(cfverror.ReasonEndpointFailed, "endpoint %s broke off: %v", call.Address, err)
 	}
 }
 
+// ended tells a request whose time ran out from one whose caller left.
+func ended(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return cfverror.Unknown(cfverror.ReasonTimeout, "the request took longer than its service allows")
+	}
+	return cfverror.Unknown(cfverror.ReasonCallerGone, "the caller left")
+}
+
 func meta(h http.Header) Meta {
 	return Meta{
 		BootID:  h.Get(cfvopenai.HeaderBootID),
@@ -159,7 +167,7 @@
 		return r
 	}
 	if ctx.Err() != nil {
-		return cfverror.Unknown(cfverror.ReasonCallerGone, "the caller left")
+		return ended(ctx)
 	}
 	return cfverror.Unknown(cfverror.ReasonAnswerTruncated, "the answer of endpoint %s ended early: %v", call.Address, err)
 }
--- /dev/null
+++ b/io/cfvnode/cluster_test.go
@@ -0,0 +1,363 @@
+package cfvnode
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"coltsfootvalve/common/cfvseed"
+	"coltsfootvalve/core/cfvcatalog"
+	"coltsfootvalve/core/cfvtree"
+	"coltsfootvalve/io/cfvopenai"
+	"coltsfootvalve/io/cfvsettings"
+	"coltsfootvalve/io/cfvvmlist"
+	"coltsfootvalve/standins/cfvfakeengine"
+	"coltsfootvalve/standins/cfvfakekv"
+	"coltsfootvalve/standins/cfvfakeplain"
+	"coltsfootvalve/standins/cfvfakevmlist"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) {
+	cfvseed.Fix()
+	os.Exit(m.Run())
+}
+
+// Keys of the workspaces of every test cluster.
+const (
+	chamberKey = "chamber-key"
+	gnomesKey  = "gnomes-key"
+)
+
+// shape is what a test cluster consists of.
+type shape struct {
+	entries  int
+	domains  []string
+	engines  int // in each domain
+	desks    int // in each domain
+	engine   func(*cfvfakeengine.Config)
+	desk     cfvfakeplain.Config
+	settings string // a document applied after the cluster's own
+}
+
+// cluster is a set of nodes on stand-ins, all in this process, over loopback.
+type cluster struct {
+	t       *testing.T
+	kv      *cfvfakekv.Server
+	list    *cfvfakevmlist.List
+	vms     []cfvvmlist.VM
+	nodes   []*Node
+	logs    *lockedBuffer
+	engines map[string]*cfvfakeengine.Engine
+	desks   map[string]*cfvfakeplain.Service
+	address map[string]string // of endpoints, by path
+	client  *http.Client
+}
+
+// lockedBuffer is a log that several nodes write.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// newCluster starts a cluster and waits until it serves.
+func newCluster(t *testing.T, s shape) *cluster {
+	t.Helper()
+	if len(s.domains) == 0 {
+		s.domains = []string{"rosario", "cordoba"}
+	}
+	c := &cluster{
+		t: t, kv: cfvfakekv.New(cfvfakekv.Config{}), list: cfvfakevmlist.New(cfvfakevmlist.Config{}), logs: &lockedBuffer{},
+		engines: make(map[string]*cfvfakeengine.Engine), desks: make(map[string]*cfvfakeplain.Service),
+		address: make(map[string]string), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	kv, list := c.serve(c.kv.Handler()), c.serve(c.list.Handler())
+	for i := range s.entries {
+		c.addNode(i, s.domains[i%len(s.domains)], kv, list)
+	}
+	c.list.Set(c.vms)
+	for _, n := range c.nodes {
+		assert.NilError(t, n.Start())
+	}
+	t.Cleanup(c.stop)
+	c.apply(c.tree(s))
+	if s.settings != "" {
+		c.apply(s.settings)
+	}
+	c.waitSettled()
+	return c
+}
+
+func (c *cluster) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	c.t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s.URL
+}
+
+// freePort returns an address that nothing listens on now.
+func freePort(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (c *cluster) addNode(i int, domain, kv, list string) {
+	cfg := DefaultConfig()
+	cfg.Name = fmt.Sprintf("entry-%d", i)
+	cfg.Region, cfg.FailureDomain = "pampeana", domain
+	cfg.CallerAddress, cfg.PeerAddress, cfg.OperatorAddress = freePort(c.t), freePort(c.t), freePort(c.t)
+	cfg.KeyValueAddresses, cfg.VMListAddress = []string{kv}, list
+	cfg.Lease = 1200 * time.Millisecond
+	cfg.ListEvery = 200 * time.Millisecond
+	cfg.DrainGrace = 100 * time.Millisecond
+	n, err := New(cfg, c.logs)
+	assert.NilError(c.t, err)
+	c.nodes = append(c.nodes, n)
+	c.vms = append(c.vms, cfvvmlist.VM{
+		Name: cfg.Name, Address: cfg.PeerAddress, Role: cfvvmlist.RoleEntry, Region: cfg.Region, FailureDomain: domain, State: "live",
+	})
+}
+
+// tree starts the endpoints and returns the settings document that names them.
+func (c *cluster) tree(s shape) string {
+	doc := map[string]map[string]any{
+		"root":               {"coldSlots": 2, "warmSlots": 8, "rampStepMillis": 50},
+		"services/assistant": {"silenceMillis": 400},
+		"services/orders":    {"kind": "plain", "silenceMillis": 400},
+		"workspaces/chamber": {"keyHash": cfvcatalog.HashKey(chamberKey)},
+		"workspaces/gnomes":  {"keyHash": cfvcatalog.HashKey(gnomesKey)},
+	}
+	for _, d := range s.domains {
+		for i := range s.engines {
+			cfg := cfvfakeengine.Config{
+				Name: fmt.Sprintf("%s-a%d", d, i), Version: "v1", PrefillPerToken: time.Microsecond, DecodePerToken: time.Millisecond,
+				MaxBatch: 16, ColdBears: 2, ColdFor: 500 * time.Millisecond, ColdFactor: 2, CacheBlocks: 64,
+			}
+			if s.engine != nil {
+				s.engine(&cfg)
+			}
+			path := fmt.Sprintf("regions/pampeana/%s/a%d", d, i)
+			c.engines[path] = cfvfakeengine.New(cfg)
+			doc[path] = c.endpoint(path, "assistant", c.engines[path].Handler())
+		}
+		for i := range s.desks {
+			path := fmt.Sprintf("regions/pampeana/%s/o%d", d, i)
+			cfg := s.desk
+			cfg.Name = fmt.Sprintf("%s-o%d", d, i)
+			c.desks[path] = cfvfakeplain.New(cfg)
+			doc[path] = c.endpoint(path, "orders", c.desks[path].Handler())
+		}
+	}
+	data, err := json.Marshal(doc)
+	assert.NilError(c.t, err)
+	return string(data)
+}
+
+func (c *cluster) endpoint(path, service string, h http.Handler) map[string]any {
+	c.address[path] = strings.TrimPrefix(c.serve(h), "http://")
+	return map[string]any{"service": service, "address": c.address[path]}
+}
+
+// apply accepts a settings document at the first node.
+func (c *cluster) apply(document string) {
+	c.t.Helper()
+	changes, err := cfvtree.DecodeChanges([]byte(document))
+	assert.NilError(c.t, err)
+	_, err = c.nodes[0].settings.Propose(c.t.Context(), cfvsettings.Proposal{Author: "test", Changes: changes})
+	assert.NilError(c.t, err)
+}
+
+// eventually waits until the condition holds.
+func (c *cluster) eventually(what string, ok func() bool) {
+	c.t.Helper()
+	for range 6000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.t.Fatalf("never came true: %s", what)
+}
+
+// waitSettled waits until every node has the settings and every endpoint one owner that
+// may give slots.
+func (c *cluster) waitSettled() {
+	c.t.Helper()
+	c.eventually("settings are in force everywhere", func() bool {
+		for _, n := range c.nodes {
+			if n.settings.Revision() < c.nodes[0].settings.Revision() {
+				return false
+			}
+		}
+		return true
+	})
+	c.eventually("every endpoint has one settled owner", func() bool {
+		owners := make(map[string]int)
+		for _, n := range c.nodes {
+			for _, s := range n.owner.Statuses() {
+				if s.Settled && s.BootID != "" {
+					owners[s.Name]++
+				}
+			}
+		}
+		for path := range c.address {
+			if owners[strings.TrimPrefix(path, "regions/")] != 1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (c *cluster) stop() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, n := range c.nodes {
+		if n.ctx.Err() == nil {
+			n.Stop(ctx)
+		}
+	}
+}
+
+// kill ends a node without any notice: its connections break, its peers hear nothing.
+func (c *cluster) kill(i int) {
+	c.nodes[i].cancel()
+	for _, s := range c.nodes[i].listeners {
+		_ = s.Close()
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	text   string // of a stream, or of a whole completion
+	whole  bool
+	cached int
+	reason string
+	ran    string
+}
+
+// send sends a request to one entry as the workspace with the key.
+func (c *cluster) send(entry int, key, method, path, body string, header ...string) answer {
+	req, err := http.NewRequest(method, "http://"+c.nodes[entry].Address()+path, strings.NewReader(body))
+	assert.NilError(c.t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return answer{}
+	}
+	defer resp.Body.Close()
+	a := answer{status: resp.StatusCode, header: resp.Header}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		a.readStream(resp.Body)
+		return a
+	}
+	data, err := io.ReadAll(resp.Body)
+	a.body, a.whole = string(data), err == nil
+	a.readWhole(data)
+	return a
+}
+
+func (a *answer) readWhole(data []byte) {
+	var e struct {
+		Error struct{ Reason, Ran string } `json:"error"`
+	}
+	if json.Unmarshal(data, &e) == nil {
+		a.reason, a.ran = e.Error.Reason, e.Error.Ran
+	}
+	var whole cfvopenai.Answer
+	if json.Unmarshal(data, &whole) == nil && len(whole.Choices) > 0 && whole.Choices[0].Message != nil {
+		a.text = whole.Choices[0].Message.Content
+		a.cached = whole.Usage.Details.CachedTokens
+	}
+}
+
+func (a *answer) readStream(r io.Reader) {
+	events := cfvopenai.NewEvents(r)
+	for {
+		data, err := events.Next()
+		if err != nil {
+			return
+		}
+		if string(data) == cfvopenai.EndMark {
+			a.whole = true
+			return
+		}
+		a.readWhole(data)
+		var chunk cfvopenai.Answer
+		if json.Unmarshal(data, &chunk) == nil && len(chunk.Choices) > 0 {
+			if chunk.Choices[0].Delta != nil {
+				a.text += chunk.Choices[0].Delta.Content
+			}
+			if chunk.Usage != nil {
+				a.cached = chunk.Usage.Details.CachedTokens
+			}
+		}
+	}
+}
+
+// chat sends a chat completion of some tokens.
+func (c *cluster) chat(entry int, key, prompt string, tokens int, stream bool) answer {
+	data, err := json.Marshal(cfvopenai.Request{
+		Model: "assistant", Stream: stream, MaxTokens: tokens,
+		Messages: []cfvopenai.Message{{Role: "user", Content: prompt}},
+	})
+	assert.NilError(c.t, err)
+	return c.send(entry, key, http.MethodPost, "/v1/chat/completions", string(data))
+}
+
+// wantText returns the text that every engine answers to a prompt.
+func wantText(prompt string, tokens int) string {
+	text := cfvopenai.Request{Messages: []cfvopenai.Message{{Role: "user", Content: prompt}}}.Text()
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(cfvfakeengine.Token("v1", text, i))
+	}
+	return b.String()
+}
+
+// runs returns how often a key or request id ran on all desks.
+func (c *cluster) runs(key string) int {
+	n := 0
+	for _, d := range c.desks {
+		n += d.Runs()[key]
+	}
+	return n
+}
+
+// book sends a booking.
+func (c *cluster) book(entry int, key, idempotency string) answer {
+	return c.send(entry, key, http.MethodPost, "/services/orders/book", `{"blocks":3}`, "Idempotency-Key", idempotency)
+}
--- a/io/cfvnode/config.go
+++ b/io/cfvnode/config.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"os"
 	"time"
+
+	"coltsfootvalve/core/cfvslot"
 )
 
 // Config is what a node learns from its settings file.
@@ -30,6 +32,7 @@
 	ProbeEvery        time.Duration
 	SuspectFor        time.Duration
 	ListEvery         time.Duration
+	Lease             time.Duration // how long an entry recognises one owner of a group
 	Certificate       string // file names; empty for plain connections
 	Key               string
 	Authority         string
@@ -37,6 +40,9 @@
 	CallerKey         string
 }
 
+// leastLease leaves room for renewals before a slot must be used.
+const leastLease = 2 * cfvslot.UseWithin
+
 // DefaultConfig returns the defaults of a node.
 func DefaultConfig() Config {
 	return Config{
@@ -46,6 +52,7 @@
 		ProbeEvery: 200 * time.Millisecond,
 		SuspectFor: 1500 * time.Millisecond,
 		ListEvery:  time.Second,
+		Lease:      3 * time.Second,
 	}
 }
 
@@ -65,6 +72,7 @@
 	ProbeEveryMillis  *int64   `json:"probeEveryMillis"`
 	SuspectForMillis  *int64   `json:"suspectForMillis"`
 	ListEveryMillis   *int64   `json:"listEveryMillis"`
+	LeaseMillis       *int64   `json:"leaseMillis"`
 	Certificate       string   `json:"certificate"`
 	Key               string   `json:"key"`
 	Authority         string   `json:"authority"`
@@ -109,6 +117,7 @@
 	setMillis(&cfg.ProbeEvery, j.ProbeEveryMillis)
 	setMillis(&cfg.SuspectFor, j.SuspectForMillis)
 	setMillis(&cfg.ListEvery, j.ListEveryMillis)
+	setMillis(&cfg.Lease, j.LeaseMillis)
 	return cfg, cfg.validate()
 }
 
@@ -167,6 +176,9 @@
 			return fmt.Errorf("%s: want more than 0, got %d", f.name, f.value.Milliseconds())
 		}
 	}
+	if c.Lease < leastLease {
+		return fmt.Errorf("leaseMillis: want %d or more, got %d", leastLease.Milliseconds(), c.Lease.Milliseconds())
+	}
 	if c.DrainGrace < 0 || c.DrainLimit < 0 {
 		return fmt.Errorf("drainGraceMillis and drainLimitMillis: want 0 or more")
 	}
--- a/io/cfvnode/node.go
+++ b/io/cfvnode/node.go
@@ -126,7 +126,7 @@
 		Gone:        n.entryGone,
 	})
 	n.owner = cfvplace.NewOwner(cfvplace.OwnerConfig{
-		Self: n.self, Recognise: n.recognise, ReadLoad: n.forward.Load, View: n.members.View,
+		Self: n.self, Recognise: n.recognise, ReadLoad: n.forward.Load, View: n.members.View, Lease: n.cfg.Lease,
 		Log: n.log.Part("owner"), Metrics: n.metrics,
 	})
 	n.desk = cfvbook.New(n.ctx, cfvbook.Config{
@@ -140,7 +140,7 @@
 // buildServing makes the parts that requests pass through.
 func (n *Node) buildServing() {
 	n.entry = cfvplace.NewEntry(cfvplace.EntryConfig{
-		Self: n.self, Reserve: n.reserve, Release: n.release, View: n.members.View, Catalog: n.settings.Catalog,
+		Self: n.self, Reserve: n.reserve, Release: n.release, View: n.members.View, Catalog: n.settings.Catalog, Lease: n.cfg.Lease,
 		Log: n.log.Part("placement"), Metrics: n.metrics,
 	})
 	n.server = cfvserve.New(cfvserve.Config{
--- /dev/null
+++ b/io/cfvnode/serving_test.go
@@ -0,0 +1,222 @@
+package cfvnode
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"coltsfootvalve/standins/cfvfakeengine"
+	"coltsfootvalve/standins/cfvfakeplain"
+	"coltsfootvalve/standins/cfvfault"
+
+	"gotest.tools/v3/assert"
+)
+
+// longPrompt is longer than a few cache blocks.
+var longPrompt = strings.Repeat("density and flammability norm, sheet 17; ", 1200)
+
+func TestReturningPromptIsCachedThroughAnotherEntry(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 3, engines: 2})
+	first := c.chat(0, chamberKey, longPrompt, 8, true)
+	assert.Assert(t, first.whole)
+	assert.Equal(t, first.cached, 0)
+	for entry := range c.nodes {
+		again := c.chat(entry, chamberKey, longPrompt, 8, true)
+		assert.Equal(t, again.text, wantText(longPrompt, 8))
+		assert.Assert(t, again.cached >= 12_000, "entry %d: %d tokens cached", entry, again.cached)
+	}
+}
+
+func TestWorkspacesShareNoCache(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 2, engines: 1, domains: []string{"rosario"}})
+	c.chat(0, chamberKey, longPrompt, 1, false)
+	assert.Equal(t, c.chat(1, gnomesKey, longPrompt, 1, false).cached, 0)
+	assert.Assert(t, c.chat(1, chamberKey, longPrompt, 1, false).cached > 0)
+}
+
+func TestWrongKeyReachesNothing(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 1, engines: 1, desks: 1, domains: []string{"rosario"}})
+	for _, key := range []string{"", "nobody", "chamber"} {
+		a := c.chat(0, key, "hello", 1, false)
+		assert.Equal(t, a.status, http.StatusUnauthorized)
+		assert.Equal(t, a.ran, "no")
+		assert.Equal(t, c.book(0, key, "k").status, http.StatusUnauthorized)
+	}
+	assert.Equal(t, c.engines["regions/pampeana/rosario/a0"].Stats().Requests, 0)
+	assert.Equal(t, c.runs("k"), 0)
+}
+
+func TestOnlyWholeAnswersReachCallers(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		fault  cfvfault.Fault
+		stream bool
+	}{
+		"a stream that ends early is resumed":        {cfvfault.Fault{Mode: cfvfault.Truncate, Count: 1}, true},
+		"a stream that goes silent is resumed":       {cfvfault.Fault{Mode: cfvfault.Silent, Count: 1}, true},
+		"a crossed stream is asked for again":        {cfvfault.Fault{Mode: cfvfault.Cross, Count: 1}, true},
+		"a whole answer that ends early":             {cfvfault.Fault{Mode: cfvfault.Truncate, Count: 1}, false},
+		"a crossed whole answer":                     {cfvfault.Fault{Mode: cfvfault.Cross, Count: 1}, false},
+		"an engine's fault":                          {cfvfault.Fault{Mode: cfvfault.Fail, Count: 1}, false},
+		"a connection that breaks before the answer": {cfvfault.Fault{Mode: cfvfault.Outage, Count: 1, Route: "/v1/chat/completions"}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, shape{entries: 2, engines: 1})
+			for _, e := range c.engines {
+				f := tt.fault
+				f.Route = "/v1/chat/completions"
+				e.SetFault(f)
+			}
+			a := c.chat(0, chamberKey, "which grade", 12, tt.stream)
+			assert.Assert(t, a.whole, "status %d reason %s", a.status, a.reason)
+			assert.Equal(t, a.text, wantText("which grade", 12))
+		})
+	}
+}
+
+func TestStreamThatNeverEndsHasNoEndMark(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 1, engines: 1, domains: []string{"rosario"}})
+	for _, e := range c.engines {
+		e.SetFault(cfvfault.Fault{Mode: cfvfault.Truncate})
+	}
+	a := c.chat(0, chamberKey, "which grade", 400, true)
+	assert.Assert(t, !a.whole)
+	assert.Assert(t, a.reason != "")
+	assert.Assert(t, strings.HasPrefix(wantText("which grade", 400), a.text), "tokens lost or repeated")
+}
+
+func TestColdEngineNeverGetsMoreThanItBears(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 3, engines: 2, engine: func(cfg *cfvfakeengine.Config) {
+		cfg.ColdFor = time.Hour
+	}, settings: `{"root": {"warmSlots": 2}}`})
+	var wg sync.WaitGroup
+	for i := range 90 {
+		wg.Go(func() { c.chat(i%3, chamberKey, fmt.Sprint("lookup ", i), 4, false) })
+	}
+	time.Sleep(20 * time.Millisecond)
+	c.kill(2)
+	for path := range c.engines {
+		c.engines[path].Restart()
+		break
+	}
+	wg.Wait()
+	for path, e := range c.engines {
+		s := e.Stats()
+		assert.Equal(t, s.Crashes, 0, "%s fell over: %+v", path, s)
+	}
+}
+
+func TestPlainCalls(t *testing.T) {
+	t.Parallel()
+	lost := cfvfault.Fault{Mode: cfvfault.LoseAnswers, Route: "/book"}
+	tests := map[string]struct {
+		fault   cfvfault.Fault
+		method  string
+		path    string
+		key     string
+		status  int
+		ran     string
+		runs    int
+		request string
+	}{
+		"a call carries method, path and status":   {cfvfault.Fault{}, "PUT", "/book", "", 200, "", 1, "r"},
+		"a created booking":                        {cfvfault.Fault{}, "POST", "/book", "k", 201, "", 1, "k"},
+		"a lost answer without a key is unknown":   {lost, "POST", "/book", "", 502, "unknown", 1, "r"},
+		"a lost answer with a key is unknown":      {lost, "POST", "/book", "k", 502, "unknown", 1, "k"},
+		"a silent booking is unknown":              {cfvfault.Fault{Mode: cfvfault.Silent, Route: "/book"}, "POST", "/book", "k", 504, "unknown", 1, "k"},
+		"a truncated booking is unknown":           {cfvfault.Fault{Mode: cfvfault.Truncate, Route: "/book"}, "POST", "/book", "k", 502, "unknown", 1, "k"},
+		"a crossed booking is unknown":             {cfvfault.Fault{Mode: cfvfault.Cross, Route: "/book"}, "POST", "/book", "k", 502, "unknown", 1, "k"},
+		"a service's own fault is its answer":      {cfvfault.Fault{Mode: cfvfault.Fail, Route: "/book"}, "POST", "/book", "k", 500, "", 1, "k"},
+		"a stock check whose answer is lost again": {cfvfault.Fault{Mode: cfvfault.LoseAnswers, Route: "/stock", Count: 1}, "GET", "/stock", "", 200, "", 2, "r"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, shape{entries: 2, desks: 1, domains: []string{"rosario"}, settings: `{"services/orders": {"silenceMillis": 400, "requestMillis": 800}}`})
+			for _, d := range c.desks {
+				d.SetFault(tt.fault)
+			}
+			header := []string{"X-Request-Id", "r"}
+			if tt.key != "" {
+				header = append(header, "Idempotency-Key", tt.key)
+			}
+			a := c.send(0, chamberKey, tt.method, "/services/orders"+tt.path, "{}", header...)
+			assert.Equal(t, a.status, tt.status, a.body)
+			assert.Equal(t, a.ran, tt.ran)
+			assert.Equal(t, c.runs(tt.request), tt.runs)
+		})
+	}
+}
+
+func TestBookingRunsOnceHoweverOftenItIsSent(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 3, desks: 2, desk: cfvfakeplain.Config{Work: 50 * time.Millisecond}})
+	var wg sync.WaitGroup
+	answers := make([]answer, 9)
+	for i := range answers {
+		wg.Go(func() { answers[i] = c.book(i%3, chamberKey, "order-1") })
+	}
+	wg.Wait()
+	for _, a := range answers {
+		assert.Equal(t, a.status, http.StatusCreated, a.body)
+	}
+	assert.Equal(t, c.runs("order-1"), 1)
+	other := c.send(1, chamberKey, http.MethodPost, "/services/orders/book", `{"blocks":99}`, "Idempotency-Key", "order-1")
+	assert.Equal(t, other.reason, "keyReused")
+	assert.Equal(t, c.book(1, gnomesKey, "order-1").status, http.StatusCreated)
+	assert.Equal(t, c.runs("order-1"), 2, "two workspaces may use the same key")
+}
+
+func TestBookingIsNotRunWhileTheKeyValueServiceIsDown(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 2, desks: 1})
+	c.kv.SetFault(cfvfault.Fault{Mode: cfvfault.Outage})
+	a := c.book(0, chamberKey, "order-1")
+	assert.Equal(t, a.reason, "claimUnavailable")
+	assert.Equal(t, a.ran, "no")
+	assert.Equal(t, c.runs("order-1"), 0)
+	keyless := c.send(1, chamberKey, http.MethodPost, "/services/orders/book", "{}", "X-Request-Id", "r")
+	assert.Equal(t, keyless.status, http.StatusCreated)
+	c.kv.SetFault(cfvfault.Fault{})
+	c.eventually("the booking is taken after the outage", func() bool {
+		return c.book(1, chamberKey, "order-1").status == http.StatusCreated
+	})
+	assert.Equal(t, c.runs("order-1"), 1)
+}
+
+func TestLostAnswersOfTheKeyValueServiceRunNoBookingTwice(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 2, desks: 1})
+	c.kv.SetFault(cfvfault.Fault{Mode: cfvfault.LoseAnswers, Route: "/v3/kv/txn", Count: 3})
+	for i := range 6 {
+		c.book(i%2, chamberKey, "order-1")
+	}
+	assert.Equal(t, c.runs("order-1"), 1)
+}
+
+func TestNothingSecretIsLogged(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 2, engines: 1, desks: 1})
+	a := c.chat(0, chamberKey, "the secret sheet", 8, true)
+	assert.Assert(t, a.whole)
+	c.book(0, chamberKey, "order-1")
+	for _, e := range c.engines {
+		e.SetFault(cfvfault.Fault{Mode: cfvfault.Fail})
+	}
+	c.chat(1, chamberKey, "the secret sheet", 8, true)
+	logs := c.logs.String()
+	assert.Assert(t, strings.Contains(logs, "is refused"))
+	for _, secret := range []string{chamberKey, "the secret sheet", strings.TrimSpace(a.text)} {
+		assert.Assert(t, !strings.Contains(logs, secret), "logs hold %q", secret)
+	}
+}
--- a/io/cfvplace/entry.go
+++ b/io/cfvplace/entry.go
@@ -37,6 +37,7 @@
 	Release func(ctx context.Context, owner string, list []cfvslot.Release) error
 	View    func() cfvmembership.View
 	Catalog func() *cfvcatalog.Catalog
+	Lease   time.Duration // how long a promise to an owner holds
 	Log     cfvlog.Logger
 	Metrics *cfvmetric.Registry
 }
@@ -84,7 +85,7 @@
 	}
 	return &Entry{
 		cfg:      cfg,
-		promises: cfvowner.NewPromises(time.Now(), LeaseLength),
+		promises: cfvowner.NewPromises(time.Now(), cfg.Lease),
 		held:     make(map[string]heldSlot),
 		levels:   levels,
 		full:     make(map[string]time.Time),
@@ -98,7 +99,17 @@
 }
 
 // Acquire returns a slot for the request, or a refusal of a request that was not run.
+// Endpoints are excluded only while there are others.
 func (e *Entry) Acquire(ctx context.Context, a Ask) (*Slot, *cfverror.Refusal) {
+	slot, refusal := e.search(ctx, a)
+	if refusal != nil && refusal.Reason == cfverror.ReasonNoEndpoint && len(a.Exclude) > 0 {
+		a.Exclude = nil
+		return e.search(ctx, a)
+	}
+	return slot, refusal
+}
+
+func (e *Entry) search(ctx context.Context, a Ask) (*Slot, *cfverror.Refusal) {
 	key := a.RouteKey
 	if key == "" {
 		key = a.RequestID
@@ -315,7 +326,7 @@
 	defer e.mu.Unlock()
 	inv := cfvslot.Inventory{Entry: e.cfg.Self.Name, Started: e.cfg.Self.Started, Group: r.Group}
 	if r.Lease > 0 {
-		inv.Promised = e.promises.Promise(time.Now(), r.Group, r.Owner, min(r.Lease, LeaseLength))
+		inv.Promised = e.promises.Promise(time.Now(), r.Group, r.Owner, min(r.Lease, e.cfg.Lease))
 	}
 	for _, h := range e.held {
 		if h.group == r.Group {
--- a/io/cfvplace/owner.go
+++ b/io/cfvplace/owner.go
@@ -24,13 +24,12 @@
 const (
 	tickEvery      = 50 * time.Millisecond
 	loadEvery      = 500 * time.Millisecond
-	recogniseEvery = time.Second
 	reconcileEvery = 15 * time.Second
 	callWithin     = 400 * time.Millisecond
 )
 
-// LeaseLength is how long a promise to an owner holds.
-const LeaseLength = 3 * time.Second
+// leaseParts is how often a lease is renewed during its length.
+const leaseParts = 3
 
 // OwnerConfig configures an owner. The functions are its seams.
 type OwnerConfig struct {
@@ -38,6 +37,7 @@
 	Recognise func(ctx context.Context, entry string, r cfvpeer.Recognise) (cfvslot.Inventory, error)
 	ReadLoad  func(ctx context.Context, address string) (cfvopenai.LoadReport, error)
 	View      func() cfvmembership.View
+	Lease     time.Duration // how long a promise to an owner holds
 	Log       cfvlog.Logger
 	Metrics   *cfvmetric.Registry
 }
@@ -74,7 +74,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { every(ctx, tickEvery, o.tick) })
 	wg.Go(func() { every(ctx, loadEvery, o.readLoads) })
-	wg.Go(func() { every(ctx, recogniseEvery, o.recognise) })
+	wg.Go(func() { every(ctx, o.cfg.Lease/leaseParts, o.recognise) })
 	wg.Wait()
 }
 
@@ -280,7 +280,7 @@
 	var wg sync.WaitGroup
 	for _, g := range owned {
 		if groups[g] {
-			wg.Go(func() { o.recogniseGroup(ctx, g, LeaseLength, view) })
+			wg.Go(func() { o.recogniseGroup(ctx, g, o.cfg.Lease, view) })
 		} else if reconcile {
 			wg.Go(func() { o.recogniseGroup(ctx, g, 0, view) })
 		}
