Keep the slot of a request that may still run, tell peers at the end

Causes, each seen failing in io/cfvnode: - A planned stop left its name in the head count of leases: after two of four entries stopped, no majority was left and cold endpoints got nothing (queueTimeout). A node now says "left" as its last word; such a member is not counted. Two majorities still meet: a member that left never promises. - An endpoint whose cold and warm slots are equal was treated as warm, so two owners could overlap on it and it fell over with three requests of two. It is now always held to the strict bound. - A request that broke off gave its slot back while the endpoint still ran it. Its slot lingers: 300 ms for a closed connection, the service's limit for a silent one; a new boot frees it. - A request that crashed two endpoints crashed more through other entries before gossip told them: suspicions are told to every peer at once. - Test listeners raced for ports: they are now held until the nodes start.

Ruled out: waiting for the VM list (it lags for seconds).

--- a/core/cfvlimit/quarantine.go
+++ b/core/cfvlimit/quarantine.go
@@ -37,9 +37,12 @@
 	return &Quarantine{byPrint: make(map[string]*suspect)}
 }
 
-// Crashed notes that an endpoint at one boot went down while it ran the request.
-func (q *Quarantine) Crashed(now time.Time, fingerprint, endpointBoot string) {
+// Crashed notes that an endpoint at one boot went down while it ran the request, and
+// returns what is suspected of the request by now.
+func (q *Quarantine) Crashed(now time.Time, fingerprint, endpointBoot string) Suspicion {
 	q.Merge(now, Suspicion{fingerprint, []string{endpointBoot}, now.Add(suspicionLength)})
+	s := q.byPrint[fingerprint]
+	return Suspicion{fingerprint, s.names(), s.until}
 }
 
 // Merge takes a suspicion of this node or a peer and reports whether it says anything
--- a/core/cfvmember/table.go
+++ b/core/cfvmember/table.go
@@ -18,11 +18,12 @@
 	StatusSuspect
 	StatusLeaving
 	StatusDead
+	StatusLeft // said by the member itself at its end: nothing of it runs any more
 )
 
 // String returns the status as operators read it.
 func (s Status) String() string {
-	return [...]string{"alive", "suspect", "leaving", "dead"}[s]
+	return [...]string{"alive", "suspect", "leaving", "dead", "left"}[s]
 }
 
 // Member is one entry VM as its peers know it.
@@ -106,7 +107,7 @@
 	}
 	for name, e := range t.members {
 		e.listed = listed[name] || name == t.cfg.Self.Name
-		if !e.listed && (e.member.Status == StatusDead || e.member.Status == StatusLeaving) {
+		if !e.listed && e.member.Status >= StatusLeaving {
 			delete(t.members, name)
 		}
 	}
@@ -120,6 +121,13 @@
 	self.sent = 0
 }
 
+// Left marks the node as ended; it is the last thing that it says.
+func (t *Table) Left() {
+	self := t.members[t.cfg.Self.Name]
+	self.member.Status = StatusLeft
+	self.member.Incarnation++
+}
+
 // NextProbe returns the member to probe now, in shuffled rounds. Dead members that are
 // still listed get one turn in a few.
 func (t *Table) NextProbe() (m Member, ok bool) {
@@ -137,7 +145,7 @@
 		if !known {
 			continue
 		}
-		dead := e.member.Status == StatusDead
+		dead := e.member.Status >= StatusDead
 		if !dead || wantDead {
 			return e.member, true
 		}
@@ -268,7 +276,7 @@
 func (t *Table) mergeOne(now time.Time, m Member) {
 	e, ok := t.members[m.Name]
 	if !ok {
-		if m.Status == StatusDead {
+		if m.Status >= StatusDead {
 			return
 		}
 		e = &entry{member: m, suspected: now}
@@ -316,12 +324,14 @@
 	return out
 }
 
-// Listed returns the names of the region's members on the platform's list, sorted. It
-// is the head count that a majority is taken of.
+// Listed returns the names of the region's members on the platform's list, sorted, but
+// for those that said themselves that they have ended. It is the head count that a
+// majority is taken of: two majorities of it meet even if one counts a member that has
+// ended, since such a member never promises anything.
 func (t *Table) Listed(region string) []string {
 	var out []string
 	for name, e := range t.members {
-		if e.listed && e.member.Region == region {
+		if e.listed && e.member.Region == region && e.member.Status != StatusLeft {
 			out = append(out, name)
 		}
 	}
--- a/core/cfvslot/adopt.go
+++ b/core/cfvslot/adopt.go
@@ -72,7 +72,9 @@
 	if !ok || t.bySlot[h.Slot] != nil || t.released.Contains(h.Slot) {
 		return
 	}
-	e.slots[h.Slot] = &slot{h.Slot, inv.Entry, inv.Started, h.Workspace, h.BootID, now, h.Limit}
+	e.slots[h.Slot] = &slot{
+		id: h.Slot, entry: inv.Entry, started: inv.Started, workspace: h.Workspace, bootID: h.BootID, granted: now, limit: h.Limit,
+	}
 	t.bySlot[h.Slot] = e
 }
 
@@ -80,7 +82,7 @@
 // does not name.
 func (t *Table) dropUnnamed(e *endpoint, inv Inventory, named map[string]bool) {
 	for id, s := range e.slots {
-		if s.entry != inv.Entry || named[id] {
+		if s.entry != inv.Entry || named[id] || !s.lingers.IsZero() {
 			continue
 		}
 		if s.granted.Add(UseWithin).Before(inv.Asked) {
--- a/core/cfvslot/endpoint.go
+++ b/core/cfvslot/endpoint.go
@@ -58,6 +58,7 @@
 	bootID    string
 	granted   time.Time
 	limit     time.Duration
+	lingers   time.Time // when a slot whose request broke off is free; zero while in use
 }
 
 // maxPastBoots bounds the boot identities remembered to recognise late messages.
@@ -79,9 +80,10 @@
 	}
 }
 
-// isCold reports whether the endpoint is below its full number of slots.
+// isCold reports whether the endpoint is held to a strict bound: it is below its full
+// number of slots, or it never bears more than when it is cold.
 func (e *endpoint) isCold() bool {
-	return e.limit() < e.cfg.Warm
+	return e.limit() < e.cfg.Warm || e.cfg.Cold == e.cfg.Warm
 }
 
 // limit returns the slots that the endpoint bears now.
@@ -114,6 +116,9 @@
 			e.pastBoots = e.pastBoots[1:]
 		}
 	}
+	if restarted {
+		e.dropLingering()
+	}
 	e.bootID = bootID
 	e.bound = max(e.cfg.Cold, e.levels[bootID])
 	e.succeeded = 0
@@ -121,6 +126,16 @@
 	return restarted
 }
 
+// dropLingering frees the slots whose requests broke off: they ran at the boot that has
+// ended.
+func (e *endpoint) dropLingering() {
+	for id, s := range e.slots {
+		if !s.lingers.IsZero() && s.bootID == e.bootID {
+			delete(e.slots, id)
+		}
+	}
+}
+
 // learnLevel takes a ramp level that another node knows of.
 func (e *endpoint) learnLevel(l Level) {
 	e.levels[l.BootID] = max(e.levels[l.BootID], l.Bound)
--- a/core/cfvslot/table.go
+++ b/core/cfvslot/table.go
@@ -67,8 +67,9 @@
 	Slot     string
 	Endpoint string
 	Outcome  Outcome
-	BootID   string // boot identity that the answer named; empty if none came
-	Leaving  bool   // the answer said that the endpoint is leaving
+	BootID   string        // boot identity that the answer named; empty if none came
+	Leaving  bool          // the answer said that the endpoint is leaving
+	Linger   time.Duration // how long the endpoint may still run the request
 }
 
 // Held is one slot that an entry has in use.
@@ -205,8 +206,7 @@
 	e, ok := t.endpoints[r.Endpoint]
 	if holder := t.bySlot[r.Slot]; holder != nil {
 		e, ok = holder, true
-		delete(holder.slots, r.Slot)
-		delete(t.bySlot, r.Slot)
+		t.vacate(now, holder, r)
 	}
 	if !ok {
 		return nil
@@ -222,6 +222,16 @@
 	return t.pump(now, e.cfg.Group)
 }
 
+// vacate frees a released slot, or lets it linger while its request may still run.
+func (t *Table) vacate(now time.Time, e *endpoint, r Release) {
+	delete(t.bySlot, r.Slot)
+	if r.Linger > 0 {
+		e.slots[r.Slot].lingers = now.Add(r.Linger)
+		return
+	}
+	delete(e.slots, r.Slot)
+}
+
 // Observe takes a load report.
 func (t *Table) Observe(now time.Time, name string, l Load) []Decision {
 	e, ok := t.endpoints[name]
@@ -250,7 +260,8 @@
 	for _, e := range t.endpoints {
 		e.settleByTime(now)
 		for id, s := range e.slots {
-			if now.Sub(s.granted) > s.limit+UseWithin {
+			over := !s.lingers.IsZero() && !now.Before(s.lingers)
+			if over || now.Sub(s.granted) > s.limit+UseWithin {
 				delete(e.slots, id)
 				delete(t.bySlot, id)
 			}
@@ -336,7 +347,9 @@
 	if e == nil {
 		return nil
 	}
-	e.slots[r.Slot] = &slot{r.Slot, r.Entry, r.Started, r.Workspace, e.bootID, now, r.Limit}
+	e.slots[r.Slot] = &slot{
+		id: r.Slot, entry: r.Entry, started: r.Started, workspace: r.Workspace, bootID: e.bootID, granted: now, limit: r.Limit,
+	}
 	t.bySlot[r.Slot] = e
 	return &Grant{
 		Slot:     r.Slot,
--- a/core/cfvslot/table_test.go
+++ b/core/cfvslot/table_test.go
@@ -19,6 +19,7 @@
 		{Name: "a", Group: testGroup, Address: "a", Cold: slots, Warm: slots, RampStep: time.Second},
 	}})
 	t.Observe(testStart, "a", Load{BootID: "boot"})
+	t.SetLease(testStart, testGroup, testStart.Add(time.Hour), nil)
 	return t
 }
 
@@ -108,6 +109,26 @@
 	}
 }
 
+func TestRequestThatBrokeOffKeepsItsSlotForAWhile(t *testing.T) {
+	tab := warmTable(1)
+	tab.Reserve(testStart, ask("s1", "w", 5))
+	tab.Release(testStart, Release{Slot: "s1", Endpoint: "a", Outcome: OutcomeFailed, Linger: time.Second})
+	assert.Assert(t, tab.Reserve(testStart, ask("s2", "w", 5)) == nil, "queued while the request may still run")
+	got := tab.Tick(testStart.Add(time.Second))
+	assert.Equal(t, got[0].Reason, cfverror.ReasonQueueTimeout)
+	got = tab.Reserve(testStart.Add(time.Second), ask("s3", "w", 5))
+	assert.Assert(t, got[0].Grant != nil)
+}
+
+func TestNewBootFreesWhatBrokeOff(t *testing.T) {
+	tab := warmTable(1)
+	tab.Reserve(testStart, ask("s1", "w", 5))
+	tab.Release(testStart, Release{Slot: "s1", Endpoint: "a", Outcome: OutcomeFailed, Linger: time.Hour})
+	tab.Observe(testStart, "a", Load{BootID: "boot2"})
+	got := tab.Reserve(testStart, ask("s2", "w", 5))
+	assert.Assert(t, got[0].Grant != nil)
+}
+
 func TestReturningPromptGoesToItsEndpoint(t *testing.T) {
 	tab := New()
 	s := Setup{Epoch: "e", Longest: time.Minute}
@@ -116,6 +137,7 @@
 		s.Endpoints = append(s.Endpoints, EndpointConfig{Name: name, Group: testGroup, Address: name, Cold: 8, Warm: 8, RampStep: time.Second})
 	}
 	tab.Configure(testStart, s)
+	tab.SetLease(testStart, testGroup, testStart.Add(100*time.Hour), nil)
 	r := ask("s0", "w", 5)
 	r.PromptKey = "norm-review"
 	first := tab.Reserve(testStart, r)[0].Grant.Endpoint
--- a/io/cfvmembership/runner.go
+++ b/io/cfvmembership/runner.go
@@ -209,10 +209,15 @@
 	}
 }
 
-// restarts returns the members whose process is a new one since they were last seen.
+// restarts returns the members whose process has ended since they were last seen, with
+// the start time that all of their ended processes lie before.
 func (r *Runner) restarts(updates []cfvmember.Member) []cfvmember.Member {
 	var out []cfvmember.Member
 	for _, m := range updates {
+		if m.Status == cfvmember.StatusLeft && m.Name != r.cfg.Self.Name && r.known[m.Name] == m.Started {
+			m.Started++
+			out = append(out, m)
+		}
 		if m.Started <= r.known[m.Name] {
 			continue
 		}
@@ -240,12 +245,32 @@
 func (r *Runner) Leave(ctx context.Context) {
 	r.mu.Lock()
 	r.table.Leave()
+	r.mu.Unlock()
+	r.Tell(ctx, cfvpeer.News{})
+}
+
+// Left tells every serving member that this node has ended and runs nothing more.
+func (r *Runner) Left(ctx context.Context) {
+	r.mu.Lock()
+	r.table.Left()
+	r.mu.Unlock()
+	r.Tell(ctx, cfvpeer.News{})
+}
+
+// Tell tells every serving member the news at once. It is for what can't wait for gossip
+// and comes seldom.
+func (r *Runner) Tell(ctx context.Context, n cfvpeer.News) {
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.ProbeWithin)
+	defer cancel()
+	r.mu.Lock()
+	self := r.table.Self()
 	members := r.table.Members()
 	r.mu.Unlock()
+	n.Updates = []cfvmember.Member{self}
 	var wg sync.WaitGroup
 	for _, m := range members {
-		if m.Name != r.cfg.Self.Name && m.Serving() {
-			wg.Go(func() { r.exchange(ctx, m, nil) })
+		if m.Name != self.Name && m.Serving() {
+			wg.Go(func() { _, _ = r.cfg.Probe(ctx, m.Address, cfvpeer.Probe{From: self, News: n}) })
 		}
 	}
 	wg.Wait()
--- a/io/cfvnode/cluster_test.go
+++ b/io/cfvnode/cluster_test.go
@@ -63,6 +63,7 @@
 	desks   map[string]*cfvfakeplain.Service
 	address map[string]string // of endpoints, by path
 	client  *http.Client
+	bound   map[string]net.Listener
 }
 
 // lockedBuffer is a log that several nodes write.
@@ -92,7 +93,7 @@
 	c := &cluster{
 		t: t, kv: cfvfakekv.New(cfvfakekv.Config{}), list: cfvfakevmlist.New(cfvfakevmlist.Config{}), logs: &lockedBuffer{},
 		engines: make(map[string]*cfvfakeengine.Engine), desks: make(map[string]*cfvfakeplain.Service),
-		address: make(map[string]string), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		address: make(map[string]string), bound: make(map[string]net.Listener), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	kv, list := c.serve(c.kv.Handler()), c.serve(c.list.Handler())
 	for i := range s.entries {
@@ -120,25 +121,35 @@
 	return s.URL
 }
 
-// freePort returns an address that nothing listens on now.
-func freePort(t *testing.T) string {
+// reserve opens a listener that a node takes over when it starts, and returns its address.
+func (c *cluster) reserve() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
+	assert.NilError(c.t, err)
+	c.bound[l.Addr().String()] = l
 	return l.Addr().String()
 }
 
+// bind returns the listener reserved for an address, or a new one.
+func (c *cluster) bind(network, address string) (net.Listener, error) {
+	if l, ok := c.bound[address]; ok {
+		delete(c.bound, address)
+		return l, nil
+	}
+	return net.Listen(network, address)
+}
+
 func (c *cluster) addNode(i int, domain, kv, list string) {
 	cfg := DefaultConfig()
 	cfg.Name = fmt.Sprintf("entry-%d", i)
 	cfg.Region, cfg.FailureDomain = "pampeana", domain
-	cfg.CallerAddress, cfg.PeerAddress, cfg.OperatorAddress = freePort(c.t), freePort(c.t), freePort(c.t)
+	cfg.CallerAddress, cfg.PeerAddress, cfg.OperatorAddress = c.reserve(), c.reserve(), c.reserve()
 	cfg.KeyValueAddresses, cfg.VMListAddress = []string{kv}, list
 	cfg.Lease = 1200 * time.Millisecond
 	cfg.ListEvery = 200 * time.Millisecond
 	cfg.DrainGrace = 100 * time.Millisecond
 	n, err := New(cfg, c.logs)
 	assert.NilError(c.t, err)
+	n.bind = c.bind
 	c.nodes = append(c.nodes, n)
 	c.vms = append(c.vms, cfvvmlist.VM{
 		Name: cfg.Name, Address: cfg.PeerAddress, Role: cfvvmlist.RoleEntry, Region: cfg.Region, FailureDomain: domain, State: "live",
--- a/io/cfvnode/config.go
+++ b/io/cfvnode/config.go
@@ -33,7 +33,7 @@
 	SuspectFor        time.Duration
 	ListEvery         time.Duration
 	Lease             time.Duration // how long an entry recognises one owner of a group
-	Certificate       string // file names; empty for plain connections
+	Certificate       string        // file names; empty for plain connections
 	Key               string
 	Authority         string
 	CallerCertificate string
--- a/io/cfvnode/node.go
+++ b/io/cfvnode/node.go
@@ -12,6 +12,7 @@
 	"coltsfootvalve/common/cfvlog"
 	"coltsfootvalve/common/cfvmetric"
 	"coltsfootvalve/core/cfvcatalog"
+	"coltsfootvalve/core/cfvlimit"
 	"coltsfootvalve/core/cfvmember"
 	"coltsfootvalve/io/cfvbook"
 	"coltsfootvalve/io/cfvcaller"
@@ -64,6 +65,7 @@
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
 	listeners []*http.Server
+	bind      func(network, address string) (net.Listener, error)
 	configure configured
 }
 
@@ -76,7 +78,7 @@
 
 // New returns a node that has not started.
 func New(cfg Config, logs io.Writer) (n *Node, err error) {
-	n = &Node{cfg: cfg, metrics: cfvmetric.New(), log: cfvlog.New(logs, cfg.Name)}
+	n = &Node{cfg: cfg, bind: net.Listen, metrics: cfvmetric.New(), log: cfvlog.New(logs, cfg.Name)}
 	n.self = cfvmember.Member{
 		Name: cfg.Name, Address: cfg.PeerAddress, Region: cfg.Region, Domain: cfg.FailureDomain,
 		Started: uint64(time.Now().UnixMilli()),
@@ -149,7 +151,10 @@
 		Alive:    n.alive,
 		PickMove: func(s cfvcatalog.Service, _ string) string { return s.Plan.From },
 		TakeRun:  func(cfvserve.Run) {},
-		Log:      n.log.Part("requests"), Metrics: n.metrics, Traces: n.traces, Suspicion: n.suspicions,
+		TellCrash: func(s cfvlimit.Suspicion) {
+			n.members.Tell(n.ctx, cfvpeer.News{Revision: n.settings.Revision(), Suspicions: []cfvlimit.Suspicion{s}})
+		},
+		Log: n.log.Part("requests"), Metrics: n.metrics, Traces: n.traces, Suspicion: n.suspicions,
 	})
 	n.callers = cfvcaller.New(cfvcaller.Config{Catalog: n.settings.Catalog, Server: n.server, Metrics: n.metrics})
 }
@@ -204,7 +209,7 @@
 }
 
 func (n *Node) listen(address string, s *http.Server, cert, key string) error {
-	l, err := net.Listen("tcp", address)
+	l, err := n.bind("tcp", address)
 	if err != nil {
 		return err
 	}
@@ -277,6 +282,10 @@
 		sleep(limit, 10*time.Millisecond)
 	}
 	out := Stopped{Cut: n.callers.Running()}
+	if out.Cut == 0 {
+		n.entry.Flush(limit)
+		n.members.Left(limit)
+	}
 	n.close(limit, out.Cut > 0)
 	log.Info("The node has stopped; %d requests were cut.", out.Cut)
 	return out
--- a/io/cfvpeer/codec.go
+++ b/io/cfvpeer/codec.go
@@ -35,7 +35,7 @@
 	return cfvmember.Member{
 		Name: m.GetName(), Address: m.GetAddress(), Region: m.GetRegion(), Domain: m.GetDomain(),
 		Started: m.GetStarted(), Incarnation: m.GetIncarnation(),
-		Status: cfvmember.Status(min(m.GetStatus(), uint32(cfvmember.StatusDead))),
+		Status: cfvmember.Status(min(m.GetStatus(), uint32(cfvmember.StatusLeft))),
 	}
 }
 
@@ -165,13 +165,13 @@
 }
 
 func releaseToWire(r cfvslot.Release) *cfvwire.Release {
-	return &cfvwire.Release{Slot: r.Slot, Endpoint: r.Endpoint, Outcome: uint32(r.Outcome), BootId: r.BootID, Leaving: r.Leaving}
+	return &cfvwire.Release{Slot: r.Slot, Endpoint: r.Endpoint, Outcome: uint32(r.Outcome), BootId: r.BootID, Leaving: r.Leaving, LingerMillis: millis(r.Linger)}
 }
 
 func releaseFromWire(r *cfvwire.Release) cfvslot.Release {
 	return cfvslot.Release{
 		Slot: r.GetSlot(), Endpoint: r.GetEndpoint(), Outcome: cfvslot.Outcome(r.GetOutcome()),
-		BootID: r.GetBootId(), Leaving: r.GetLeaving(),
+		BootID: r.GetBootId(), Leaving: r.GetLeaving(), Linger: duration(r.GetLingerMillis()),
 	}
 }
 
--- a/io/cfvplace/entry.go
+++ b/io/cfvplace/entry.go
@@ -95,7 +95,7 @@
 
 // Run sends releases until the context ends.
 func (e *Entry) Run(ctx context.Context) {
-	every(ctx, releaseEvery, e.flush)
+	every(ctx, releaseEvery, e.Flush)
 }
 
 // Acquire returns a slot for the request, or a refusal of a request that was not run.
@@ -236,7 +236,7 @@
 	defer e.mu.Unlock()
 	for _, c := range g.Endpoints {
 		level, known := e.levels.Get(c.Name)
-		if !known || level.Bound < c.Warm || c.Drained || e.uses(c.Name) {
+		if !known || level.Bound < c.Warm || c.Cold == c.Warm || c.Drained || e.uses(c.Name) {
 			continue
 		}
 		if a.Version != "" && a.Version != c.Version {
@@ -271,13 +271,22 @@
 	return false
 }
 
+// End is how the request of a slot ended.
+type End struct {
+	Outcome cfvslot.Outcome
+	BootID  string        // boot identity that the answer named; empty if none came
+	Leaving bool          // the answer said that the endpoint is leaving
+	Linger  time.Duration // how long the endpoint may still run the request
+}
+
 // Release gives the slot back and says how its request ended.
-func (s *Slot) Release(outcome cfvslot.Outcome, bootID string, leaving bool) {
+func (s *Slot) Release(end End) {
 	s.entry.mu.Lock()
 	delete(s.entry.held, s.Grant.Slot)
 	s.entry.mu.Unlock()
 	s.entry.release(s.Group, cfvslot.Release{
-		Slot: s.Grant.Slot, Endpoint: s.Grant.Endpoint, Outcome: outcome, BootID: bootID, Leaving: leaving,
+		Slot: s.Grant.Slot, Endpoint: s.Grant.Endpoint, Outcome: end.Outcome, BootID: end.BootID,
+		Leaving: end.Leaving, Linger: end.Linger,
 	})
 }
 
@@ -287,9 +296,9 @@
 	e.outbox[group] = append(e.outbox[group], r)
 }
 
-// flush sends the waiting releases to the owners of their groups. Those that fail are
+// Flush sends the waiting releases to the owners of their groups. Those that fail are
 // sent again until the owner's inventory would have freed them.
-func (e *Entry) flush(ctx context.Context) {
+func (e *Entry) Flush(ctx context.Context) {
 	e.mu.Lock()
 	out := e.outbox
 	e.outbox = make(map[string][]cfvslot.Release)
--- a/io/cfvserve/completion.go
+++ b/io/cfvserve/completion.go
@@ -110,12 +110,12 @@
 	}
 	call, err := s.engineCall(r, c, slot)
 	if err != nil {
-		slot.Release(outcome(err), "", false)
+		slot.Release(cfvplace.End{})
 		return Reply{}, err
 	}
 	began := time.Now()
 	reply, meta, err := s.sendCompletion(ctx, r, c, call, check, emit)
-	slot.Release(outcome(err), meta.BootID, meta.Leaving)
+	slot.Release(endOf(r, meta, err))
 	s.cfg.TakeRun(Run{r.service.Name, slot.Grant.Version, err != nil && countsAgainst(err), firstSince(began, reply, err)})
 	if err != nil {
 		r.exclude = append(r.exclude, slot.Grant.Endpoint)
@@ -199,5 +199,5 @@
 	}
 	s.cfg.Metrics.Count("quarantine.suspected", 1)
 	r.trace.Note("endpoint %s went down while it ran the request", slot.Grant.Endpoint)
-	s.cfg.Suspicion.Crashed(r.print, slot.Grant.Endpoint+"@"+slot.Grant.Level.BootID)
+	s.cfg.TellCrash(s.cfg.Suspicion.Crashed(r.print, slot.Grant.Endpoint+"@"+slot.Grant.Level.BootID))
 }
--- a/io/cfvserve/plain.go
+++ b/io/cfvserve/plain.go
@@ -114,7 +114,7 @@
 		RequestID: c.RequestID, Address: slot.Grant.Address, Method: c.Method, Path: c.Path,
 		Header: c.Header, Body: c.Body, Silence: c.Service.Silence,
 	}, c.Service.Limit)
-	slot.Release(outcome(err), a.Meta.BootID, a.Meta.Leaving)
+	slot.Release(endOf(r, a.Meta, err))
 	s.cfg.TakeRun(Run{r.service.Name, slot.Grant.Version, failed(a, err) != nil, time.Since(began)})
 	if err != nil {
 		r.exclude = append(r.exclude, slot.Grant.Endpoint)
--- a/io/cfvserve/server.go
+++ b/io/cfvserve/server.go
@@ -43,6 +43,7 @@
 	Alive     func(entry string, started uint64) bool
 	PickMove  func(service cfvcatalog.Service, key string) (version string)
 	TakeRun   func(Run)
+	TellCrash func(cfvlimit.Suspicion) // tells every peer at once
 	Log       cfvlog.Logger
 	Metrics   *cfvmetric.Registry
 	Traces    *Traces
@@ -166,19 +167,29 @@
 	return slot, nil
 }
 
-// outcome returns what a failure says of the endpoint.
-func outcome(err error) cfvslot.Outcome {
+// lingerBroken is how long an endpoint may take to notice that a connection was closed.
+const lingerBroken = 300 * time.Millisecond
+
+// endOf returns how a request ended for its endpoint. One that broke off may still run
+// there: for a moment if the connection was closed, up to the service's limit if it went
+// silent and the endpoint may not know.
+func endOf(r *request, m cfvforward.Meta, err error) cfvplace.End {
+	end := cfvplace.End{Outcome: cfvslot.OutcomeDone, BootID: m.BootID, Leaving: m.Leaving}
 	if err == nil {
-		return cfvslot.OutcomeDone
+		return end
 	}
+	end.Outcome = cfvslot.OutcomeFailed
+	end.Linger = lingerBroken
 	switch cfverror.From(err).Reason {
 	case cfverror.ReasonConnect:
-		return cfvslot.OutcomeUnreachable
+		end.Outcome = cfvslot.OutcomeUnreachable
+		end.Linger = 0
 	case cfverror.ReasonCallerGone:
-		return cfvslot.OutcomeUnused
-	default:
-		return cfvslot.OutcomeFailed
+		end.Outcome = cfvslot.OutcomeUnused
+	case cfverror.ReasonEndpointSilent, cfverror.ReasonTimeout:
+		end.Linger = r.service.Limit
 	}
+	return end
 }
 
 // finish counts how the request ended.
--- a/io/cfvserve/suspicions.go
+++ b/io/cfvserve/suspicions.go
@@ -31,11 +31,12 @@
 	return s.inner.Blocked(time.Now(), print)
 }
 
-// Crashed notes that an endpoint went down while it ran the request.
-func (s *Suspicions) Crashed(print, endpointBoot string) {
+// Crashed notes that an endpoint went down while it ran the request, and returns what is
+// suspected of the request by now.
+func (s *Suspicions) Crashed(print, endpointBoot string) cfvlimit.Suspicion {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inner.Crashed(time.Now(), print, endpointBoot)
+	return s.inner.Crashed(time.Now(), print, endpointBoot)
 }
 
 // Merge takes what a peer suspects.
