Move versions by time and evidence, and take bad ones back

One judge a move, picked like a group's owner, pools the evidence of all entries, clears shares step by step (bound for unproved, 25, 50, 100%), has endpoints load versions while a majority recognises it, and writes the end. Verdicts are told to all at once and never withdrawn.

Ruled out: more evidence before each look (slower on real faults). - In the last step every endpoint had loaded the new version while half of the traffic still asked for the old one (noEndpoint): the last endpoint now moves once all traffic has.

--- /dev/null
+++ b/commands/move.go
@@ -0,0 +1,129 @@
+package commands
+
+import (
+	stdcontext "context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"coltsfootvalve/io/cfvoperator"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// addMove adds the version move commands.
+func addMove(p *flags.Parser, ctx *context) {
+	top, err := p.AddCommand("move", "Move a service to another version", "Moves a service to another version, by time and evidence.", &struct{}{})
+	if err != nil {
+		panic(err)
+	}
+	for _, c := range []struct {
+		name, short, long string
+		data              any
+	}{
+		{"start", "Start a move", "Accepts a move of a service to a version; it is done or taken back by itself.\n\nExample: coltsfootvalve move start assistant v2 --within 30m", &moveStart{ctx: ctx}},
+		{"status", "Show moves", "Shows each service's latest move.\n\nExample: coltsfootvalve move status", &moveStatus{ctx: ctx}},
+		{"takeBack", "Take a move back", "Takes the running move of a service back.\n\nExample: coltsfootvalve move takeBack assistant", &moveTakeBack{ctx: ctx}},
+	} {
+		if _, err := top.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			panic(err)
+		}
+	}
+}
+
+type moveStart struct {
+	ctx *context
+	changeOptions
+	Within time.Duration `long:"within" default:"30m" description:"time until the deadline"`
+	Args   struct {
+		Service string `positional-arg-name:"SERVICE" required:"true"`
+		Version string `positional-arg-name:"VERSION" required:"true"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute starts a move, unless another one of the service goes on. Of two operators who
+// start moves at once, one gets a conflict.
+func (c *moveStart) Execute([]string) error {
+	s, err := c.client().Status(stdcontext.Background())
+	if err != nil {
+		return err
+	}
+	for _, m := range s.Moves {
+		if m.Service == c.Args.Service && (m.State == "moving" || m.State == "waiting") {
+			return fmt.Errorf("service %s: a move to %s goes on; take it back first", m.Service, m.To)
+		}
+	}
+	if c.Expected == 0 {
+		c.Expected = s.Revision
+	}
+	path, now := "services/"+c.Args.Service, time.Now()
+	return c.ctx.change(c.changeOptions,
+		cfvoperator.ChangeJSON{Path: path, Name: "moveTo", Value: c.Args.Version},
+		cfvoperator.ChangeJSON{Path: path, Name: "moveStart", Value: strconv.FormatInt(now.UnixMilli(), 10)},
+		cfvoperator.ChangeJSON{Path: path, Name: "moveDeadline", Value: strconv.FormatInt(now.Add(c.Within).UnixMilli(), 10)},
+		cfvoperator.ChangeJSON{Path: path, Name: "moveTakenBack", Value: "false"},
+	)
+}
+
+type moveStatus struct {
+	ctx *context
+	operatorOptions
+}
+
+// Execute shows moves.
+func (c *moveStatus) Execute([]string) error {
+	s, err := c.client().Status(stdcontext.Background())
+	if err != nil {
+		return err
+	}
+	rows := [][]string{{"service", "from", "to", "state", "share", "deadline", "cause"}}
+	for _, m := range s.Moves {
+		rows = append(rows, []string{m.Service, m.From, m.To, m.State, strconv.Itoa(m.Share) + "%", m.Deadline, m.Cause})
+	}
+	return c.ctx.print(c.operatorOptions, s.Moves, rows)
+}
+
+type moveTakeBack struct {
+	ctx *context
+	changeOptions
+	Args struct {
+		Service string `positional-arg-name:"SERVICE" required:"true"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute takes a move back.
+func (c *moveTakeBack) Execute([]string) error {
+	return c.ctx.change(c.changeOptions, cfvoperator.ChangeJSON{
+		Path: "services/" + c.Args.Service, Name: "moveTakenBack", Value: "true",
+	})
+}
+
+type logLevel struct {
+	ctx *context
+	operatorOptions
+	Args struct {
+		Level string `positional-arg-name:"LEVEL" required:"true"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute changes a node's log level while it runs.
+func (c *logLevel) Execute([]string) error {
+	return c.client().Do(stdcontext.Background(), http.MethodPost, "/log/level/"+c.Args.Level, nil, nil)
+}
+
+type metrics struct {
+	ctx *context
+	operatorOptions
+}
+
+// Execute shows a node's counters.
+func (c *metrics) Execute([]string) error {
+	var doc json.RawMessage
+	if err := c.client().Do(stdcontext.Background(), http.MethodGet, "/metrics.json", nil, &doc); err != nil {
+		return err
+	}
+	c.Output = "json"
+	return c.ctx.print(c.operatorOptions, doc, nil)
+}
--- a/common/cfverror/refusal.go
+++ b/common/cfverror/refusal.go
@@ -29,6 +29,7 @@
 	ReasonRetryBudget      Reason = "retryBudgetSpent"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonConnect          Reason = "connectFailed"
+	ReasonVersionMissing   Reason = "versionNotLoaded"
 	ReasonEndpointFailed   Reason = "endpointFailed"
 	ReasonEndpointSilent   Reason = "endpointSilent"
 	ReasonTimeout          Reason = "requestTimeout"
--- a/core/cfvcatalog/catalog.go
+++ b/core/cfvcatalog/catalog.go
@@ -128,13 +128,14 @@
 		s.Idempotent[strings.TrimSpace(m)] = true
 	}
 	s.Plan = cfvmove.Plan{
-		Service:   s.Name,
-		From:      t.Text(p, cfvtree.ActiveVersion),
-		To:        t.Text(p, cfvtree.MoveTo),
-		Start:     time.UnixMilli(int64(t.Int(p, cfvtree.MoveStart))),
-		Deadline:  time.UnixMilli(int64(t.Int(p, cfvtree.MoveDeadline))),
-		TakenBack: t.Bool(p, cfvtree.MoveTakenBack),
-		ProbeMost: t.Int(p, cfvtree.BadShareLimit),
+		Service:     s.Name,
+		From:        t.Text(p, cfvtree.ActiveVersion),
+		To:          t.Text(p, cfvtree.MoveTo),
+		Start:       time.UnixMilli(int64(t.Int(p, cfvtree.MoveStart))),
+		Deadline:    time.UnixMilli(int64(t.Int(p, cfvtree.MoveDeadline))),
+		TakenBack:   t.Bool(p, cfvtree.MoveTakenBack),
+		ProbeMost:   t.Int(p, cfvtree.BadShareLimit),
+		LoadsAtOnce: t.Int(p, cfvtree.LoadsAtOnce),
 	}
 	c.services[s.Name] = s
 	c.longest = max(c.longest, s.Limit)
--- a/core/cfvtree/schema.go
+++ b/core/cfvtree/schema.go
@@ -68,6 +68,7 @@
 	MoveDeadline       Name = "moveDeadline"
 	MoveTakenBack      Name = "moveTakenBack"
 	BadShareLimit      Name = "badSharePercent"
+	LoadsAtOnce        Name = "loadsAtOnce"
 	BookingWindow      Name = "bookingWindowMillis"
 )
 
@@ -111,6 +112,7 @@
 	{MoveStart, KindInt, IntValue(0), 0, anyInt, []Level{LevelService}, "Start of the move in milliseconds since 1970."},
 	{MoveDeadline, KindInt, IntValue(0), 0, anyInt, []Level{LevelService}, "Deadline of the move in milliseconds since 1970."},
 	{MoveTakenBack, KindBool, BoolValue(false), 0, 0, []Level{LevelService}, "Whether the move was taken back."},
+	{LoadsAtOnce, KindInt, IntValue(2), 1, 1000, byService, "Endpoints of a service that may load weights at once."},
 	{BadShareLimit, KindInt, IntValue(5), 1, 100, byService, "Share of traffic in percent that an unproved version may get."},
 	{Priority, KindInt, IntValue(5), 0, 9, []Level{LevelRoot, LevelService, LevelWorkspace}, "Priority class: 0 goes first, 9 last."},
 	{RequestsPerSecond, KindInt, IntValue(0), 0, 1_000_000, byWorkspace, "Requests a second that a workspace may start; 0 for no limit."},
--- a/core/cfvtree/tree.go
+++ b/core/cfvtree/tree.go
@@ -120,14 +120,27 @@
 				return err
 			}
 		case LevelService:
-			if t.Text(p, MoveTo) != "" && t.Int(p, MoveDeadline) <= t.Int(p, MoveStart) {
-				return fmt.Errorf("%s: moveDeadline: must lie after moveStart", p)
+			if err := t.validateMove(p); err != nil {
+				return err
 			}
 		}
 	}
 	return nil
 }
 
+func (t Tree) validateMove(p string) error {
+	if t.Text(p, MoveTo) == "" {
+		return nil
+	}
+	if t.Text(p, ActiveVersion) == "" {
+		return fmt.Errorf("%s: activeVersion: missing, so nothing can move to %s", p, t.Text(p, MoveTo))
+	}
+	if t.Int(p, MoveDeadline) <= t.Int(p, MoveStart) {
+		return fmt.Errorf("%s: moveDeadline: must lie after moveStart", p)
+	}
+	return nil
+}
+
 func (t Tree) validateWorkspace(p string, hashes map[string]string) error {
 	h := t.Text(p, KeyHash)
 	if h == "" {
--- a/io/cfvforward/client.go
+++ b/io/cfvforward/client.go
@@ -226,6 +226,14 @@
 	return emit(chunk)
 }
 
+// Order orders an endpoint to load a version.
+func (c *Client) Order(ctx context.Context, address string, o cfvopenai.VersionOrder) error {
+	if err := cfvhttp.Call(ctx, c.http, http.MethodPost, "http://"+address+"/orders/version", o, nil); err != nil {
+		return fmt.Errorf("order version: %w", err)
+	}
+	return nil
+}
+
 // Load reads an endpoint's load report.
 func (c *Client) Load(ctx context.Context, address string) (r cfvopenai.LoadReport, err error) {
 	if err = cfvhttp.Call(ctx, c.http, http.MethodGet, "http://"+address+"/load", nil, &r); err != nil {
--- a/io/cfvnode/cluster_test.go
+++ b/io/cfvnode/cluster_test.go
@@ -145,6 +145,7 @@
 	cfg.CallerAddress, cfg.PeerAddress, cfg.OperatorAddress = c.reserve(), c.reserve(), c.reserve()
 	cfg.KeyValueAddresses, cfg.VMListAddress = []string{kv}, list
 	cfg.Lease = 1200 * time.Millisecond
+	cfg.MovePeriod = 50 * time.Millisecond
 	cfg.ListEvery = 200 * time.Millisecond
 	cfg.DrainGrace = 100 * time.Millisecond
 	n, err := New(cfg, c.logs)
--- a/io/cfvnode/config.go
+++ b/io/cfvnode/config.go
@@ -32,6 +32,7 @@
 	ProbeEvery        time.Duration
 	SuspectFor        time.Duration
 	ListEvery         time.Duration
+	MovePeriod        time.Duration // of reports and decisions on version moves
 	Lease             time.Duration // how long an entry recognises one owner of a group
 	Certificate       string        // file names; empty for plain connections
 	Key               string
@@ -53,6 +54,7 @@
 		SuspectFor: 1500 * time.Millisecond,
 		ListEvery:  time.Second,
 		Lease:      3 * time.Second,
+		MovePeriod: time.Second,
 	}
 }
 
--- a/io/cfvnode/node.go
+++ b/io/cfvnode/node.go
@@ -19,6 +19,7 @@
 	"coltsfootvalve/io/cfvetcd"
 	"coltsfootvalve/io/cfvforward"
 	"coltsfootvalve/io/cfvmembership"
+	"coltsfootvalve/io/cfvmoves"
 	"coltsfootvalve/io/cfvoperator"
 	"coltsfootvalve/io/cfvpeer"
 	"coltsfootvalve/io/cfvplace"
@@ -55,6 +56,7 @@
 	owner      *cfvplace.Owner
 	entry      *cfvplace.Entry
 	desk       *cfvbook.Desk
+	moves      *cfvmoves.Mover
 	limits     *limits
 	suspicions *cfvserve.Suspicions
 	traces     *cfvserve.Traces
@@ -131,6 +133,11 @@
 		Self: n.self, Recognise: n.recognise, ReadLoad: n.forward.Load, View: n.members.View, Lease: n.cfg.Lease,
 		Log: n.log.Part("owner"), Metrics: n.metrics,
 	})
+	n.moves = cfvmoves.New(cfvmoves.Config{
+		Self: n.self, Period: n.cfg.MovePeriod, Lease: n.cfg.Lease, Catalog: n.settings.Catalog, View: n.members.View,
+		Report: n.report, Recognise: n.recognise, ReadLoad: n.forward.Load, Order: n.forward.Order, Tell: n.members.Tell,
+		Write: n.writeSettings, Log: n.log.Part("moves"), Metrics: n.metrics,
+	})
 	n.desk = cfvbook.New(n.ctx, cfvbook.Config{
 		KeyValue: cfvbook.KeyValue{Get: n.keyValue.Get, Swap: n.keyValue.Swap, Grant: n.keyValue.Grant},
 		Window:   func() time.Duration { return n.settings.Catalog().BookingWindow() },
@@ -148,9 +155,9 @@
 	n.server = cfvserve.New(cfvserve.Config{
 		Self: n.self, Catalog: n.settings.Catalog, Acquire: n.entry.Acquire, Forward: n.forward,
 		Claim: n.claim, Conclude: n.conclude, Admit: n.limits.admit, Dismiss: n.limits.dismiss,
-		Alive:    n.alive,
-		PickMove: func(s cfvcatalog.Service, _ string) string { return s.Plan.From },
-		TakeRun:  func(cfvserve.Run) {},
+		Alive:   n.alive,
+		Version: n.moves.Version,
+		TakeRun: n.moves.TakeRun,
 		TellCrash: func(s cfvlimit.Suspicion) {
 			n.members.Tell(n.ctx, cfvpeer.News{Revision: n.settings.Revision(), Suspicions: []cfvlimit.Suspicion{s}})
 		},
@@ -179,7 +186,7 @@
 	if err = n.listen(n.cfg.OperatorAddress, &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: headerTimeout}, "", ""); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){n.members.Run, n.settings.Run, n.owner.Run, n.entry.Run, n.keepConfigured} {
+	for _, run := range []func(context.Context){n.members.Run, n.settings.Run, n.owner.Run, n.entry.Run, n.moves.Run, n.keepConfigured} {
 		n.wg.Go(func() { run(n.ctx) })
 	}
 	n.log.Part("node").Info("The node serves callers on %s.", n.cfg.CallerAddress)
@@ -190,7 +197,7 @@
 	handler := cfvpeer.NewHandler(cfvpeer.Handlers{
 		Probe: n.members.HandleProbe, Reserve: n.owner.Reserve, Release: n.owner.Release,
 		Recognise: n.entry.Recognise, FetchSettings: n.settings.HandleFetch,
-		Claim: n.desk.Claim, Conclude: n.desk.Conclude,
+		Claim: n.desk.Claim, Conclude: n.desk.Conclude, Report: n.moves.HandleReport,
 		Admit: n.limits.handleAdmit, Dismiss: n.limits.handleDismiss,
 	})
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, Protocols: new(http.Protocols)}
--- a/io/cfvnode/wiring.go
+++ b/io/cfvnode/wiring.go
@@ -3,25 +3,32 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"coltsfootvalve/common/cfverror"
 	"coltsfootvalve/core/cfvbooking"
 	"coltsfootvalve/core/cfvslot"
+	"coltsfootvalve/core/cfvtree"
 	"coltsfootvalve/io/cfvbook"
 	"coltsfootvalve/io/cfvoperator"
 	"coltsfootvalve/io/cfvpeer"
+	"coltsfootvalve/io/cfvsettings"
 	"coltsfootvalve/io/cfvvmlist"
 )
 
 // news returns what this node tells with each probe.
 func (n *Node) news() cfvpeer.News {
-	return cfvpeer.News{Revision: n.settings.Revision(), Suspicions: n.suspicions.Updates()}
+	clearances, verdicts := n.moves.News()
+	return cfvpeer.News{
+		Revision: n.settings.Revision(), Suspicions: n.suspicions.Updates(), Clearances: clearances, Verdicts: verdicts,
+	}
 }
 
 // takeNews takes what a peer told.
 func (n *Node) takeNews(address string, news cfvpeer.News) {
 	n.settings.HeardOf(n.ctx, address, news.Revision)
 	n.suspicions.Merge(news.Suspicions)
+	n.moves.Take(news.Clearances, news.Verdicts)
 }
 
 // takeList notes the endpoints that the platform calls leaving.
@@ -94,6 +101,20 @@
 	return n.peers.Release(ctx, a, list)
 }
 
+func (n *Node) report(ctx context.Context, judge string, r cfvpeer.Report) error {
+	a, err := n.address(judge)
+	if err != nil {
+		return err
+	}
+	return n.peers.Report(ctx, a, r)
+}
+
+// writeSettings accepts a change that the system itself makes.
+func (n *Node) writeSettings(ctx context.Context, changes []cfvtree.Change) error {
+	_, err := n.settings.Propose(ctx, cfvsettings.Proposal{Author: n.cfg.Name, Changes: changes})
+	return err
+}
+
 func (n *Node) writerOf(key string) string {
 	return cfvbook.WriterOf(key, n.members.View().AllServing())
 }
@@ -141,6 +162,12 @@
 			Held: s.Held, Bound: s.Bound, Cold: s.Cold, Settled: s.Settled, Shut: s.Shut, Waiting: s.Waiting,
 		})
 	}
+	for _, m := range n.moves.Statuses() {
+		out.Moves = append(out.Moves, cfvoperator.MoveJSON{
+			Service: m.Plan.Service, From: m.Plan.From, To: m.Plan.To, State: m.State, Share: m.Share,
+			Deadline: m.Plan.Deadline.UTC().Format(time.RFC3339), Cause: m.Cause,
+		})
+	}
 	return out
 }
 
--- a/io/cfvopenai/messages.go
+++ b/io/cfvopenai/messages.go
@@ -98,6 +98,29 @@
 // EndMark is the data of the last event of a stream.
 const EndMark = "[DONE]"
 
+// VersionOrder orders an endpoint to load a version; its fencing number only grows.
+type VersionOrder struct {
+	Version string `json:"version"`
+	Fence   int64  `json:"fence"`
+}
+
+// versionMark stands between a model's name and the version of its weights.
+const versionMark = "@"
+
+// WithVersion returns the name under which an engine serves one version of a model.
+func WithVersion(model, version string) string {
+	if version == "" {
+		return model
+	}
+	return model + versionMark + version
+}
+
+// SplitVersion returns the model and the version that a name asks for, empty for any.
+func SplitVersion(name string) (model, version string) {
+	model, version, _ = strings.Cut(name, versionMark)
+	return model, version
+}
+
 // Headers that entries and engines exchange.
 const (
 	HeaderRequestID  = "X-Request-Id"
@@ -114,4 +137,5 @@
 	Running int    `json:"running"`
 	Waiting int    `json:"waiting"`
 	Leaving bool   `json:"leaving"`
+	Loading bool   `json:"loading"`
 }
--- a/io/cfvoperator/api.go
+++ b/io/cfvoperator/api.go
@@ -58,7 +58,12 @@
 	e.GET("/requests/:id", a.explainRequest)
 	e.GET("/metrics", a.metrics)
 	e.GET("/metrics.json", a.metricsJSON)
-	e.POST("/log/level/:level", func(c echo.Context) error { return cfvlog.SetLevel(c.Param("level")) })
+	e.POST("/log/level/:level", func(c echo.Context) error {
+		if err := cfvlog.SetLevel(c.Param("level")); err != nil {
+			return cfverror.NotRun(cfverror.ReasonBadRequest, "level: %v", err)
+		}
+		return nil
+	})
 	e.POST("/certificates/reload", func(echo.Context) error { return a.cfg.Reload() })
 	return e
 }
--- a/io/cfvpeer/client.go
+++ b/io/cfvpeer/client.go
@@ -144,6 +144,18 @@
 	return resp.Msg.GetWritten(), nil
 }
 
+// Report hands a move's evidence to its judge.
+func (c *Client) Report(ctx context.Context, address string, r Report) error {
+	req := &cfvwire.ReportRequest{
+		Move: moveToWire(r.Move), Entry: r.Report.Entry, Started: r.Report.Started,
+		Evidence: convert(r.Report.Evidence, evidenceToWire),
+	}
+	if _, err := c.at(address).Report(ctx, connect.NewRequest(req)); err != nil {
+		return fmt.Errorf("report to %s: %w", address, err)
+	}
+	return nil
+}
+
 // Admit asks the keeper of a workspace's limits; a reason is a refusal.
 func (c *Client) Admit(ctx context.Context, address string, a cfvlimit.Admission) (reason string, err error) {
 	req := &cfvwire.AdmitRequest{
--- a/io/cfvpeer/codec.go
+++ b/io/cfvpeer/codec.go
@@ -49,24 +49,39 @@
 
 func evidenceToWire(e cfvmove.Evidence) *cfvwire.Evidence {
 	return &cfvwire.Evidence{
-		Service: e.Service, Version: e.Version, Reporter: e.Reporter, Started: e.Started,
-		Requests: e.Requests, Failures: e.Failures, Slow: e.Slow, AtMillis: e.At.UnixMilli(),
+		Service: e.Service, Version: e.Version, Route: e.Route, Requests: e.Requests, Failures: e.Failures, Slow: e.Slow,
 	}
 }
 
 func evidenceFromWire(e *cfvwire.Evidence) cfvmove.Evidence {
 	return cfvmove.Evidence{
-		Service: e.GetService(), Version: e.GetVersion(), Reporter: e.GetReporter(), Started: e.GetStarted(),
-		Requests: e.GetRequests(), Failures: e.GetFailures(), Slow: e.GetSlow(), At: time.UnixMilli(e.GetAtMillis()),
+		Service: e.GetService(), Version: e.GetVersion(), Route: e.GetRoute(),
+		Requests: e.GetRequests(), Failures: e.GetFailures(), Slow: e.GetSlow(),
 	}
 }
 
+func moveToWire(m cfvmove.ID) *cfvwire.MoveID {
+	return &cfvwire.MoveID{Service: m.Service, To: m.To, StartMillis: m.StartMillis}
+}
+
+func moveFromWire(m *cfvwire.MoveID) cfvmove.ID {
+	return cfvmove.ID{Service: m.GetService(), To: m.GetTo(), StartMillis: m.GetStartMillis()}
+}
+
+func clearanceToWire(c cfvmove.Clearance) *cfvwire.Clearance {
+	return &cfvwire.Clearance{Move: moveToWire(c.Move), Share: int32(c.Share), AtMillis: c.At.UnixMilli()}
+}
+
+func clearanceFromWire(c *cfvwire.Clearance) cfvmove.Clearance {
+	return cfvmove.Clearance{Move: moveFromWire(c.GetMove()), Share: int(c.GetShare()), At: time.UnixMilli(c.GetAtMillis())}
+}
+
 func verdictToWire(v cfvmove.Verdict) *cfvwire.Verdict {
-	return &cfvwire.Verdict{Service: v.Service, Version: v.Version, MoveStartMillis: v.Start.UnixMilli(), Cause: v.Cause}
+	return &cfvwire.Verdict{Move: moveToWire(v.Move), Cause: v.Cause}
 }
 
 func verdictFromWire(v *cfvwire.Verdict) cfvmove.Verdict {
-	return cfvmove.Verdict{Service: v.GetService(), Version: v.GetVersion(), Start: time.UnixMilli(v.GetMoveStartMillis()), Cause: v.GetCause()}
+	return cfvmove.Verdict{Move: moveFromWire(v.GetMove()), Cause: v.GetCause()}
 }
 
 func probeToWire(p Probe) *cfvwire.ProbeRequest {
@@ -75,7 +90,7 @@
 		Updates:          convert(p.News.Updates, memberToWire),
 		SettingsRevision: p.News.Revision,
 		Suspicions:       convert(p.News.Suspicions, suspicionToWire),
-		Evidence:         convert(p.News.Evidence, evidenceToWire),
+		Clearances:       convert(p.News.Clearances, clearanceToWire),
 		Verdicts:         convert(p.News.Verdicts, verdictToWire),
 	}
 	if p.Target != nil {
@@ -89,7 +104,7 @@
 		Updates:    convert(p.GetUpdates(), memberFromWire),
 		Revision:   p.GetSettingsRevision(),
 		Suspicions: convert(p.GetSuspicions(), suspicionFromWire),
-		Evidence:   convert(p.GetEvidence(), evidenceFromWire),
+		Clearances: convert(p.GetClearances(), clearanceFromWire),
 		Verdicts:   convert(p.GetVerdicts(), verdictFromWire),
 	}}
 	if p.GetTarget() != nil {
@@ -105,7 +120,7 @@
 		Updates:          convert(r.News.Updates, memberToWire),
 		SettingsRevision: r.News.Revision,
 		Suspicions:       convert(r.News.Suspicions, suspicionToWire),
-		Evidence:         convert(r.News.Evidence, evidenceToWire),
+		Clearances:       convert(r.News.Clearances, clearanceToWire),
 		Verdicts:         convert(r.News.Verdicts, verdictToWire),
 	}
 }
@@ -115,7 +130,7 @@
 		Updates:    convert(r.GetUpdates(), memberFromWire),
 		Revision:   r.GetSettingsRevision(),
 		Suspicions: convert(r.GetSuspicions(), suspicionFromWire),
-		Evidence:   convert(r.GetEvidence(), evidenceFromWire),
+		Clearances: convert(r.GetClearances(), clearanceFromWire),
 		Verdicts:   convert(r.GetVerdicts(), verdictFromWire),
 	}}
 }
--- a/io/cfvpeer/messages.go
+++ b/io/cfvpeer/messages.go
@@ -17,7 +17,7 @@
 	Updates    []cfvmember.Member
 	Revision   uint64 // of the settings in force
 	Suspicions []cfvlimit.Suspicion
-	Evidence   []cfvmove.Evidence
+	Clearances []cfvmove.Clearance
 	Verdicts   []cfvmove.Verdict
 }
 
@@ -61,6 +61,12 @@
 	Record cfvbooking.Record
 }
 
+// Report is what one entry has seen of a move.
+type Report struct {
+	Move   cfvmove.ID
+	Report cfvmove.Report
+}
+
 // Dismiss says that admitted requests have ended.
 type Dismiss struct {
 	Workspace  string
@@ -76,6 +82,7 @@
 	FetchSettings func(FetchSettings) Settings
 	Claim         func(done <-chan struct{}, c cfvbooking.Claim) ClaimReply
 	Conclude      func(done <-chan struct{}, c cfvbooking.Conclusion) bool
+	Report        func(Report)
 	Admit         func(cfvlimit.Admission) string
 	Dismiss       func(Dismiss)
 }
--- a/io/cfvpeer/server.go
+++ b/io/cfvpeer/server.go
@@ -6,6 +6,7 @@
 
 	"coltsfootvalve/core/cfvbooking"
 	"coltsfootvalve/core/cfvlimit"
+	"coltsfootvalve/core/cfvmove"
 	"coltsfootvalve/io/cfvwire"
 	"coltsfootvalve/io/cfvwire/cfvwireconnect"
 
@@ -62,6 +63,14 @@
 	return connect.NewResponse(&cfvwire.ConcludeResponse{Written: s.h.Conclude(ctx.Done(), c)}), nil
 }
 
+func (s *server) Report(_ context.Context, r *connect.Request[cfvwire.ReportRequest]) (*connect.Response[cfvwire.ReportResponse], error) {
+	m := r.Msg
+	s.h.Report(Report{moveFromWire(m.GetMove()), cfvmove.Report{
+		Entry: m.GetEntry(), Started: m.GetStarted(), Evidence: convert(m.GetEvidence(), evidenceFromWire),
+	}})
+	return connect.NewResponse(&cfvwire.ReportResponse{}), nil
+}
+
 func (s *server) Admit(_ context.Context, r *connect.Request[cfvwire.AdmitRequest]) (*connect.Response[cfvwire.AdmitResponse], error) {
 	m := r.Msg
 	reason := s.h.Admit(cfvlimit.Admission{
--- a/io/cfvserve/completion.go
+++ b/io/cfvserve/completion.go
@@ -49,7 +49,7 @@
 	defer done()
 	ctx, cancel := context.WithTimeout(ctx, c.Service.Limit)
 	defer cancel()
-	r.version = s.cfg.PickMove(c.Service, moveKey(r))
+	r.version = s.cfg.Version(c.Service, moveKey(r))
 	reply, err := s.completeWithRetries(ctx, r, c, emit)
 	return reply, s.finish(r, err)
 }
@@ -78,6 +78,9 @@
 			return reply, nil
 		}
 		refusal := cfverror.From(err)
+		if s.otherVersion(r, refusal, check) {
+			continue
+		}
 		if !retryable(refusal) {
 			return reply, refusal
 		}
@@ -90,13 +93,37 @@
 	}
 }
 
+// otherVersion turns a request of a move's new version, of which no endpoint has room, to
+// the version that serves already, and one of a version that is gone to the new one once
+// the move has come that far.
+func (s *Server) otherVersion(r *request, why *cfverror.Refusal, check *cfvstream.Checker) bool {
+	p := r.service.Plan
+	if !p.Active() || check.Next() > 0 || r.tries >= maxAttempts {
+		return false
+	}
+	if r.version == p.From && why.Reason == cfverror.ReasonNoEndpoint && s.cfg.Version(r.service, moveKey(r)) == p.To {
+		r.version = p.To
+		return true
+	}
+	if r.version != p.To {
+		return false
+	}
+	switch why.Reason {
+	case cfverror.ReasonNoEndpoint, cfverror.ReasonEndpointsFull, cfverror.ReasonEndpointsCold, cfverror.ReasonQueueTimeout, cfverror.ReasonQueueFull:
+		r.trace.Note("version %s has no room: %s", p.To, why.Reason)
+		r.version = p.From
+		return true
+	}
+	return false
+}
+
 // retryable reports whether a completion may be tried again: generating has no effect
 // beyond its answer, so all that matters is whether another try can help.
 func retryable(r *cfverror.Refusal) bool {
 	switch r.Reason {
 	case cfverror.ReasonConnect, cfverror.ReasonEndpointFailed, cfverror.ReasonEndpointSilent,
 		cfverror.ReasonAnswerTruncated, cfverror.ReasonAnswerCrossed,
-		cfverror.ReasonNotOwner, cfverror.ReasonOwnerUnreachable:
+		cfverror.ReasonNotOwner, cfverror.ReasonOwnerUnreachable, cfverror.ReasonVersionMissing:
 		return true
 	}
 	return false
@@ -116,7 +143,10 @@
 	began := time.Now()
 	reply, meta, err := s.sendCompletion(ctx, r, c, call, check, emit)
 	slot.Release(endOf(r, meta, err))
-	s.cfg.TakeRun(Run{r.service.Name, slot.Grant.Version, err != nil && countsAgainst(err), firstSince(began, reply, err)})
+	s.cfg.TakeRun(Run{
+		Service: r.service.Name, Version: slot.Grant.Version, Route: c.Path, Size: len(call.Body),
+		Failed: err != nil && countsAgainst(err), First: firstSince(began, reply, err),
+	})
 	if err != nil {
 		r.exclude = append(r.exclude, slot.Grant.Endpoint)
 		s.suspect(ctx, r, slot, err)
@@ -130,7 +160,7 @@
 // countsAgainst reports whether a failure speaks against the version that ran.
 func countsAgainst(err error) bool {
 	switch cfverror.From(err).Reason {
-	case cfverror.ReasonCallerGone, cfverror.ReasonConnect:
+	case cfverror.ReasonCallerGone, cfverror.ReasonConnect, cfverror.ReasonVersionMissing:
 		return false
 	}
 	return true
@@ -145,6 +175,7 @@
 
 func (s *Server) engineCall(r *request, c Completion, slot *cfvplace.Slot) (cfvforward.Call, error) {
 	out := c.Request
+	out.Model = cfvopenai.WithVersion(c.Service.Name, slot.Grant.Version)
 	out.CacheSalt = r.scope.Salt()
 	out.Priority = min(r.workspace.Priority, r.service.Priority)
 	body, err := json.Marshal(out)
@@ -177,6 +208,9 @@
 
 // failed returns the error of an answer: a server's error status is one too.
 func failed(a cfvforward.Answer, err error) error {
+	if err == nil && a.Status == http.StatusNotFound {
+		return cfverror.NotRun(cfverror.ReasonVersionMissing, "the endpoint has not loaded the version")
+	}
 	if err != nil || a.Status < http.StatusInternalServerError {
 		return err
 	}
--- a/io/cfvserve/plain.go
+++ b/io/cfvserve/plain.go
@@ -115,7 +115,10 @@
 		Header: c.Header, Body: c.Body, Silence: c.Service.Silence,
 	}, c.Service.Limit)
 	slot.Release(endOf(r, a.Meta, err))
-	s.cfg.TakeRun(Run{r.service.Name, slot.Grant.Version, failed(a, err) != nil, time.Since(began)})
+	s.cfg.TakeRun(Run{
+		Service: r.service.Name, Version: slot.Grant.Version, Route: c.Method, Size: len(c.Body),
+		Failed: err != nil || a.Status >= http.StatusInternalServerError, First: time.Since(began),
+	})
 	if err != nil {
 		r.exclude = append(r.exclude, slot.Grant.Endpoint)
 		return Reply{}, err
--- a/io/cfvserve/server.go
+++ b/io/cfvserve/server.go
@@ -41,7 +41,7 @@
 	Admit     func(ctx context.Context, a cfvlimit.Admission) cfverror.Reason
 	Dismiss   func(workspace, requestID string)
 	Alive     func(entry string, started uint64) bool
-	PickMove  func(service cfvcatalog.Service, key string) (version string)
+	Version   func(service cfvcatalog.Service, key string) string // that serves the request
 	TakeRun   func(Run)
 	TellCrash func(cfvlimit.Suspicion) // tells every peer at once
 	Log       cfvlog.Logger
@@ -54,6 +54,8 @@
 type Run struct {
 	Service string
 	Version string
+	Route   string
+	Size    int // of the request's body in bytes
 	Failed  bool
 	First   time.Duration // time to first token, or to the answer of a plain service
 }
@@ -113,10 +115,7 @@
 	if r.tries >= maxAttempts || ctx.Err() != nil {
 		return why
 	}
-	s.mu.Lock()
-	allowed := s.budget(r.service.Name).Take(time.Now())
-	s.mu.Unlock()
-	if !allowed {
+	if !s.takeBudget(r, why) {
 		s.cfg.Metrics.Refused(cfverror.ReasonRetryBudget)
 		return why
 	}
@@ -132,6 +131,17 @@
 	}
 }
 
+// takeBudget counts a retry against the service's budget. Those that only follow a change
+// of owner or version put no load on any endpoint and are free.
+func (s *Server) takeBudget(r *request, why *cfverror.Refusal) bool {
+	if why.Reason == cfverror.ReasonNotOwner || why.Reason == cfverror.ReasonVersionMissing {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget(r.service.Name).Take(time.Now())
+}
+
 // admit checks the quarantine and the workspace's limits. The function returned counts
 // the request out.
 func (s *Server) admit(ctx context.Context, r *request) (func(), *cfverror.Refusal) {
--- a/io/cfvwire/cfvwireconnect/peer.connect.go
+++ b/io/cfvwire/cfvwireconnect/peer.connect.go
@@ -48,6 +48,8 @@
 	PeerClaimProcedure = "/cfvwire.Peer/Claim"
 	// PeerConcludeProcedure is the fully-qualified name of the Peer's Conclude RPC.
 	PeerConcludeProcedure = "/cfvwire.Peer/Conclude"
+	// PeerReportProcedure is the fully-qualified name of the Peer's Report RPC.
+	PeerReportProcedure = "/cfvwire.Peer/Report"
 	// PeerAdmitProcedure is the fully-qualified name of the Peer's Admit RPC.
 	PeerAdmitProcedure = "/cfvwire.Peer/Admit"
 	// PeerDismissProcedure is the fully-qualified name of the Peer's Dismiss RPC.
@@ -71,6 +73,8 @@
 	Claim(context.Context, *connect.Request[cfvwire.ClaimRequest]) (*connect.Response[cfvwire.ClaimResponse], error)
 	// Conclude says how a claimed request ended.
 	Conclude(context.Context, *connect.Request[cfvwire.ConcludeRequest]) (*connect.Response[cfvwire.ConcludeResponse], error)
+	// Report hands a move's evidence to its judge.
+	Report(context.Context, *connect.Request[cfvwire.ReportRequest]) (*connect.Response[cfvwire.ReportResponse], error)
 	// Admit asks whether a workspace may start one more request.
 	Admit(context.Context, *connect.Request[cfvwire.AdmitRequest]) (*connect.Response[cfvwire.AdmitResponse], error)
 	// Dismiss says that admitted requests have ended.
@@ -130,6 +134,12 @@
 			connect.WithSchema(peerMethods.ByName("Conclude")),
 			connect.WithClientOptions(opts...),
 		),
+		report: connect.NewClient[cfvwire.ReportRequest, cfvwire.ReportResponse](
+			httpClient,
+			baseURL+PeerReportProcedure,
+			connect.WithSchema(peerMethods.ByName("Report")),
+			connect.WithClientOptions(opts...),
+		),
 		admit: connect.NewClient[cfvwire.AdmitRequest, cfvwire.AdmitResponse](
 			httpClient,
 			baseURL+PeerAdmitProcedure,
@@ -154,6 +164,7 @@
 	fetchSettings *connect.Client[cfvwire.FetchSettingsRequest, cfvwire.FetchSettingsResponse]
 	claim         *connect.Client[cfvwire.ClaimRequest, cfvwire.ClaimResponse]
 	conclude      *connect.Client[cfvwire.ConcludeRequest, cfvwire.ConcludeResponse]
+	report        *connect.Client[cfvwire.ReportRequest, cfvwire.ReportResponse]
 	admit         *connect.Client[cfvwire.AdmitRequest, cfvwire.AdmitResponse]
 	dismiss       *connect.Client[cfvwire.DismissRequest, cfvwire.DismissResponse]
 }
@@ -193,6 +204,11 @@
 	return c.conclude.CallUnary(ctx, req)
 }
 
+// Report calls cfvwire.Peer.Report.
+func (c *peerClient) Report(ctx context.Context, req *connect.Request[cfvwire.ReportRequest]) (*connect.Response[cfvwire.ReportResponse], error) {
+	return c.report.CallUnary(ctx, req)
+}
+
 // Admit calls cfvwire.Peer.Admit.
 func (c *peerClient) Admit(ctx context.Context, req *connect.Request[cfvwire.AdmitRequest]) (*connect.Response[cfvwire.AdmitResponse], error) {
 	return c.admit.CallUnary(ctx, req)
@@ -220,6 +236,8 @@
 	Claim(context.Context, *connect.Request[cfvwire.ClaimRequest]) (*connect.Response[cfvwire.ClaimResponse], error)
 	// Conclude says how a claimed request ended.
 	Conclude(context.Context, *connect.Request[cfvwire.ConcludeRequest]) (*connect.Response[cfvwire.ConcludeResponse], error)
+	// Report hands a move's evidence to its judge.
+	Report(context.Context, *connect.Request[cfvwire.ReportRequest]) (*connect.Response[cfvwire.ReportResponse], error)
 	// Admit asks whether a workspace may start one more request.
 	Admit(context.Context, *connect.Request[cfvwire.AdmitRequest]) (*connect.Response[cfvwire.AdmitResponse], error)
 	// Dismiss says that admitted requests have ended.
@@ -275,6 +293,12 @@
 		connect.WithSchema(peerMethods.ByName("Conclude")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerReportHandler := connect.NewUnaryHandler(
+		PeerReportProcedure,
+		svc.Report,
+		connect.WithSchema(peerMethods.ByName("Report")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerAdmitHandler := connect.NewUnaryHandler(
 		PeerAdmitProcedure,
 		svc.Admit,
@@ -303,6 +327,8 @@
 			peerClaimHandler.ServeHTTP(w, r)
 		case PeerConcludeProcedure:
 			peerConcludeHandler.ServeHTTP(w, r)
+		case PeerReportProcedure:
+			peerReportHandler.ServeHTTP(w, r)
 		case PeerAdmitProcedure:
 			peerAdmitHandler.ServeHTTP(w, r)
 		case PeerDismissProcedure:
@@ -344,6 +370,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cfvwire.Peer.Conclude is not implemented"))
 }
 
+func (UnimplementedPeerHandler) Report(context.Context, *connect.Request[cfvwire.ReportRequest]) (*connect.Response[cfvwire.ReportResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cfvwire.Peer.Report is not implemented"))
+}
+
 func (UnimplementedPeerHandler) Admit(context.Context, *connect.Request[cfvwire.AdmitRequest]) (*connect.Response[cfvwire.AdmitResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cfvwire.Peer.Admit is not implemented"))
 }
--- a/standins/cfvfakeengine/completion.go
+++ b/standins/cfvfakeengine/completion.go
@@ -34,6 +34,12 @@
 	if f.Mode == cfvfault.Outage {
 		cfvfault.DropConnection(w)
 	}
+	model, version := cfvopenai.SplitVersion(req.Model)
+	req.Model = model
+	if version != "" && version != e.currentVersion() {
+		cfvhttp.WriteJSON(w, http.StatusNotFound, map[string]string{"error": "model not loaded"})
+		return
+	}
 	run, ok := e.begin(r.Context(), req)
 	if !ok {
 		cfvfault.DropConnection(w)
@@ -80,6 +86,12 @@
 	return e.leaving
 }
 
+func (e *Engine) currentVersion() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
 func (e *Engine) versionFails(r *run) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standins/cfvfakeengine/engine.go
+++ b/standins/cfvfakeengine/engine.go
@@ -32,6 +32,7 @@
 	LoadLag         time.Duration
 	CrashOn         string // a prompt with this text crashes the engine
 	EnforceFencing  bool
+	LoadFor         time.Duration // how long loading weights takes
 	Vary            Behaviours
 }
 
@@ -61,6 +62,7 @@
 	crash   context.CancelFunc
 	leaving bool
 	version string
+	loading bool
 	fence   int64
 	served  map[string]int
 	stats   Stats
@@ -206,7 +208,7 @@
 	e.mu.Lock()
 	now := time.Now()
 	e.reports = append(e.reports, timedReport{now, cfvopenai.LoadReport{
-		BootID: e.bootID(), Version: e.version, Running: e.stats.Running, Waiting: e.batch.waiting(), Leaving: e.leaving,
+		BootID: e.bootID(), Version: e.version, Running: e.stats.Running, Waiting: e.batch.waiting(), Leaving: e.leaving, Loading: e.loading,
 	}})
 	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.cfg.LoadLag {
 		e.reports = e.reports[1:]
@@ -216,14 +218,8 @@
 	cfvhttp.WriteJSON(w, http.StatusOK, report)
 }
 
-// VersionOrder is an order to load a version, fenced by a number that only grows.
-type VersionOrder struct {
-	Version string `json:"version"`
-	Fence   int64  `json:"fence"`
-}
-
 func (e *Engine) serveVersionOrder(w http.ResponseWriter, r *http.Request) {
-	var o VersionOrder
+	var o cfvopenai.VersionOrder
 	if !cfvhttp.ReadJSON(w, r, 1<<16, &o) {
 		return
 	}
@@ -234,9 +230,27 @@
 		return
 	}
 	e.fence = max(e.fence, o.Fence)
-	if e.version != o.Version {
-		e.version = o.Version
-		e.cache.clear()
+	if e.version != o.Version && !e.loading {
+		e.load(o.Version)
 	}
 	cfvhttp.WriteJSON(w, http.StatusOK, o)
 }
+
+// load swaps the weights after a while; the caller holds the lock. Requests that run keep
+// the version that they began with.
+func (e *Engine) load(version string) {
+	e.loading = true
+	boot := e.boot
+	time.AfterFunc(e.cfg.LoadFor, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.loading = false
+		if e.boot == boot {
+			e.version = version
+			e.cache.clear()
+		}
+	})
+}
+
+// Version returns the version that the engine runs.
+func (e *Engine) Version() string { return e.currentVersion() }
