Add the store tier: import what the store holds, export what it lacks

An entry looks a long prompt's chain up at one store VM, and the request tells the engine which committed blocks to import and which to export. The engine reads by generation and checks length and checksum; a block that is gone, partial or reused is recomputed. Import against recompute is chosen by estimates that outcomes correct.

Two faults mended on the way: fields that routing does not know (temperature, stop) were dropped from forwarded requests, and a caller could name block transfers, cache salts and priorities; the routing now sets those over the caller's raw fields.

--- a/core/cfvcatalog/catalog.go
+++ b/core/cfvcatalog/catalog.go
@@ -56,6 +56,7 @@
 	workspaces map[string]Workspace
 	services   map[string]Service
 	groups     map[string][]Group
+	stores     map[string]string
 	longest    time.Duration
 	window     time.Duration
 }
@@ -68,6 +69,7 @@
 		workspaces: make(map[string]Workspace),
 		services:   make(map[string]Service),
 		groups:     make(map[string][]Group),
+		stores:     make(map[string]string),
 		window:     millis(t.Int(cfvtree.Root, cfvtree.BookingWindow)),
 	}
 	var endpoints []string
@@ -81,6 +83,8 @@
 			c.addWorkspace(p)
 		case cfvtree.LevelService:
 			c.addService(p)
+		case cfvtree.LevelStore:
+			c.stores[cfvtree.Base(p)] = t.Text(p, cfvtree.Address)
 		case cfvtree.LevelEndpoint:
 			endpoints = append(endpoints, p)
 		}
@@ -233,6 +237,9 @@
 	return out
 }
 
+// Stores returns the addresses of the store VMs by name.
+func (c *Catalog) Stores() map[string]string { return c.stores }
+
 // Groups returns the groups of a service, sorted by key.
 func (c *Catalog) Groups(service string) []Group { return c.groups[service] }
 
--- a/core/cfvprompt/chain.go
+++ b/core/cfvprompt/chain.go
@@ -11,6 +11,9 @@
 // PieceBytes is the length of one piece of a prompt in bytes: about two thousand tokens.
 const PieceBytes = 8000
 
+// PieceTokens is the length of one piece in tokens, at four bytes a token.
+const PieceTokens = PieceBytes / 4
+
 // RouteBytes is the length of the start of a prompt that routes it, in bytes. Two prompts
 // with the same start share an endpoint's cache.
 const RouteBytes = PieceBytes
--- a/core/cfvtree/schema.go
+++ b/core/cfvtree/schema.go
@@ -21,6 +21,7 @@
 	LevelWorkspace Level = "workspace" // workspaces/W
 	LevelService   Level = "service"   // services/S
 	LevelVersion   Level = "version"   // services/S/V
+	LevelStore     Level = "store"     // stores/S
 )
 
 // Root is the path of the node that every other node inherits from.
@@ -94,7 +95,7 @@
 	{WarmSlots, KindInt, IntValue(16), 1, 10_000, everywhere, "Requests that a warm endpoint bears at once."},
 	{RampStepMillis, KindInt, IntValue(1000), 1, 600_000, everywhere, "Least time in milliseconds between two doublings of a cold endpoint's slots."},
 	{Drained, KindBool, BoolValue(false), 0, 0, everywhere, "Whether the place gets no new work."},
-	{Address, KindText, TextValue(""), 0, 0, []Level{LevelEndpoint}, "IP number and port of the endpoint."},
+	{Address, KindText, TextValue(""), 0, 0, []Level{LevelEndpoint, LevelStore}, "IP number and port of the endpoint or store VM."},
 	{EndpointService, KindText, TextValue(""), 0, 0, []Level{LevelEndpoint}, "Service that the endpoint runs."},
 	{EndpointVersion, KindText, TextValue(""), 0, 0, []Level{LevelEndpoint}, "Version that the endpoint has loaded; empty for the service's active version."},
 	{ServiceKind, KindText, TextValue("engine"), 0, 0, []Level{LevelService}, "engine for a model engine, plain for a plain service."},
@@ -244,10 +245,12 @@
 		return []Level{LevelRegion, LevelDomain, LevelEndpoint}[len(parts)-2], nil
 	case parts[0] == "workspaces" && len(parts) == 2:
 		return LevelWorkspace, nil
+	case parts[0] == "stores" && len(parts) == 2:
+		return LevelStore, nil
 	case parts[0] == "services" && len(parts) >= 2 && len(parts) <= 3:
 		return []Level{LevelService, LevelVersion}[len(parts)-2], nil
 	}
-	return "", fmt.Errorf("path %q: want root, regions/R[/D[/E]], workspaces/W or services/S[/V]", path)
+	return "", fmt.Errorf("path %q: want root, regions/R[/D[/E]], workspaces/W, stores/S or services/S[/V]", path)
 }
 
 // parentOf returns the path that path inherits from.
--- a/core/cfvtree/tree.go
+++ b/core/cfvtree/tree.go
@@ -115,6 +115,10 @@
 			if err := t.validateWorkspace(p, hashes); err != nil {
 				return err
 			}
+		case LevelStore:
+			if t.Text(p, Address) == "" {
+				return fmt.Errorf("%s: address: missing", p)
+			}
 		case LevelEndpoint:
 			if err := t.validateEndpoint(p); err != nil {
 				return err
--- a/io/cfvnode/cluster_test.go
+++ b/io/cfvnode/cluster_test.go
@@ -24,6 +24,7 @@
 	"coltsfootvalve/standins/cfvfakeengine"
 	"coltsfootvalve/standins/cfvfakekv"
 	"coltsfootvalve/standins/cfvfakeplain"
+	"coltsfootvalve/standins/cfvfakestore"
 	"coltsfootvalve/standins/cfvfakevmlist"
 
 	"gotest.tools/v3/assert"
@@ -46,6 +47,7 @@
 	domains  []string
 	engines  int // in each domain
 	desks    int // in each domain
+	stores   int
 	engine   func(*cfvfakeengine.Config)
 	desk     cfvfakeplain.Config
 	settings string // a document applied after the cluster's own
@@ -61,6 +63,7 @@
 	logs    *lockedBuffer
 	engines map[string]*cfvfakeengine.Engine
 	desks   map[string]*cfvfakeplain.Service
+	stores  map[string]*cfvfakestore.Store
 	address map[string]string // of endpoints, by path
 	client  *http.Client
 	bound   map[string]net.Listener
@@ -93,6 +96,7 @@
 	c := &cluster{
 		t: t, kv: cfvfakekv.New(cfvfakekv.Config{}), list: cfvfakevmlist.New(cfvfakevmlist.Config{}), logs: &lockedBuffer{},
 		engines: make(map[string]*cfvfakeengine.Engine), desks: make(map[string]*cfvfakeplain.Service),
+		stores:  make(map[string]*cfvfakestore.Store),
 		address: make(map[string]string), bound: make(map[string]net.Listener), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	kv, list := c.serve(c.kv.Handler()), c.serve(c.list.Handler())
@@ -166,6 +170,11 @@
 		"workspaces/chamber": {"keyHash": cfvcatalog.HashKey(chamberKey)},
 		"workspaces/gnomes":  {"keyHash": cfvcatalog.HashKey(gnomesKey)},
 	}
+	for i := range s.stores {
+		path := fmt.Sprintf("stores/s%d", i)
+		c.stores[path] = cfvfakestore.New(cfvfakestore.Config{MemoryBlocks: 64, DiskBlocks: 64})
+		doc[path] = map[string]any{"address": strings.TrimPrefix(c.serve(c.stores[path].Handler()), "http://")}
+	}
 	for _, d := range s.domains {
 		for i := range s.engines {
 			cfg := cfvfakeengine.Config{
--- a/io/cfvopenai/messages.go
+++ b/io/cfvopenai/messages.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"strings"
 )
 
@@ -24,6 +25,10 @@
 	CacheSalt string    `json:"cache_salt,omitempty"`
 	Priority  int       `json:"priority,omitempty"`
 	Adapter   string    `json:"adapter,omitempty"`
+
+	Transfer *TransferParams `json:"kv_transfer_params,omitempty"`
+
+	raw map[string]json.RawMessage // every field as it came
 }
 
 // DecodeRequest reads a request and checks the fields that routing needs.
@@ -36,6 +41,9 @@
 	if err = json.Unmarshal(data, &r); err != nil {
 		return r, err
 	}
+	if err = json.Unmarshal(data, &r.raw); err != nil {
+		return r, err
+	}
 	if r.Model == "" {
 		return r, fmt.Errorf("model: missing")
 	}
@@ -48,6 +56,69 @@
 	return r, nil
 }
 
+// Routing is what an entry sets in a request before an engine gets it.
+type Routing struct {
+	Model     string
+	CacheSalt string
+	Priority  int
+	Transfer  *TransferParams
+}
+
+// routingJSON names the fields that an entry sets, whatever the caller sent in them.
+type routingJSON struct {
+	Model     string          `json:"model"`
+	CacheSalt string          `json:"cache_salt"`
+	Priority  int             `json:"priority"`
+	Transfer  *TransferParams `json:"kv_transfer_params"`
+}
+
+// Forward returns the body for an engine: the caller's fields with those of the routing
+// set. A caller never chooses cache salts, priorities or block transfers.
+func (r Request) Forward(to Routing) (data []byte, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("forward request: %w", err)
+		}
+	}()
+	set, err := json.Marshal(routingJSON(to))
+	if err != nil {
+		return nil, err
+	}
+	out := maps.Clone(r.raw)
+	if err = json.Unmarshal(set, &out); err != nil {
+		return nil, err
+	}
+	return json.Marshal(out)
+}
+
+// part is one part of a message's content.
+type part struct {
+	Text string `json:"text"`
+}
+
+// UnmarshalJSON reads a message whose content is a text or a list of parts.
+func (m *Message) UnmarshalJSON(data []byte) error {
+	var j struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+	if err := json.Unmarshal(data, &j); err != nil {
+		return err
+	}
+	m.Role = j.Role
+	if len(j.Content) == 0 || json.Unmarshal(j.Content, &m.Content) == nil {
+		return nil
+	}
+	var parts []part
+	if err := json.Unmarshal(j.Content, &parts); err != nil {
+		return fmt.Errorf("content: want a text or a list of parts: %w", err)
+	}
+	for _, p := range parts {
+		m.Content += p.Text
+	}
+	return nil
+}
+
 // Text returns the whole prompt as one text.
 func (r Request) Text() string {
 	if len(r.Messages) == 0 {
@@ -71,9 +142,10 @@
 	Details          UsageDetails `json:"prompt_tokens_details"`
 }
 
-// UsageDetails counts the prompt tokens that came from the cache.
+// UsageDetails counts the prompt tokens that were not computed.
 type UsageDetails struct {
-	CachedTokens int `json:"cached_tokens"`
+	CachedTokens   int `json:"cached_tokens"` // those imported included
+	ImportedTokens int `json:"imported_tokens,omitempty"`
 }
 
 // Choice is one choice of an answer or of a chunk of a stream.
--- a/io/cfvserve/completion.go
+++ b/io/cfvserve/completion.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
 	"coltsfootvalve/common/cfverror"
+	"coltsfootvalve/core/cfvcache"
 	"coltsfootvalve/core/cfvcatalog"
 	"coltsfootvalve/core/cfvprompt"
 	"coltsfootvalve/core/cfvstream"
@@ -135,7 +135,7 @@
 	if refusal != nil {
 		return Reply{}, refusal
 	}
-	call, err := s.engineCall(r, c, slot)
+	call, err := s.engineCall(ctx, r, c, slot)
 	if err != nil {
 		slot.Release(cfvplace.End{})
 		return Reply{}, err
@@ -173,12 +173,15 @@
 	return reply.First
 }
 
-func (s *Server) engineCall(r *request, c Completion, slot *cfvplace.Slot) (cfvforward.Call, error) {
-	out := c.Request
-	out.Model = cfvopenai.WithVersion(c.Service.Name, slot.Grant.Version)
-	out.CacheSalt = r.scope.Salt()
-	out.Priority = min(r.workspace.Priority, r.service.Priority)
-	body, err := json.Marshal(out)
+func (s *Server) engineCall(ctx context.Context, r *request, c Completion, slot *cfvplace.Slot) (cfvforward.Call, error) {
+	scope := r.scope
+	scope.Version = slot.Grant.Version
+	body, err := c.Request.Forward(cfvopenai.Routing{
+		Model:     cfvopenai.WithVersion(c.Service.Name, slot.Grant.Version),
+		CacheSalt: r.scope.Salt(),
+		Priority:  min(r.workspace.Priority, r.service.Priority),
+		Transfer:  s.cfg.Tier.Plan(ctx, c.Service.Name, scope, c.Request.Text()),
+	})
 	if err != nil {
 		return cfvforward.Call{}, cfverror.NotRun(cfverror.ReasonBadRequest, "%v", err)
 	}
@@ -196,16 +199,35 @@
 		return reply, a.Meta, failed(a, err)
 	}
 	var reply Reply
+	var last *cfvopenai.Usage
 	a, err := s.cfg.Forward.Stream(ctx, call, r.service.Limit, check, func(chunk cfvopenai.Answer) error {
 		if reply.First == 0 {
 			reply.First = time.Since(began)
 		}
+		if chunk.Usage != nil {
+			last = chunk.Usage
+		}
+		chunk.Model = c.Service.Name
 		return emit(chunk)
 	})
+	s.learn(r, reply, last)
 	reply.Status, reply.Header, reply.Body, reply.Version = a.Status, a.Header, a.Body, a.Meta.Version
 	return reply, a.Meta, failed(a, err)
 }
 
+// learn corrects the estimates of the cache tier by what a stream showed.
+func (s *Server) learn(r *request, reply Reply, u *cfvopenai.Usage) {
+	if u == nil {
+		return
+	}
+	block := cfvprompt.PieceTokens
+	s.cfg.Tier.Learn(r.service.Name, cfvcache.Sample{
+		Imported: u.Details.ImportedTokens / block,
+		Computed: (u.PromptTokens - u.Details.CachedTokens) / block,
+		First:    reply.First,
+	})
+}
+
 // failed returns the error of an answer: a server's error status is one too.
 func failed(a cfvforward.Answer, err error) error {
 	if err == nil && a.Status == http.StatusNotFound {
--- a/io/cfvserve/server.go
+++ b/io/cfvserve/server.go
@@ -21,6 +21,7 @@
 	"coltsfootvalve/io/cfvforward"
 	"coltsfootvalve/io/cfvpeer"
 	"coltsfootvalve/io/cfvplace"
+	"coltsfootvalve/io/cfvtier"
 )
 
 // Bounds of handling one request.
@@ -36,6 +37,7 @@
 	Catalog   func() *cfvcatalog.Catalog
 	Acquire   func(ctx context.Context, a cfvplace.Ask) (*cfvplace.Slot, *cfverror.Refusal)
 	Forward   *cfvforward.Client
+	Tier      *cfvtier.Tier
 	Claim     func(ctx context.Context, c cfvbooking.Claim) (cfvpeer.ClaimReply, error)
 	Conclude  func(ctx context.Context, c cfvbooking.Conclusion) (bool, error)
 	Admit     func(ctx context.Context, a cfvlimit.Admission) cfverror.Reason
--- a/standins/cfvfakeengine/completion.go
+++ b/standins/cfvfakeengine/completion.go
@@ -73,6 +73,7 @@
 		cfvhttp.WriteJSON(w, http.StatusInternalServerError, map[string]string{"error": "engine fault"})
 		return
 	}
+	defer func() { go e.exportBlocks(r.request.Transfer, r.keys) }()
 	if r.request.Stream {
 		e.stream(w, r, f)
 		return
@@ -108,7 +109,8 @@
 func (e *Engine) prefill(r *run, f cfvfault.Fault) bool {
 	text := r.request.Text()
 	keys := chain(r.version, r.request.CacheSalt, text)
-	hit := e.cache.match(keys)
+	hit := e.importBlocks(r.ctx, r, keys, e.cache.match(keys))
+	r.keys = keys
 	r.prompt = (len(text) + bytesPerToken - 1) / bytesPerToken
 	r.cached = hit * BlockBytes / bytesPerToken
 	cost := time.Duration(r.prompt-r.cached) * e.cfg.PrefillPerToken * time.Duration(r.factor)
@@ -156,7 +158,9 @@
 		PromptTokens:     r.prompt,
 		CompletionTokens: r.length(),
 		TotalTokens:      r.prompt + r.length(),
-		Details:          cfvopenai.UsageDetails{CachedTokens: r.cached},
+		Details: cfvopenai.UsageDetails{
+			CachedTokens: r.cached, ImportedTokens: r.imported * BlockBytes / bytesPerToken,
+		},
 	}
 }
 
--- a/standins/cfvfakeengine/engine.go
+++ b/standins/cfvfakeengine/engine.go
@@ -46,6 +46,11 @@
 	Cancelled   int `json:"cancelled"`
 	Prefilled   int `json:"prefilledTokens"`
 	Cached      int `json:"cachedTokens"`
+
+	Imported       int `json:"importedBlocks"`
+	ImportsRefused int `json:"importsRefused"`
+	Exported       int `json:"exportedBlocks"`
+	WrongBlocks    int `json:"wrongBlocks"` // imported blocks of another prompt, workspace or version
 }
 
 // Engine is one model engine.
@@ -114,6 +119,9 @@
 // SetFault makes the engine fail.
 func (e *Engine) SetFault(f cfvfault.Fault) { e.fault.Set(f) }
 
+// Forget empties the prefix cache, as time would.
+func (e *Engine) Forget() { e.cache.clear() }
+
 // Stats returns what the engine did so far.
 func (e *Engine) Stats() Stats {
 	e.mu.Lock()
@@ -128,8 +136,6 @@
 	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
 	mux.HandleFunc("GET /load", e.serveLoad)
 	mux.HandleFunc("POST /orders/version", e.serveVersionOrder)
-	mux.HandleFunc("POST /kv/import", e.serveImport)
-	mux.HandleFunc("POST /kv/export", e.serveExport)
 	mux.Handle("POST /fault", &e.fault)
 	mux.HandleFunc("POST /restart", func(w http.ResponseWriter, _ *http.Request) { e.Restart() })
 	mux.HandleFunc("POST /leave", func(w http.ResponseWriter, _ *http.Request) { e.Leave(true) })
@@ -150,17 +156,19 @@
 
 // run is one request inside the engine.
 type run struct {
-	ctx     context.Context
-	cancel  context.CancelFunc
-	request cfvopenai.Request
-	id      string
-	resume  int
-	factor  int
-	cached  int
-	prompt  int
-	started time.Time
-	bootID  string
-	version string
+	ctx      context.Context
+	cancel   context.CancelFunc
+	request  cfvopenai.Request
+	id       string
+	resume   int
+	factor   int
+	cached   int
+	imported int // blocks
+	keys     []string
+	prompt   int
+	started  time.Time
+	bootID   string
+	version  string
 }
 
 // begin counts a request in. A cold engine that gets more than it bears falls over, and
--- /dev/null
+++ b/standins/cfvfakestore/store.go
@@ -0,0 +1,256 @@
+// Package cfvfakestore is a stand-in for a store VM: cache blocks in a memory and a disk
+// tier behind a limited link, committed by manifest and read by generation.
+package cfvfakestore
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"coltsfootvalve/common/cfvhttp"
+	"coltsfootvalve/io/cfvopenai"
+	"coltsfootvalve/standins/cfvfault"
+)
+
+// maxBlockBytes bounds one block.
+const maxBlockBytes = 1 << 20
+
+// Config configures a store VM.
+type Config struct {
+	MemoryBlocks int           // the tier that is read at once
+	DiskBlocks   int           // the tier behind it
+	DiskDelay    time.Duration // more time for a block on disk
+	BlockTime    time.Duration // time that one block takes on the link
+}
+
+// Stats counts what a store VM did.
+type Stats struct {
+	Held     int           `json:"held"`
+	Reads    int           `json:"reads"`
+	Refused  int           `json:"refused"`
+	Writes   int           `json:"writes"`
+	Rejected int           `json:"rejected"` // writes and commits
+	Evicted  int           `json:"evicted"`
+	LinkBusy time.Duration `json:"linkBusy"`
+}
+
+// Store is one store VM.
+type Store struct {
+	cfg   Config
+	fault cfvfault.Switch
+	link  sync.Mutex // one block at a time
+
+	mu         sync.Mutex
+	generation uint64
+	staged     map[uint64][]byte
+	blocks     map[string]*block
+	clock      uint64
+	stats      Stats
+}
+
+type block struct {
+	manifest cfvopenai.Manifest
+	data     []byte
+	used     uint64
+}
+
+// New returns an empty store VM.
+func New(cfg Config) *Store {
+	return &Store{cfg: cfg, staged: make(map[uint64][]byte), blocks: make(map[string]*block)}
+}
+
+// Handler returns the store's routes.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /lookup", s.serveLookup)
+	mux.HandleFunc("PUT /blocks/{key}", s.serveWrite)
+	mux.HandleFunc("POST /manifests", s.serveCommit)
+	mux.HandleFunc("GET /blocks/{key}", s.serveRead)
+	mux.Handle("POST /fault", &s.fault)
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		cfvhttp.WriteJSON(w, http.StatusOK, s.Stats())
+	})
+	return mux
+}
+
+// SetFault makes the store fail.
+func (s *Store) SetFault(f cfvfault.Fault) { s.fault.Set(f) }
+
+// Stats returns what the store did so far.
+func (s *Store) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.stats
+	out.Held = len(s.blocks)
+	return out
+}
+
+// Clear frees every block, as when the VM is replaced.
+func (s *Store) Clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.blocks = make(map[string]*block)
+	s.staged = make(map[uint64][]byte)
+}
+
+// Rewrite frees every block and writes other data under the same keys, as when room is
+// reused while readers hold old manifests.
+func (s *Store) Rewrite() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, b := range s.blocks {
+		s.generation++
+		data := []byte("other data of another block")
+		s.blocks[key] = &block{data: data, used: b.used, manifest: cfvopenai.Manifest{
+			Key: key, Generation: s.generation, Length: len(data), Checksum: Checksum(data),
+		}}
+	}
+}
+
+// Checksum returns the checksum that a manifest names.
+func Checksum(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+func (s *Store) serveLookup(w http.ResponseWriter, r *http.Request) {
+	f := s.fault.Take(r.URL.Path)
+	if f.Mode == cfvfault.Outage {
+		cfvfault.DropConnection(w)
+	}
+	time.Sleep(f.Delay())
+	var req cfvopenai.LookupRequest
+	if !cfvhttp.ReadJSON(w, r, 1<<20, &req) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var resp cfvopenai.LookupResponse
+	for _, key := range req.Keys {
+		if b, ok := s.blocks[key]; ok {
+			resp.Manifests = append(resp.Manifests, b.manifest)
+		}
+	}
+	cfvhttp.WriteJSON(w, http.StatusOK, resp)
+}
+
+func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request) {
+	f := s.fault.Take(r.URL.Path)
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBlockBytes))
+	if err != nil || f.Mode == cfvfault.Outage {
+		cfvfault.DropConnection(w)
+	}
+	if f.Mode == cfvfault.Full {
+		s.reject()
+		cfvhttp.WriteJSON(w, http.StatusInsufficientStorage, map[string]string{"error": "full"})
+		return
+	}
+	s.useLink(f)
+	if f.Mode == cfvfault.Truncate {
+		data = data[:len(data)/2]
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.generation++
+	s.staged[s.generation] = data
+	s.stats.Writes++
+	cfvhttp.WriteJSON(w, http.StatusOK, cfvopenai.Staged{Generation: s.generation})
+}
+
+// serveCommit makes a written block readable, if it is the one that the manifest names.
+func (s *Store) serveCommit(w http.ResponseWriter, r *http.Request) {
+	var m cfvopenai.Manifest
+	if !cfvhttp.ReadJSON(w, r, 1<<16, &m) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.staged[m.Generation]
+	delete(s.staged, m.Generation)
+	if !ok || len(data) != m.Length || Checksum(data) != m.Checksum {
+		s.stats.Rejected++
+		cfvhttp.WriteJSON(w, http.StatusConflict, map[string]string{"error": "not the block that was written"})
+		return
+	}
+	s.clock++
+	s.blocks[m.Key] = &block{m, data, s.clock}
+	s.evict()
+}
+
+func (s *Store) reject() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Rejected++
+}
+
+// evict frees the blocks used longest ago while there are too many.
+func (s *Store) evict() {
+	for len(s.blocks) > s.cfg.MemoryBlocks+s.cfg.DiskBlocks {
+		var oldest string
+		for key, b := range s.blocks {
+			if oldest == "" || b.used < s.blocks[oldest].used {
+				oldest = key
+			}
+		}
+		delete(s.blocks, oldest)
+		s.stats.Evicted++
+	}
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	f := s.fault.Take(r.URL.Path)
+	if f.Mode == cfvfault.Outage {
+		cfvfault.DropConnection(w)
+	}
+	generation, _ := strconv.ParseUint(r.URL.Query().Get("generation"), 10, 64)
+	data, onDisk, ok := s.find(r.PathValue("key"), generation)
+	if !ok {
+		cfvhttp.WriteJSON(w, http.StatusGone, map[string]string{"error": "the block is gone"})
+		return
+	}
+	if onDisk {
+		time.Sleep(s.cfg.DiskDelay)
+	}
+	s.useLink(f)
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if f.Mode == cfvfault.Truncate {
+		data = data[:len(data)/2]
+	}
+	_, _ = w.Write(data)
+}
+
+// find returns a block's data if the generation is the one that it has now.
+func (s *Store) find(key string, generation uint64) (data []byte, onDisk, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.blocks[key]
+	if !ok || b.manifest.Generation != generation {
+		s.stats.Refused++
+		return nil, false, false
+	}
+	newer := 0
+	for _, other := range s.blocks {
+		if other.used > b.used {
+			newer++
+		}
+	}
+	s.clock++
+	b.used = s.clock
+	s.stats.Reads++
+	return b.data, newer >= s.cfg.MemoryBlocks, true
+}
+
+// useLink takes the time of one block on the link.
+func (s *Store) useLink(f cfvfault.Fault) {
+	d := s.cfg.BlockTime + f.Delay()
+	s.link.Lock()
+	time.Sleep(d)
+	s.link.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.LinkBusy += d
+}
--- a/standins/main.go
+++ b/standins/main.go
@@ -15,6 +15,7 @@
 	"coltsfootvalve/standins/cfvfakeengine"
 	"coltsfootvalve/standins/cfvfakekv"
 	"coltsfootvalve/standins/cfvfakeplain"
+	"coltsfootvalve/standins/cfvfakestore"
 	"coltsfootvalve/standins/cfvfakevmlist"
 
 	"github.com/jessevdk/go-flags"
@@ -89,6 +90,21 @@
 	return c.serve(cfvfakeplain.New(cfvfakeplain.Config{Name: c.Name, HonoursKey: c.HonoursKey, Work: c.Work}).Handler())
 }
 
+type storeCommand struct {
+	listenOptions
+	Memory    int           `long:"memory" default:"4096" description:"blocks in memory"`
+	Disk      int           `long:"disk" default:"65536" description:"blocks on disk"`
+	DiskDelay time.Duration `long:"disk-delay" default:"5ms" description:"more time for a block on disk"`
+	BlockTime time.Duration `long:"block-time" default:"1ms" description:"time of a block on the link"`
+}
+
+// Execute runs a store VM.
+func (c *storeCommand) Execute([]string) error {
+	return c.serve(cfvfakestore.New(cfvfakestore.Config{
+		MemoryBlocks: c.Memory, DiskBlocks: c.Disk, DiskDelay: c.DiskDelay, BlockTime: c.BlockTime,
+	}).Handler())
+}
+
 type vmListCommand struct {
 	listenOptions
 	Lag time.Duration `long:"lag" default:"1s" description:"age of the list"`
@@ -107,6 +123,7 @@
 	}{
 		{"kv", "Run the key-value service", &kvCommand{}},
 		{"engine", "Run a model engine", &engineCommand{}},
+		{"store", "Run a store VM", &storeCommand{}},
 		{"plain", "Run a plain service", &plainCommand{}},
 		{"vmlist", "Run the VM list", &vmListCommand{}},
 	} {
