--- a/core/cfvowner/rank.go
+++ b/core/cfvowner/rank.go
@@ -36,17 +36,31 @@
 	return rendezvous.New(members, xxhash.Sum64String).Lookup(group)
 }
 
+// Score returns how much a key, by its hash, prefers a name: rendezvous hashing picks the
+// name with the highest score.
+func Score(keyHash uint64, name string) uint64 {
+	x := keyHash ^ xxhash.Sum64String(name)
+	x ^= x >> 12
+	x ^= x << 25
+	x ^= x >> 27
+	return x * 2685821657736338717
+}
+
+// HashKey returns the hash of a key for Score.
+func HashKey(key string) uint64 { return xxhash.Sum64String(key) }
+
 // Rank returns the names in the order in which a key prefers them: removing one name
-// leaves the order of the others. It hashes by itself, since the library's removal breaks
+// leaves the order of the others. It scores by itself, since the library's removal breaks
 // its own index after the first name.
 func Rank(key string, names []string) []string {
 	type scored struct {
 		name  string
 		score uint64
 	}
+	h := HashKey(key)
 	list := make([]scored, len(names))
 	for i, n := range names {
-		list[i] = scored{n, xxhash.Sum64String(key + "\x00" + n)}
+		list[i] = scored{n, Score(h, n)}
 	}
 	slices.SortFunc(list, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
--- a/core/cfvroute/order.go
+++ b/core/cfvroute/order.go
@@ -2,6 +2,7 @@
 package cfvroute
 
 import (
+	"cmp"
 	"slices"
 
 	"coltsfootvalve/core/cfvcatalog"
@@ -34,25 +35,37 @@
 	return near, far
 }
 
+// scored is a group with the highest score of its endpoints.
+type scored struct {
+	key   string
+	score uint64
+}
+
 func pick(key string, groups []cfvcatalog.Group, most int) []string {
-	groupOf := make(map[string]string)
-	var names []string
+	h := cfvowner.HashKey(key)
+	var list []scored
 	for _, g := range groups {
-		for _, e := range g.Endpoints {
-			if !e.Drained {
-				groupOf[e.Name] = g.Key
-				names = append(names, e.Name)
-			}
+		if s, ok := best(h, g); ok {
+			list = append(list, scored{g.Key, s})
 		}
 	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.key, b.key))
+	})
 	var out []string
-	for _, name := range cfvowner.Rank(key, names) {
-		if len(out) == most {
-			break
-		}
-		if g := groupOf[name]; !slices.Contains(out, g) {
-			out = append(out, g)
-		}
+	for _, s := range list[:min(most, len(list))] {
+		out = append(out, s.key)
 	}
 	return out
 }
+
+// best returns the highest score of a group's endpoints that take work.
+func best(keyHash uint64, g cfvcatalog.Group) (score uint64, ok bool) {
+	for _, e := range g.Endpoints {
+		if !e.Drained {
+			score = max(score, cfvowner.Score(keyHash, e.Name))
+			ok = true
+		}
+	}
+	return score, ok
+}
