Add a load verb, and build the membership view only when it changes

Cause: each node built and compared its whole membership view ten times a second and for each request, which grows with the fleet. The table now has a version; the view is built once for each.

--- a/commands/root.go
+++ b/commands/root.go
@@ -52,6 +52,7 @@
 		{"version", "Print the version", "Prints the version of the program.\n\nExample: coltsfootvalve version", &versionCommand{ctx: ctx}},
 		{"status", "Show a node's state", "Shows members, endpoints and settings revision as a node sees them.\n\nExample: coltsfootvalve status --node http://127.0.0.1:7003", &statusCommand{ctx: ctx}},
 		{"explain", "Explain a request", "Shows where a request went and why, at the node that handled it.\n\nExample: coltsfootvalve explain 4f6c0f9e", &explainCommand{ctx: ctx}},
+		{"load", "Send a small load", "Sends a small seeded load to entries and prints percentiles and refusals by reason.\n\nExample: coltsfootvalve load --entry 127.0.0.1:7001 --key KEY --rate 20 --for 10s", &loadCommand{ctx: ctx}},
 		{"metrics", "Show a node's counters", "Shows every counter of a node, each refusal and retry by its reason.\n\nExample: coltsfootvalve metrics", &metrics{ctx: ctx}},
 		{"log-level", "Change a node's log level", "Changes a node's log level while it runs.\n\nExample: coltsfootvalve log-level debug", &logLevel{ctx: ctx}},
 		{"hash-key", "Hash a workspace's key", "Prints the hash of a key for the setting keyHash; the key is read from standard input.\n\nExample: coltsfootvalve hash-key < key.txt", &hashKeyCommand{ctx: ctx}},
--- a/core/cfvmember/table.go
+++ b/core/cfvmember/table.go
@@ -66,6 +66,7 @@
 	order   []string
 	next    int
 	turns   int
+	version uint64
 }
 
 type entry struct {
@@ -83,6 +84,9 @@
 	return t
 }
 
+// Version returns a number that changes whenever what is known of any member does.
+func (t *Table) Version() uint64 { return t.version }
+
 // Self returns the node's own record.
 func (t *Table) Self() Member {
 	return t.members[t.cfg.Self.Name].member
@@ -100,15 +104,21 @@
 			m.Status = StatusAlive
 			e = &entry{member: m}
 			t.members[m.Name] = e
+			t.version++
 		}
-		if e.member.Started == 0 && m.Name != t.cfg.Self.Name {
+		if e.member.Started == 0 && m.Name != t.cfg.Self.Name && e.member.Address != m.Address {
 			e.member.Address = m.Address
+			t.version++
 		}
 	}
 	for name, e := range t.members {
-		e.listed = listed[name] || name == t.cfg.Self.Name
+		if now := listed[name] || name == t.cfg.Self.Name; now != e.listed {
+			e.listed = now
+			t.version++
+		}
 		if !e.listed && e.member.Status >= StatusLeaving {
 			delete(t.members, name)
+			t.version++
 		}
 	}
 }
@@ -116,6 +126,7 @@
 // Leave marks the own node as leaving.
 func (t *Table) Leave() {
 	self := t.members[t.cfg.Self.Name]
+	t.version++
 	self.member.Status = StatusLeaving
 	self.member.Incarnation++
 	self.sent = 0
@@ -124,6 +135,7 @@
 // Left marks the node as ended; it is the last thing that it says.
 func (t *Table) Left() {
 	self := t.members[t.cfg.Self.Name]
+	t.version++
 	self.member.Status = StatusLeft
 	self.member.Incarnation++
 }
@@ -185,6 +197,7 @@
 	if !ok || e.member.Status != StatusAlive {
 		return
 	}
+	t.version++
 	e.member.Status = StatusSuspect
 	e.suspected = now
 	e.mine = true
@@ -209,6 +222,7 @@
 	var out []string
 	for name, e := range t.members {
 		if e.member.Status == StatusSuspect && now.Sub(e.suspected) >= t.cfg.SuspectFor {
+			t.version++
 			e.member.Status = StatusDead
 			e.sent = 0
 			out = append(out, name)
@@ -281,6 +295,7 @@
 		}
 		e = &entry{member: m, suspected: now}
 		t.members[m.Name] = e
+		t.version++
 		return
 	}
 	if !supersedes(m, e.member) {
@@ -289,6 +304,7 @@
 	if m.Status == StatusSuspect {
 		e.suspected = now
 	}
+	t.version++
 	e.member = m
 	e.mine = false
 	e.sent = 0
--- a/core/cfvslot/table.go
+++ b/core/cfvslot/table.go
@@ -5,82 +5,14 @@
 	"time"
 
 	"coltsfootvalve/common/cfverror"
-	"coltsfootvalve/core/cfvowner"
 
 	lru "github.com/hashicorp/golang-lru/v2"
 )
 
-// UseWithin is how long after its request was sent an entry may start to use a slot.
-const UseWithin = 500 * time.Millisecond
-
 // releasedKept is the number of released slots remembered, so that a reservation that
 // arrives after its own release gives nothing away.
 const releasedKept = 4096
 
-// Request asks for a slot in a group.
-type Request struct {
-	Slot        string // chosen by the entry, so that it can release what it never heard of
-	Group       string
-	Entry       string
-	Started     uint64 // when the entry's process started
-	Workspace   string
-	Priority    int
-	PromptKey   string // prefers the endpoint that has the prompt; empty for the least loaded
-	Version     string // version the endpoint must run; empty for any
-	Exclude     []string
-	QueueFor    time.Duration
-	QueueLength int
-	Limit       time.Duration // longest run of the request
-}
-
-// Grant is a slot given.
-type Grant struct {
-	Slot     string
-	Endpoint string
-	Address  string
-	Version  string
-	Level    Level
-	Epoch    string        // of the owner's hold on the group
-	Waited   time.Duration // in the owner's queue
-}
-
-// Decision answers one request: a grant, or the reason of a refusal.
-type Decision struct {
-	Slot   string
-	Grant  *Grant
-	Reason cfverror.Reason
-}
-
-// Outcome is how a request that held a slot ended.
-type Outcome int
-
-// The outcomes.
-const (
-	OutcomeUnused      Outcome = iota // never sent
-	OutcomeDone                       // whole answer received
-	OutcomeFailed                     // the endpoint answered with a fault, or not to the end
-	OutcomeUnreachable                // no connection to the endpoint
-)
-
-// Release gives a slot back.
-type Release struct {
-	Slot     string
-	Endpoint string
-	Outcome  Outcome
-	BootID   string        // boot identity that the answer named; empty if none came
-	Leaving  bool          // the answer said that the endpoint is leaving
-	Linger   time.Duration // how long the endpoint may still run the request
-}
-
-// Held is one slot that an entry has in use.
-type Held struct {
-	Slot      string
-	Endpoint  string
-	Workspace string
-	BootID    string
-	Limit     time.Duration
-}
-
 // Table holds the endpoints and queues of the groups that a node owns. It is not safe
 // for concurrent use.
 type Table struct {
@@ -109,14 +41,6 @@
 	}
 }
 
-// Setup is what a node owns.
-type Setup struct {
-	Epoch     string // names this configuration; no other one of any node has it
-	Endpoints []EndpointConfig
-	Entries   []string      // the listed entries of the region
-	Longest   time.Duration // longest run of any request
-}
-
 // Configure sets the endpoints of the groups that the node owns now. Endpoints that are
 // new here stay unsettled until each listed entry has told what it has in flight there.
 func (t *Table) Configure(now time.Time, s Setup) []Decision {
@@ -360,109 +284,3 @@
 		Level:    Level{e.cfg.Name, e.bootID, e.limit()},
 	}
 }
-
-// candidates returns the endpoints that fit the request, whether or not they are free.
-func (t *Table) candidates(r Request) map[string]*endpoint {
-	out := make(map[string]*endpoint)
-	for name, e := range t.endpoints {
-		if e.cfg.Group == r.Group && (r.Version == "" || r.Version == e.version) && !contains(r.Exclude, name) {
-			out[name] = e
-		}
-	}
-	return out
-}
-
-// free returns how many more requests the endpoint may get now.
-func (t *Table) free(now time.Time, e *endpoint) int {
-	if e.shut(now) {
-		return 0
-	}
-	if e.isCold() {
-		if !t.leases[e.cfg.Group].covers(now, t.longest) {
-			return 0
-		}
-		return e.limit() - len(e.slots)
-	}
-	if !e.settled {
-		return e.limit()/2 - len(e.slots)
-	}
-	return e.limit() - len(e.slots)
-}
-
-// choose picks the endpoint: the one that the prompt prefers if its load is near the
-// mean, else the one with the smallest share of its slots in use.
-func (t *Table) choose(now time.Time, r Request) *endpoint {
-	var names []string
-	var total int
-	all := t.candidates(r)
-	for name, e := range all {
-		if t.free(now, e) > 0 {
-			names = append(names, name)
-			total += len(e.slots)
-		}
-	}
-	if len(names) == 0 {
-		return nil
-	}
-	sort.Strings(names)
-	if r.PromptKey != "" {
-		for _, name := range cfvowner.Rank(r.PromptKey, names) {
-			e := all[name]
-			if withinMean(len(e.slots), total, len(names)) {
-				return e
-			}
-		}
-	}
-	return leastLoaded(names, all)
-}
-
-// withinMean reports whether one more request keeps an endpoint at or below a quarter
-// above the mean load, counting the new request.
-func withinMean(load, total, n int) bool {
-	return 4*(load+1)*n <= 5*(total+1)+4*n
-}
-
-func leastLoaded(names []string, all map[string]*endpoint) *endpoint {
-	best := all[names[0]]
-	for _, name := range names[1:] {
-		e := all[name]
-		if len(e.slots)*best.limit() < len(best.slots)*e.limit() {
-			best = e
-		}
-	}
-	return best
-}
-
-// whyNot returns the reason for which no endpoint can take the request now.
-func (t *Table) whyNot(now time.Time, r Request) cfverror.Reason {
-	all := t.candidates(r)
-	if len(all) == 0 {
-		return cfverror.ReasonNoEndpoint
-	}
-	reason := cfverror.ReasonDrained
-	for _, e := range all {
-		switch {
-		case e.cfg.Drained || e.leaving:
-		case now.Before(e.downUntil):
-			if reason == cfverror.ReasonDrained {
-				reason = cfverror.ReasonConnect
-			}
-		case e.isCold():
-			if reason != cfverror.ReasonEndpointsFull {
-				reason = cfverror.ReasonEndpointsCold
-			}
-		default:
-			reason = cfverror.ReasonEndpointsFull
-		}
-	}
-	return reason
-}
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
--- a/io/cfvmembership/runner.go
+++ b/io/cfvmembership/runner.go
@@ -43,6 +43,7 @@
 
 	mu    sync.Mutex
 	table *cfvmember.Table
+	view  View              // the latest one built
 	known map[string]uint64 // start times seen, to notice restarts
 }
 
@@ -276,8 +277,9 @@
 	wg.Wait()
 }
 
-// View is the membership at one moment.
+// View is the membership at one moment. It is shared and must not be changed.
 type View struct {
+	Version uint64 // changes whenever the view does
 	Members []cfvmember.Member
 	Serving map[string][]string // names of the serving members, sorted, by region
 	Listed  []string            // of the node's region
@@ -297,7 +299,11 @@
 func (r *Runner) View() View {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.view.Members != nil && r.view.Version == r.table.Version() {
+		return r.view
+	}
 	v := View{
+		Version: r.table.Version(),
 		Members: r.table.Members(),
 		Serving: make(map[string][]string),
 		Listed:  r.table.Listed(r.cfg.Self.Region),
@@ -307,6 +313,7 @@
 			v.Serving[m.Region] = append(v.Serving[m.Region], m.Name)
 		}
 	}
+	r.view = v
 	return v
 }
 
--- a/io/cfvnode/cluster_test.go
+++ b/io/cfvnode/cluster_test.go
@@ -55,7 +55,7 @@
 
 // cluster is a set of nodes on stand-ins, all in this process, over loopback.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	kv      *cfvfakekv.Server
 	list    *cfvfakevmlist.List
 	vms     []cfvvmlist.VM
@@ -88,7 +88,7 @@
 }
 
 // newCluster starts a cluster and waits until it serves.
-func newCluster(t *testing.T, s shape) *cluster {
+func newCluster(t testing.TB, s shape) *cluster {
 	t.Helper()
 	if len(s.domains) == 0 {
 		s.domains = []string{"rosario", "cordoba"}
--- /dev/null
+++ b/io/cfvnode/load_test.go
@@ -0,0 +1,105 @@
+package cfvnode
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"coltsfootvalve/io/cfvload"
+	"coltsfootvalve/standins/cfvfakeengine"
+
+	"gotest.tools/v3/assert"
+)
+
+// gnomeShape is the shape of the second deployment: four domains, twelve replicas of the
+// assistant, eight entries.
+func gnomeShape() shape {
+	return shape{
+		entries: 8, engines: 3, domains: []string{"cork-a", "cork-b", "kerry-a", "waterford-a"},
+		settings: `{"root": {"coldSlots": 2, "warmSlots": 6, "rampStepMillis": 200}}`,
+		engine: func(cfg *cfvfakeengine.Config) {
+			cfg.PrefillPerToken, cfg.DecodePerToken = 20*time.Microsecond, 4*time.Millisecond
+			cfg.ColdBears, cfg.ColdFor, cfg.MaxBatch = 2, time.Second, 6
+		},
+	}
+}
+
+func (c *cluster) entryAddresses() []string {
+	var out []string
+	for _, n := range c.nodes {
+		out = append(out, n.Address())
+	}
+	return out
+}
+
+func gnomeLoad(c *cluster, keys []string, rate float64, length time.Duration, seed uint64) cfvload.Result {
+	return cfvload.Run(c.t.Context(), cfvload.Config{
+		Entries: c.entryAddresses(), Keys: keys, Model: "assistant", Rate: rate, Length: length,
+		LongShare: 0.4, Returning: 0.7, PromptBytes: 32_000, Tokens: 20, Seed: seed,
+	})
+}
+
+// BenchmarkDomainLeavesAndReturns drains one of four domains under a load that three can
+// carry and returns it: goodput, refusals and p95 to first token before, during, after.
+func BenchmarkDomainLeavesAndReturns(b *testing.B) {
+	for _, rate := range []float64{150, 300} {
+		b.Run(fmt.Sprintf("rate=%v", rate), func(b *testing.B) {
+			for range b.N {
+				c := newCluster(b, gnomeShape())
+				gnomeLoad(c, []string{chamberKey}, rate, 6*time.Second, 1) // warms the engines up
+				for _, phase := range []struct{ name, drained string }{{"before", ""}, {"during", "true"}, {"after", "false"}} {
+					if phase.drained != "" {
+						c.apply(fmt.Sprintf(`{"regions/pampeana/kerry-a": {"drained": %s}}`, phase.drained))
+					}
+					r := gnomeLoad(c, []string{chamberKey}, rate, 6*time.Second, 2)
+					refused := 0
+					for _, n := range r.Refused {
+						refused += n
+					}
+					b.ReportMetric(float64(r.Served)/6, phase.name+"-served/s")
+					b.ReportMetric(float64(refused), phase.name+"-refused")
+					b.ReportMetric(float64(r.First.ValueAtQuantile(95))/1000, phase.name+"-p95-ms")
+				}
+				c.stop()
+			}
+		})
+	}
+}
+
+// BenchmarkFlood measures a small workspace's p95 to first token alone and beside another
+// one that floods.
+func BenchmarkFlood(b *testing.B) {
+	for range b.N {
+		c := newCluster(b, gnomeShape())
+		gnomeLoad(c, []string{chamberKey}, 150, 6*time.Second, 1)
+		alone := gnomeLoad(c, []string{gnomesKey}, 20, 6*time.Second, 2)
+		flood := make(chan cfvload.Result)
+		go func() { flood <- gnomeLoad(c, []string{chamberKey}, 900, 6*time.Second, 3) }()
+		beside := gnomeLoad(c, []string{gnomesKey}, 20, 6*time.Second, 2)
+		f := <-flood
+		refused := 0
+		for _, n := range f.Refused {
+			refused += n
+		}
+		b.ReportMetric(float64(alone.First.ValueAtQuantile(95))/1000, "alone-p95-ms")
+		b.ReportMetric(float64(beside.First.ValueAtQuantile(95))/1000, "beside-p95-ms")
+		b.ReportMetric(float64(beside.Served), "beside-served")
+		b.ReportMetric(float64(alone.Served), "alone-served")
+		b.ReportMetric(float64(f.Served)/6, "flood-served/s")
+		b.ReportMetric(float64(refused)/6, "flood-refused/s")
+		c.stop()
+	}
+}
+
+func TestLoadMeasuresAndPlots(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 2, engines: 2})
+	r := cfvload.Run(t.Context(), cfvload.Config{
+		Entries: c.entryAddresses(), Keys: []string{chamberKey}, Model: "assistant", Rate: 50, Length: 1500 * time.Millisecond,
+		LongShare: 0.5, Returning: 0.7, PromptBytes: 32_000, Tokens: 4, Seed: 1,
+	})
+	assert.Assert(t, r.Served > 0)
+	assert.Equal(t, int(r.First.TotalCount()), r.Served)
+	assert.Assert(t, r.Recomputed() < 1)
+	assert.NilError(t, r.Plot(t.TempDir()+"/load.png"))
+}
--- a/io/cfvnode/node.go
+++ b/io/cfvnode/node.go
@@ -77,8 +77,7 @@
 // configured is what the owner was configured by.
 type configured struct {
 	catalog *cfvcatalog.Catalog
-	view    string
-	force   bool
+	view    uint64 // its version
 }
 
 // New returns a node that has not started.
@@ -258,14 +257,13 @@
 func (n *Node) configureOnce() {
 	view := n.members.View()
 	catalog := n.settings.Catalog()
-	signature := fmt.Sprint(view.Serving, view.Listed)
 	n.limits.expire()
 	n.metrics.Gauge("peers.bytesRead", n.traffic.Read())
 	n.metrics.Gauge("peers.bytesWritten", n.traffic.Written())
-	if catalog == n.configure.catalog && signature == n.configure.view && !n.configure.force {
+	if catalog == n.configure.catalog && view.Version == n.configure.view {
 		return
 	}
-	n.configure = configured{catalog: catalog, view: signature}
+	n.configure = configured{catalog: catalog, view: view.Version}
 	n.owner.Configure(catalog, view)
 }
 
--- a/scripts/footprint.sh
+++ b/scripts/footprint.sh
@@ -43,7 +43,7 @@
 done
 for o in "${operators[@]}"; do bin/demo --wait "http://$o/status"; done
 bin/coltsfootvalve settings apply "$work/tree.json" --node "http://${operators[0]}" >/dev/null
-sleep 15
+sleep "${SETTLE:-15}"
 
 ticks() { local t=0 s; for p in "${entry_pids[@]}"; do s=($(cat "/proc/$p/stat")); t=$((t + s[13] + s[14])); done; echo "$t"; }
 traffic() {
