Prove TLS between entries and to callers, fuzz the decoders

Mutual TLS: a plain connection and a foreign certificate get no answer; new certificates are in use after a reload, without a restart. Callers' TLS shows a certificate that is reloaded the same way (it could not be before).

The tree keeps its nodes in shards, one for each stored piece: a node that learns a change decodes one piece.

--- a/core/cfvbooking/machine_test.go
+++ b/core/cfvbooking/machine_test.go
@@ -294,3 +294,17 @@
 	}
 	t.Logf("sent %d requests", total)
 }
+
+func FuzzDecodeTail(f *testing.F) {
+	f.Add(EncodeTail(Tail{Segments: []Segment{{"s", time.Unix(1, 0)}}, Records: []Record{{Key: "k", At: time.Unix(1, 0)}}}))
+	f.Add([]byte(`{"records":[{"state":9}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		tail, err := DecodeTail(data)
+		if err != nil {
+			return
+		}
+		if _, err := DecodeTail(EncodeTail(tail)); err != nil {
+			t.Fatalf("a tail that was read can't be read again: %v", err)
+		}
+	})
+}
--- a/core/cfvtree/codec.go
+++ b/core/cfvtree/codec.go
@@ -10,8 +10,6 @@
 	"sort"
 	"strconv"
 	"strings"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // PieceCount is the number of pieces that a tree is stored in.
@@ -96,18 +94,24 @@
 
 // Encode returns the tree as a settings document.
 func (t Tree) Encode() []byte {
-	return t.encodePaths(t.Paths())
+	doc := make(map[string]map[Name]any, t.Len())
+	for _, nodes := range t.shards {
+		addPlain(doc, nodes)
+	}
+	return encode(doc)
 }
 
-func (t Tree) encodePaths(paths []string) []byte {
-	doc := make(map[string]map[Name]any, len(paths))
-	for _, p := range paths {
-		n := make(map[Name]any, len(t.nodes[p]))
-		for name, v := range t.nodes[p] {
-			n[name] = v.plain()
+func addPlain(doc map[string]map[Name]any, nodes map[string]node) {
+	for p, n := range nodes {
+		values := make(map[Name]any, len(n))
+		for _, s := range n {
+			values[s.name] = s.value.plain()
 		}
-		doc[p] = n
+		doc[p] = values
 	}
+}
+
+func encode(doc map[string]map[Name]any) []byte {
 	data, err := json.Marshal(doc)
 	if err != nil {
 		panic(err) // maps of strings, numbers and booleans always encode
@@ -117,9 +121,9 @@
 
 func (v Value) plain() any {
 	switch v.kind {
-	case KindInt:
+	case valueInt:
 		return v.number
-	case KindBool:
+	case valueBool:
 		return v.flag
 	default:
 		return v.text
@@ -128,13 +132,10 @@
 
 // Split returns the pieces of the tree. A change to one node changes one piece.
 func (t Tree) Split() (out [][]byte, err error) {
-	shards := make([][]string, PieceCount)
-	for p := range t.nodes {
-		i := xxhash.Sum64String(p) % PieceCount
-		shards[i] = append(shards[i], p)
-	}
-	for i, paths := range shards {
-		data := t.encodePaths(paths)
+	for i, nodes := range t.shards {
+		doc := make(map[string]map[Name]any, len(nodes))
+		addPlain(doc, nodes)
+		data := encode(doc)
 		if len(data) > MaxPieceBytes {
 			return nil, fmt.Errorf("settings: piece %d holds %d bytes, more than %d", i, len(data), MaxPieceBytes)
 		}
@@ -162,15 +163,18 @@
 	return nil
 }
 
-// Join returns the tree that the pieces make up.
-func Join(pieces [][]byte) (t Tree, err error) {
-	var changes []Change
-	for _, data := range pieces {
-		part, err := DecodeChanges(data)
-		if err != nil {
-			return t, err
+// WithPiece returns the tree with one of its pieces replaced. A piece that holds a node
+// of another piece is an error.
+func (t Tree) WithPiece(i int, data []byte) (out Tree, err error) {
+	changes, err := DecodeChanges(data)
+	if err != nil {
+		return t, err
+	}
+	for _, c := range changes {
+		if shardOf(c.Path) != i {
+			return t, fmt.Errorf("settings piece %d: %s does not belong to it", i, c.Path)
 		}
-		changes = append(changes, part...)
 	}
-	return Tree{}.Apply(changes)
+	t.shards[i] = nil
+	return t.edit(changes)
 }
--- a/core/cfvtree/schema.go
+++ b/core/cfvtree/schema.go
@@ -152,8 +152,8 @@
 
 // check returns an error if the value is out of the field's range.
 func (f Field) check(v Value) error {
-	if v.kind != f.Kind {
-		return fmt.Errorf("%s: want %s, got %s", f.Name, f.Kind, v.kind)
+	if v.Kind() != f.Kind {
+		return fmt.Errorf("%s: want %s, got %s", f.Name, f.Kind, v.Kind())
 	}
 	if f.Kind == KindInt && (v.number < f.Min || v.number > f.Max) {
 		return fmt.Errorf("%s: want %d to %d, got %d", f.Name, f.Min, f.Max, v.number)
@@ -166,23 +166,32 @@
 
 // Value is one typed setting.
 type Value struct {
-	kind   Kind
-	number int
+	kind   valueKind
 	flag   bool
+	number int
 	text   string
 }
 
+// valueKind is a kind in one byte: there are many values.
+type valueKind uint8
+
+const (
+	valueText valueKind = iota
+	valueInt
+	valueBool
+)
+
 // IntValue returns an integer value.
-func IntValue(n int) Value { return Value{kind: KindInt, number: n} }
+func IntValue(n int) Value { return Value{kind: valueInt, number: n} }
 
 // BoolValue returns a boolean value.
-func BoolValue(b bool) Value { return Value{kind: KindBool, flag: b} }
+func BoolValue(b bool) Value { return Value{kind: valueBool, flag: b} }
 
 // TextValue returns a text value.
-func TextValue(s string) Value { return Value{kind: KindText, text: s} }
+func TextValue(s string) Value { return Value{kind: valueText, text: s} }
 
 // Kind returns the value's type.
-func (v Value) Kind() Kind { return v.kind }
+func (v Value) Kind() Kind { return [...]Kind{KindText, KindInt, KindBool}[v.kind] }
 
 // Int returns the number of an integer value.
 func (v Value) Int() int { return v.number }
@@ -196,9 +205,9 @@
 // String returns the value as an operator would type it.
 func (v Value) String() string {
 	switch v.kind {
-	case KindInt:
+	case valueInt:
 		return strconv.Itoa(v.number)
-	case KindBool:
+	case valueBool:
 		return strconv.FormatBool(v.flag)
 	default:
 		return v.text
--- a/core/cfvtree/tree.go
+++ b/core/cfvtree/tree.go
@@ -1,17 +1,71 @@
 package cfvtree
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// Tree is an immutable tree of settings. The zero value is empty and valid.
+// Tree is an immutable tree of settings. The zero value is empty and valid. Its nodes stand
+// in shards, one for each stored piece, so that a change copies only what it touches.
 type Tree struct {
-	nodes map[string]node
+	shards [PieceCount]map[string]node
+}
+
+// node holds the settings that stand at one path, sorted by name.
+type node []setting
+
+type setting struct {
+	name  Name
+	value Value
+}
+
+func shardOf(path string) int {
+	return int(xxhash.Sum64String(path) % PieceCount)
+}
+
+// at returns the node at a path.
+func (t Tree) at(path string) (node, bool) {
+	n, ok := t.shards[shardOf(path)][path]
+	return n, ok
+}
+
+func (n node) get(name Name) (Value, bool) {
+	i, ok := n.find(name)
+	if !ok {
+		return Value{}, false
+	}
+	return n[i].value, true
 }
 
-type node map[Name]Value
+func (n node) find(name Name) (int, bool) {
+	return slices.BinarySearchFunc(n, name, func(s setting, name Name) int { return cmp.Compare(s.name, name) })
+}
+
+// with returns a copy of the node with one setting set.
+func (n node) with(name Name, v Value) node {
+	i, ok := n.find(name)
+	if ok {
+		out := slices.Clone(n)
+		out[i].value = v
+		return out
+	}
+	return slices.Insert(slices.Clip(slices.Clone(n)), i, setting{name, v})
+}
+
+// without returns a copy of the node with one setting unset.
+func (n node) without(name Name) node {
+	i, ok := n.find(name)
+	if !ok {
+		return n
+	}
+	return slices.Delete(slices.Clone(n), i, i+1)
+}
 
 // Change sets or unsets one setting at one path. A change with Remove set and no name
 // removes the node.
@@ -44,37 +98,49 @@
 			err = fmt.Errorf("settings: %w", err)
 		}
 	}()
-	out.nodes = make(map[string]node, len(t.nodes)+len(changes))
-	for p, n := range t.nodes {
-		out.nodes[p] = n
+	if out, err = t.edit(changes); err != nil {
+		return Tree{}, err
+	}
+	if err = out.validate(); err != nil {
+		return Tree{}, err
 	}
+	return out, nil
+}
+
+// edit makes the changes on copies of the shards that they touch.
+func (t Tree) edit(changes []Change) (out Tree, err error) {
+	out = t
+	var copied [PieceCount]bool
 	for _, c := range changes {
-		if err = out.applyOne(c); err != nil {
+		i := shardOf(c.Path)
+		if !copied[i] {
+			copied[i] = true
+			out.shards[i] = maps.Clone(t.shards[i])
+		}
+		if out.shards[i] == nil {
+			out.shards[i] = make(map[string]node)
+		}
+		if err = applyOne(out.shards[i], c); err != nil {
 			return Tree{}, err
 		}
 	}
-	if err = out.validate(); err != nil {
-		return Tree{}, err
-	}
 	return out, nil
 }
 
-func (t Tree) applyOne(c Change) error {
+func applyOne(nodes map[string]node, c Change) error {
 	level, err := LevelOf(c.Path)
 	if err != nil {
 		return err
 	}
-	if c.Remove && c.Name == "" {
-		delete(t.nodes, c.Path)
+	switch {
+	case c.Remove && c.Name == "":
+		delete(nodes, c.Path)
 		return nil
-	}
-	n := t.nodes[c.Path].copy()
-	t.nodes[c.Path] = n
-	if c.Name == "" {
+	case c.Name == "":
+		nodes[c.Path] = nodes[c.Path]
 		return nil
-	}
-	if c.Remove {
-		delete(n, c.Name)
+	case c.Remove:
+		nodes[c.Path] = nodes[c.Path].without(c.Name)
 		return nil
 	}
 	f, ok := fields[c.Name]
@@ -87,18 +153,10 @@
 	if err := f.check(c.Value); err != nil {
 		return fmt.Errorf("%s: %w", c.Path, err)
 	}
-	n[c.Name] = c.Value
+	nodes[c.Path] = nodes[c.Path].with(f.Name, c.Value)
 	return nil
 }
 
-func (n node) copy() node {
-	out := make(node, len(n)+1)
-	for k, v := range n {
-		out[k] = v
-	}
-	return out
-}
-
 // validate checks what holds between settings.
 func (t Tree) validate() error {
 	hashes := make(map[string]string)
@@ -165,7 +223,7 @@
 	if s == "" {
 		return fmt.Errorf("%s: service: missing", p)
 	}
-	if _, ok := t.nodes["services/"+s]; !ok {
+	if !t.Has("services/" + s) {
 		return fmt.Errorf("%s: service: no service %q", p, s)
 	}
 	return nil
@@ -175,7 +233,8 @@
 // empty for a default.
 func (t Tree) Lookup(path string, name Name) (v Value, origin string) {
 	for p := path; ; p = parentOf(p) {
-		if v, ok := t.nodes[p][name]; ok {
+		n, _ := t.at(p)
+		if v, ok := n.get(name); ok {
 			return v, p
 		}
 		if p == Root {
@@ -204,22 +263,30 @@
 
 // Has reports whether a node stands at path.
 func (t Tree) Has(path string) bool {
-	_, ok := t.nodes[path]
+	_, ok := t.at(path)
 	return ok
 }
 
 // Paths returns the paths of all nodes, sorted.
 func (t Tree) Paths() []string {
-	out := make([]string, 0, len(t.nodes))
-	for p := range t.nodes {
-		out = append(out, p)
+	out := make([]string, 0, t.Len())
+	for _, nodes := range t.shards {
+		for p := range nodes {
+			out = append(out, p)
+		}
 	}
 	sort.Strings(out)
 	return out
 }
 
 // Len returns the number of nodes.
-func (t Tree) Len() int { return len(t.nodes) }
+func (t Tree) Len() int {
+	n := 0
+	for _, nodes := range t.shards {
+		n += len(nodes)
+	}
+	return n
+}
 
 // At returns the paths of all nodes of a level, sorted.
 func (t Tree) At(level Level) []string {
@@ -234,11 +301,11 @@
 
 // Own returns the names of the settings that stand at the node itself, sorted.
 func (t Tree) Own(path string) []Name {
+	n, _ := t.at(path)
 	var out []Name
-	for name := range t.nodes[path] {
-		out = append(out, name)
+	for _, s := range n {
+		out = append(out, s.name)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
 	return out
 }
 
@@ -247,6 +314,12 @@
 	return path[strings.LastIndexByte(path, '/')+1:]
 }
 
+// own returns the setting that stands at the node itself.
+func (t Tree) own(path string, name Name) (Value, bool) {
+	n, _ := t.at(path)
+	return n.get(name)
+}
+
 // Diff returns the changes that turn from into to, sorted by path and name.
 func Diff(from, to Tree) []Change {
 	var out []Change
@@ -256,7 +329,7 @@
 			continue
 		}
 		for _, name := range from.Own(p) {
-			if _, ok := to.nodes[p][name]; !ok {
+			if _, ok := to.own(p, name); !ok {
 				out = append(out, Change{Path: p, Name: name, Remove: true})
 			}
 		}
@@ -266,8 +339,9 @@
 			out = append(out, Change{Path: p})
 		}
 		for _, name := range to.Own(p) {
-			if v, ok := from.nodes[p][name]; !ok || v != to.nodes[p][name] {
-				out = append(out, Change{Path: p, Name: name, Value: to.nodes[p][name]})
+			now, _ := to.own(p, name)
+			if v, ok := from.own(p, name); !ok || v != now {
+				out = append(out, Change{Path: p, Name: name, Value: now})
 			}
 		}
 	}
--- a/io/cfvnode/cluster_test.go
+++ b/io/cfvnode/cluster_test.go
@@ -51,6 +51,7 @@
 	engine   func(*cfvfakeengine.Config)
 	desk     cfvfakeplain.Config
 	settings string // a document applied after the cluster's own
+	config   func(*Config)
 }
 
 // cluster is a set of nodes on stand-ins, all in this process, over loopback.
@@ -101,7 +102,7 @@
 	}
 	kv, list := c.serve(c.kv.Handler()), c.serve(c.list.Handler())
 	for i := range s.entries {
-		c.addNode(i, s.domains[i%len(s.domains)], kv, list)
+		c.addNode(i, s.domains[i%len(s.domains)], kv, list, s.config)
 	}
 	c.list.Set(c.vms)
 	for _, n := range c.nodes {
@@ -142,7 +143,7 @@
 	return net.Listen(network, address)
 }
 
-func (c *cluster) addNode(i int, domain, kv, list string) {
+func (c *cluster) addNode(i int, domain, kv, list string, config func(*Config)) {
 	cfg := DefaultConfig()
 	cfg.Name = fmt.Sprintf("entry-%d", i)
 	cfg.Region, cfg.FailureDomain = "pampeana", domain
@@ -152,6 +153,9 @@
 	cfg.MovePeriod = 50 * time.Millisecond
 	cfg.ListEvery = 200 * time.Millisecond
 	cfg.DrainGrace = 100 * time.Millisecond
+	if config != nil {
+		config(&cfg)
+	}
 	n, err := New(cfg, c.logs)
 	assert.NilError(c.t, err)
 	n.bind = c.bind
--- a/io/cfvnode/node.go
+++ b/io/cfvnode/node.go
@@ -43,12 +43,13 @@
 
 // Node is one entry VM's node.
 type Node struct {
-	cfg     Config
-	self    cfvmember.Member
-	log     cfvlog.Logger
-	metrics *cfvmetric.Registry
-	tls     *cfvpeer.TLSConfig
-	traffic cfvhttp.Traffic // with peers
+	cfg        Config
+	self       cfvmember.Member
+	log        cfvlog.Logger
+	metrics    *cfvmetric.Registry
+	tls        *cfvpeer.TLSConfig
+	callerCert *cfvhttp.Certificate
+	traffic    cfvhttp.Traffic // with peers
 
 	keyValue   *cfvetcd.Client
 	vmList     *cfvvmlist.Client
@@ -92,6 +93,11 @@
 			return nil, err
 		}
 	}
+	if cfg.CallerCertificate != "" {
+		if n.callerCert, err = cfvhttp.LoadCertificate(cfg.CallerCertificate, cfg.CallerKey); err != nil {
+			return nil, err
+		}
+	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.keyValue = cfvetcd.New(cfvetcd.Config{Addresses: cfg.KeyValueAddresses, Timeout: keyValueTimeout, Silence: watchSilence})
 	n.vmList = cfvvmlist.New(cfvvmlist.Config{Address: cfg.VMListAddress, Timeout: listTimeout})
@@ -186,7 +192,7 @@
 	if err = n.listenCallers(); err != nil {
 		return err
 	}
-	if err = n.listen(n.cfg.OperatorAddress, &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: headerTimeout}, "", ""); err != nil {
+	if err = n.listen(n.cfg.OperatorAddress, &http.Server{Handler: operators.Handler(), ReadHeaderTimeout: headerTimeout}); err != nil {
 		return err
 	}
 	for _, run := range []func(context.Context){n.members.Run, n.settings.Run, n.owner.Run, n.entry.Run, n.moves.Run, n.keepConfigured} {
@@ -206,19 +212,22 @@
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, Protocols: new(http.Protocols)}
 	if n.tls == nil {
 		s.Protocols.SetUnencryptedHTTP2(true)
-		return n.listen(n.cfg.PeerAddress, s, "", "")
+		return n.listen(n.cfg.PeerAddress, s)
 	}
 	s.Protocols.SetHTTP2(true)
 	s.TLSConfig = n.tls.Server()
-	return n.listen(n.cfg.PeerAddress, s, n.cfg.Certificate, n.cfg.Key)
+	return n.listen(n.cfg.PeerAddress, s)
 }
 
 func (n *Node) listenCallers() error {
 	s := &http.Server{Handler: n.callers.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	return n.listen(n.cfg.CallerAddress, s, n.cfg.CallerCertificate, n.cfg.CallerKey)
+	if n.callerCert != nil {
+		s.TLSConfig = n.callerCert.Server()
+	}
+	return n.listen(n.cfg.CallerAddress, s)
 }
 
-func (n *Node) listen(address string, s *http.Server, cert, key string) error {
+func (n *Node) listen(address string, s *http.Server) error {
 	l, err := n.bind("tcp", address)
 	if err != nil {
 		return err
@@ -228,8 +237,8 @@
 	}
 	n.listeners = append(n.listeners, s)
 	n.wg.Go(func() {
-		if cert != "" {
-			err = s.ServeTLS(l, cert, key)
+		if s.TLSConfig != nil {
+			err = s.ServeTLS(l, "", "")
 		} else {
 			err = s.Serve(l)
 		}
@@ -269,6 +278,11 @@
 
 // reload reads the certificates between entry VMs anew.
 func (n *Node) reload() error {
+	if n.callerCert != nil {
+		if err := n.callerCert.Reload(); err != nil {
+			return err
+		}
+	}
 	if n.tls == nil {
 		return nil
 	}
--- /dev/null
+++ b/io/cfvopenai/messages_test.go
@@ -0,0 +1,86 @@
+package cfvopenai
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestForwardKeepsTheCallersFieldsAndSetsItsOwn(t *testing.T) {
+	r, err := DecodeRequest([]byte(`{"model":"a","prompt":"p","temperature":0.5,"cache_salt":"stolen","priority":-1,"kv_transfer_params":{"import":[{"key":"k"}]}}`))
+	assert.NilError(t, err)
+	data, err := r.Forward(Routing{Model: "a@v1", CacheSalt: "salt", Priority: 3})
+	assert.NilError(t, err)
+	var got map[string]any
+	assert.NilError(t, json.Unmarshal(data, &got))
+	assert.DeepEqual(t, got, map[string]any{
+		"model": "a@v1", "prompt": "p", "temperature": 0.5, "cache_salt": "salt", "priority": 3.0, "kv_transfer_params": nil,
+	})
+}
+
+func TestBadRequestNamesItsField(t *testing.T) {
+	tests := map[string]struct{ body, want string }{
+		"not JSON":       {`{`, "unexpected end"},
+		"no model":       {`{"prompt":"x"}`, "model: missing"},
+		"no prompt":      {`{"model":"a"}`, "messages or prompt: missing"},
+		"negative":       {`{"model":"a","prompt":"x","max_tokens":-1}`, "max_tokens: want 0 or more"},
+		"odd content":    {`{"model":"a","messages":[{"role":"user","content":7}]}`, "content: want a text or a list of parts"},
+		"odd max_tokens": {`{"model":"a","prompt":"x","max_tokens":"many"}`, "max_tokens"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := DecodeRequest([]byte(tt.body))
+			assert.ErrorContains(t, err, tt.want)
+		})
+	}
+}
+
+func FuzzDecodeRequest(f *testing.F) {
+	f.Add([]byte(`{"model":"a","messages":[{"role":"user","content":[{"type":"text","text":"x"}]}]}`))
+	f.Add([]byte(`{"model":"a","prompt":"x","max_tokens":3,"stream":true}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := DecodeRequest(data)
+		if err != nil {
+			return
+		}
+		out, err := r.Forward(Routing{Model: "m", CacheSalt: "s"})
+		if err != nil {
+			t.Fatalf("a good request can't be forwarded: %v", err)
+		}
+		var set struct {
+			Model string `json:"model"`
+			Salt  string `json:"cache_salt"`
+		}
+		if err := json.Unmarshal(out, &set); err != nil || set.Model != "m" || set.Salt != "s" {
+			t.Fatalf("the caller chose the model or the salt: %s", out)
+		}
+	})
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("data: {}\n\ndata: [DONE]\n\n"))
+	f.Add([]byte(": comment\r\ndata:a\r\ndata:b\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e := NewEvents(bytes.NewReader(data))
+		for range len(data) + 1 {
+			if _, err := e.Next(); err != nil {
+				return
+			}
+		}
+		t.Fatal("more events than bytes")
+	})
+}
+
+func TestEventsJoinLinesAndEndWithoutABlankLine(t *testing.T) {
+	e := NewEvents(strings.NewReader("event: x\ndata: a\ndata: b\n\ndata: cut"))
+	data, err := e.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), "a\nb")
+	_, err = e.Next()
+	assert.Assert(t, errors.Is(err, io.EOF), "an event that was cut off is not an event")
+}
--- a/io/cfvpeer/client.go
+++ b/io/cfvpeer/client.go
@@ -45,6 +45,9 @@
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
+	if cfg.Traffic == nil {
+		cfg.Traffic = &cfvhttp.Traffic{}
+	}
 	t := &http.Transport{
 		DialContext: cfg.Traffic.Dial(d.DialContext),
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
--- a/io/cfvpeer/tls.go
+++ b/io/cfvpeer/tls.go
@@ -52,7 +52,9 @@
 // Server returns the server's side: peers must show a certificate of the authority.
 func (t *TLSConfig) Server() *tls.Config {
 	return &tls.Config{
-		MinVersion: tls.VersionTLS13,
+		MinVersion:     tls.VersionTLS13,
+		NextProtos:     []string{"h2"},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return &t.loaded.Load().cert, nil },
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			m := t.loaded.Load()
 			return &tls.Config{
--- a/io/cfvsettings/store.go
+++ b/io/cfvsettings/store.go
@@ -138,21 +138,23 @@
 	if head.Revision <= s.Revision() {
 		return nil
 	}
-	have := s.current.Load().pieces
+	now := s.current.Load()
 	next := &snapshot{head: head, encoded: data, pieces: make(map[string][]byte, len(head.Pieces))}
-	list := make([][]byte, 0, len(head.Pieces))
-	for _, name := range head.Pieces {
-		piece, ok := have[name]
+	next.tree = now.tree
+	for i, name := range head.Pieces {
+		piece, ok := now.pieces[name]
 		if !ok {
 			if piece, err = read(ctx, name); err != nil {
 				return err
 			}
 		}
 		next.pieces[name] = piece
-		list = append(list, piece)
-	}
-	if next.tree, err = cfvtree.Join(list); err != nil {
-		return err
+		if now.head.Revision > 0 && now.head.Pieces[i] == name {
+			continue
+		}
+		if next.tree, err = next.tree.WithPiece(i, piece); err != nil {
+			return err
+		}
 	}
 	next.catalog = cfvcatalog.New(head.Revision, next.tree)
 	s.install(next)
