--- a/core/cfvslot/table_test.go
+++ b/core/cfvslot/table_test.go
@@ -145,3 +145,31 @@
 	r.Slot = "s1"
 	assert.Equal(t, tab.Reserve(testStart.Add(48*time.Hour), r)[0].Grant.Endpoint, first)
 }
+
+// BenchmarkTable measures a reservation and its release at an owner, by the endpoints
+// that it owns in groups of eight.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{8, 32, 128, 512} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			tab := New()
+			s := Setup{Epoch: "e", Longest: time.Minute}
+			for i := range n {
+				name := fmt.Sprint("a", i)
+				s.Endpoints = append(s.Endpoints, EndpointConfig{
+					Name: name, Group: fmt.Sprint("g", i/8), Address: name, Cold: 8, Warm: 8, RampStep: time.Second,
+				})
+			}
+			tab.Configure(testStart, s)
+			for i := range (n + 7) / 8 {
+				tab.SetLease(testStart, fmt.Sprint("g", i), testStart.Add(time.Hour), nil)
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				r := ask(fmt.Sprint(i), "w", 5)
+				r.Group, r.PromptKey = fmt.Sprint("g", i%((n+7)/8)), fmt.Sprint("p", i%1000)
+				g := tab.Reserve(testStart, r)[0].Grant
+				tab.Release(testStart, Release{Slot: r.Slot, Endpoint: g.Endpoint, Outcome: OutcomeDone})
+			}
+		})
+	}
+}
--- a/io/cfvoperator/api.go
+++ b/io/cfvoperator/api.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"coltsfootvalve/common/cfverror"
@@ -249,10 +248,6 @@
 
 // metrics writes the counters in the Prometheus text format.
 func (a *API) metrics(c echo.Context) error {
-	var b strings.Builder
-	for _, s := range a.cfg.Metrics.Samples() {
-		name := "coltsfootvalve_" + strings.NewReplacer(".", "_", "-", "_").Replace(s.Name)
-		fmt.Fprintf(&b, "%s %d\n", name, s.Value)
-	}
-	return c.Blob(http.StatusOK, "text/plain; version=0.0.4", []byte(b.String()))
+	c.Response().Header().Set("Content-Type", cfvmetric.ContentType)
+	return a.cfg.Metrics.WriteText(c.Response())
 }
--- a/io/cfvplace/entry.go
+++ b/io/cfvplace/entry.go
@@ -71,14 +71,6 @@
 	Exclude   []string
 }
 
-// Slot is a place on an endpoint that the entry has in use.
-type Slot struct {
-	Grant cfvslot.Grant
-	Group string
-	Owner string
-	entry *Entry
-}
-
 // NewEntry returns an entry that uses nothing.
 func NewEntry(cfg EntryConfig) *Entry {
 	levels, err := lru.New[string, cfvslot.Level](levelsKept)
@@ -125,15 +117,6 @@
 	}
 }
 
-// post puts releases into the outbox; the caller holds the lock.
-func (e *Entry) post(group string, list ...cfvslot.Release) {
-	e.outbox[group] = append(e.outbox[group], list...)
-	select {
-	case e.poke <- struct{}{}:
-	default:
-	}
-}
-
 // Acquire returns a slot for the request, or a refusal of a request that was not run.
 // Endpoints are excluded only while there are others.
 func (e *Entry) Acquire(ctx context.Context, a Ask) (*Slot, *cfverror.Refusal) {
@@ -307,74 +290,6 @@
 	return false
 }
 
-// End is how the request of a slot ended.
-type End struct {
-	Outcome cfvslot.Outcome
-	BootID  string        // boot identity that the answer named; empty if none came
-	Leaving bool          // the answer said that the endpoint is leaving
-	Linger  time.Duration // how long the endpoint may still run the request
-	Broken  bool          // the connection broke
-}
-
-// Release gives the slot back and says how its request ended.
-func (s *Slot) Release(end End) {
-	s.entry.mu.Lock()
-	delete(s.entry.held, s.Grant.Slot)
-	if end.Broken || (end.BootID != "" && end.BootID != s.Grant.Level.BootID) {
-		s.entry.levels.Remove(s.Grant.Endpoint)
-	}
-	s.entry.mu.Unlock()
-	s.entry.release(s.Group, cfvslot.Release{
-		Slot: s.Grant.Slot, Endpoint: s.Grant.Endpoint, Outcome: end.Outcome, BootID: end.BootID,
-		Leaving: end.Leaving, Linger: end.Linger, Broken: end.Broken,
-	})
-}
-
-// Seen tells the owner at once when an answer's header names another boot than the slot
-// was given for: the endpoint has started anew.
-func (s *Slot) Seen(bootID string) {
-	if bootID == "" || bootID == s.Grant.Level.BootID {
-		return
-	}
-	s.entry.release(s.Group, cfvslot.Release{Endpoint: s.Grant.Endpoint, BootID: bootID})
-}
-
-func (e *Entry) release(group string, r cfvslot.Release) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.post(group, r)
-}
-
-// Flush sends the waiting releases to the owners of their groups. Those that fail are
-// sent again until the owner's inventory would have freed them.
-func (e *Entry) Flush(ctx context.Context) {
-	e.mu.Lock()
-	out := e.outbox
-	e.outbox = make(map[string][]cfvslot.Release)
-	e.mu.Unlock()
-	var wg sync.WaitGroup
-	for group, list := range out {
-		wg.Go(func() { e.send(ctx, group, list) })
-	}
-	wg.Wait()
-}
-
-func (e *Entry) send(ctx context.Context, group string, list []cfvslot.Release) {
-	ctx, cancel := context.WithTimeout(ctx, callWithin)
-	defer cancel()
-	if err := e.cfg.Release(ctx, e.ownerOf(group), list); err == nil {
-		return
-	}
-	e.cfg.Metrics.Count("place.releaseFailed", 1)
-	time.AfterFunc(releaseAgain, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		if len(e.outbox[group]) < levelsKept {
-			e.post(group, list...)
-		}
-	})
-}
-
 // Recognise answers an owner: what the entry uses in the group, what it knows of its
 // endpoints, and a promise if one is wanted and can be made.
 func (e *Entry) Recognise(r cfvpeer.Recognise) cfvslot.Inventory {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -77,7 +77,27 @@
 sleep 4 # entries promise nothing to owners for the length of a lease after their start
 
 bin/demo "${entries[@]}" "${operators[@]}" "${desks[@]}" --key "$key"
-bin/coltsfootvalve status
+
+echo
+echo "Operators' commands:"
+operate() { echo "\$ coltsfootvalve $*"; bin/coltsfootvalve "$@"; }
+operate explain prompt-returns --node "http://${operators[5]}"
+for i in 1 3 5 7; do operate status --node "http://${operators[$i]}"; done
+operate settings set services/assistant queueMillis 1500
+operate domain drain pampeana/cordoba
+operate domain return pampeana/cordoba
+operate settings explain regions/pampeana/cordoba
+operate settings history
+operate settings set services/assistant activeVersion v1
+operate move start assistant v2 --within 10m
+operate move status
+operate move takeBack assistant
+operate metrics >/dev/null
+operate log-level debug
+if operate settings set root coldSlots 0; then
+  echo "a bad value was accepted"
+  exit 1
+fi
 
 echo
 echo "Load on all entries while entry-3 is killed:"
