--- a/io/cfvnode/moves_test.go
+++ b/io/cfvnode/moves_test.go
@@ -98,6 +98,13 @@
 				c.kv.SetFault(cfvfault.Fault{Mode: cfvfault.Outage})
 			}
 			c.moveEnds(cfvmoves.StateTakenBack)
+			for i, n := range c.nodes {
+				s, _ := n.settings.Catalog().Service("assistant")
+				assert.Equal(t, c.state(i).Share, 0)
+				for k := range 100 {
+					assert.Equal(t, n.moves.Version(s, fmt.Sprint("prompt", k)), "v1")
+				}
+			}
 			c.eventually("every engine is back at the old version", func() bool { return c.versions()["v1"] == 6 })
 			c.kv.SetFault(cfvfault.Fault{})
 			c.eventually("the end is written", func() bool {
--- a/io/cfvnode/recovery_test.go
+++ b/io/cfvnode/recovery_test.go
@@ -165,6 +165,18 @@
 	assert.Equal(t, l.end(), "")
 }
 
+func TestNodeThatLeavesStillServes(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, shape{entries: 2, engines: 1})
+	c.nodes[0].callers.Leave()
+	assert.Equal(t, c.send(0, chamberKey, http.MethodGet, "/ready", "").status, http.StatusServiceUnavailable)
+	assert.Equal(t, c.chat(0, chamberKey, "hello", 2, false).status, http.StatusOK)
+	c.nodes[0].callers.Stop()
+	a := c.chat(0, chamberKey, "hello", 2, false)
+	assert.Equal(t, a.reason, "stopping")
+	assert.Equal(t, a.ran, "no")
+}
+
 // ready picks an entry that is ready, as the platform's balancer does.
 func (c *cluster) ready(i int) int {
 	for j := range c.nodes {
--- a/io/cfvsettings/store_test.go
+++ b/io/cfvsettings/store_test.go
@@ -37,7 +37,9 @@
 	lose     int // swaps of the head whose answers are lost
 	delay    int // swaps of the head that take effect late
 	late     []func()
-	between  func() // runs once before the next swap of the head
+	heads    []cfvetcd.KeyValue // every head so far
+	stale    int                // how many heads a read lags behind
+	between  func()             // runs once before the next swap of the head
 	calls    int
 }
 
@@ -50,6 +52,10 @@
 	if f.down {
 		return nil, 0, errDown
 	}
+	if key == headKey && f.stale > 0 && len(f.heads) > f.stale {
+		old := f.heads[len(f.heads)-1-f.stale]
+		return old.Value, old.ModRevision, nil
+	}
 	return f.keys[key].Value, f.keys[key].ModRevision, nil
 }
 
@@ -65,6 +71,9 @@
 func (f *fakeKeyValue) write(key string, value []byte) {
 	f.revision++
 	f.keys[key] = cfvetcd.KeyValue{Value: value, ModRevision: f.revision}
+	if key == headKey {
+		f.heads = append(f.heads, f.keys[key])
+	}
 }
 
 func (f *fakeKeyValue) swap(_ context.Context, key string, value []byte, expected, _ int64) (int64, error) {
@@ -154,7 +163,9 @@
 
 func (m *machine) learn(t *rapid.T) {
 	i := rapid.IntRange(0, len(m.stores)-1).Draw(t, "node")
+	m.kv.stale = rapid.IntRange(0, 2).Draw(t, "stale")
 	m.stores[i].refresh(t.Context())
+	m.kv.stale = 0
 	m.check(t)
 }
 
