--- a/commands/load.go
+++ b/commands/load.go
@@ -1,7 +1,7 @@
 package commands
 
 import (
-	stdcontext "context"
+	"context"
 	"fmt"
 	"time"
 
@@ -9,7 +9,7 @@
 )
 
 type loadCommand struct {
-	ctx       *context
+	con       *console
 	Entries   []string      `long:"entry" value-name:"ADDRESS" required:"true" description:"callers' address of an entry; may be repeated"`
 	Keys      []string      `long:"key" value-name:"KEY" required:"true" description:"workspace key; may be repeated"`
 	Model     string        `long:"model" default:"assistant" description:"service to ask"`
@@ -26,11 +26,11 @@
 
 // Execute sends a load and prints what it showed.
 func (c *loadCommand) Execute([]string) error {
-	r := cfvload.Run(stdcontext.Background(), cfvload.Config{
+	r := cfvload.Run(context.Background(), cfvload.Config{
 		Entries: c.Entries, Keys: c.Keys, Model: c.Model, Rate: c.Rate, Length: c.For,
 		LongShare: c.Long, Returning: c.Returning, PromptBytes: c.Bytes, Tokens: c.Tokens, Seed: c.Seed,
 		Progress: func(s cfvload.Sample) {
-			fmt.Fprintf(c.ctx.errOut, "second %d: served %d, refused %d, p95 to first token %s\n", s.Second, s.Served, s.Refused, s.P95)
+			fmt.Fprintf(c.con.errOut, "second %d: served %d, refused %d, p95 to first token %s\n", s.Second, s.Served, s.Refused, s.P95)
 		},
 	})
 	if c.Plot != "" {
@@ -39,7 +39,7 @@
 		}
 	}
 	if c.Output == "json" {
-		return r.WriteJSON(c.ctx.out)
+		return r.WriteJSON(c.con.out)
 	}
-	return c.ctx.print(operatorOptions{}, nil, r.Rows())
+	return c.con.print(operatorOptions{}, nil, r.Rows())
 }
--- a/commands/move.go
+++ b/commands/move.go
@@ -1,7 +1,7 @@
 package commands
 
 import (
-	stdcontext "context"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -14,7 +14,7 @@
 )
 
 // addMove adds the version move commands.
-func addMove(p *flags.Parser, ctx *context) {
+func addMove(p *flags.Parser, con *console) {
 	top, err := p.AddCommand("move", "Move a service to another version", "Moves a service to another version, by time and evidence.", &struct{}{})
 	if err != nil {
 		panic(err)
@@ -23,9 +23,9 @@
 		name, short, long string
 		data              any
 	}{
-		{"start", "Start a move", "Accepts a move of a service to a version; it is done or taken back by itself.\n\nExample: coltsfootvalve move start assistant v2 --within 30m", &moveStart{ctx: ctx}},
-		{"status", "Show moves", "Shows each service's latest move.\n\nExample: coltsfootvalve move status", &moveStatus{ctx: ctx}},
-		{"takeBack", "Take a move back", "Takes the running move of a service back.\n\nExample: coltsfootvalve move takeBack assistant", &moveTakeBack{ctx: ctx}},
+		{"start", "Start a move", "Accepts a move of a service to a version; it is done or taken back by itself.\n\nExample: coltsfootvalve move start assistant v2 --within 30m", &moveStart{con: con}},
+		{"status", "Show moves", "Shows each service's latest move.\n\nExample: coltsfootvalve move status", &moveStatus{con: con}},
+		{"takeBack", "Take a move back", "Takes the running move of a service back.\n\nExample: coltsfootvalve move takeBack assistant", &moveTakeBack{con: con}},
 	} {
 		if _, err := top.AddCommand(c.name, c.short, c.long, c.data); err != nil {
 			panic(err)
@@ -34,7 +34,7 @@
 }
 
 type moveStart struct {
-	ctx *context
+	con *console
 	changeOptions
 	Within time.Duration `long:"within" default:"30m" description:"time until the deadline"`
 	Args   struct {
@@ -46,7 +46,7 @@
 // Execute starts a move, unless another one of the service goes on. Of two operators who
 // start moves at once, one gets a conflict.
 func (c *moveStart) Execute([]string) error {
-	s, err := c.client().Status(stdcontext.Background())
+	s, err := c.client().Status(context.Background())
 	if err != nil {
 		return err
 	}
@@ -59,7 +59,7 @@
 		c.Expected = s.Revision
 	}
 	path, now := "services/"+c.Args.Service, time.Now()
-	return c.ctx.change(c.changeOptions,
+	return c.con.change(c.changeOptions,
 		cfvoperator.ChangeJSON{Path: path, Name: "moveTo", Value: c.Args.Version},
 		cfvoperator.ChangeJSON{Path: path, Name: "moveStart", Value: strconv.FormatInt(now.UnixMilli(), 10)},
 		cfvoperator.ChangeJSON{Path: path, Name: "moveDeadline", Value: strconv.FormatInt(now.Add(c.Within).UnixMilli(), 10)},
@@ -68,13 +68,13 @@
 }
 
 type moveStatus struct {
-	ctx *context
+	con *console
 	operatorOptions
 }
 
 // Execute shows moves.
 func (c *moveStatus) Execute([]string) error {
-	s, err := c.client().Status(stdcontext.Background())
+	s, err := c.client().Status(context.Background())
 	if err != nil {
 		return err
 	}
@@ -82,11 +82,11 @@
 	for _, m := range s.Moves {
 		rows = append(rows, []string{m.Service, m.From, m.To, m.State, strconv.Itoa(m.Share) + "%", m.Deadline, m.Cause})
 	}
-	return c.ctx.print(c.operatorOptions, s.Moves, rows)
+	return c.con.print(c.operatorOptions, s.Moves, rows)
 }
 
 type moveTakeBack struct {
-	ctx *context
+	con *console
 	changeOptions
 	Args struct {
 		Service string `positional-arg-name:"SERVICE" required:"true"`
@@ -95,13 +95,13 @@
 
 // Execute takes a move back.
 func (c *moveTakeBack) Execute([]string) error {
-	return c.ctx.change(c.changeOptions, cfvoperator.ChangeJSON{
+	return c.con.change(c.changeOptions, cfvoperator.ChangeJSON{
 		Path: "services/" + c.Args.Service, Name: "moveTakenBack", Value: "true",
 	})
 }
 
 type logLevel struct {
-	ctx *context
+	con *console
 	operatorOptions
 	Args struct {
 		Level string `positional-arg-name:"LEVEL" required:"true"`
@@ -110,20 +110,20 @@
 
 // Execute changes a node's log level while it runs.
 func (c *logLevel) Execute([]string) error {
-	return c.client().Do(stdcontext.Background(), http.MethodPost, "/log/level/"+c.Args.Level, nil, nil)
+	return c.client().Do(context.Background(), http.MethodPost, "/log/level/"+c.Args.Level, nil, nil)
 }
 
 type metrics struct {
-	ctx *context
+	con *console
 	operatorOptions
 }
 
 // Execute shows a node's counters.
 func (c *metrics) Execute([]string) error {
 	var doc json.RawMessage
-	if err := c.client().Do(stdcontext.Background(), http.MethodGet, "/metrics.json", nil, &doc); err != nil {
+	if err := c.client().Do(context.Background(), http.MethodGet, "/metrics.json", nil, &doc); err != nil {
 		return err
 	}
 	c.Output = "json"
-	return c.ctx.print(c.operatorOptions, doc, nil)
+	return c.con.print(c.operatorOptions, doc, nil)
 }
--- a/commands/output.go
+++ b/commands/output.go
@@ -21,7 +21,7 @@
 }
 
 // print writes v as JSON, or as the table of rows whose first is the heading.
-func (c *context) print(o operatorOptions, v any, rows [][]string) error {
+func (c *console) print(o operatorOptions, v any, rows [][]string) error {
 	if o.Output == "json" {
 		enc := json.NewEncoder(c.out)
 		enc.SetIndent("", "  ")
--- a/commands/reference.go
+++ b/commands/reference.go
@@ -9,12 +9,12 @@
 )
 
 type settingsReference struct {
-	ctx *context
+	con *console
 }
 
 // Execute prints the page of all settings.
 func (c *settingsReference) Execute([]string) error {
-	return writeReference(c.ctx.out)
+	return writeReference(c.con.out)
 }
 
 // writeReference writes the page of all settings, from their own descriptions.
--- a/commands/root.go
+++ b/commands/root.go
@@ -17,8 +17,8 @@
 	ExitRefused = 3 // the node refused, for example a change that lost a race
 )
 
-// context is what every command has.
-type context struct {
+// console is where every command writes.
+type console struct {
 	out    io.Writer
 	errOut io.Writer
 }
@@ -32,38 +32,38 @@
 
 // Execute runs the command line and returns its exit code.
 func Execute(args []string, out, errOut io.Writer) int {
-	ctx := &context{out, errOut}
+	con := &console{out, errOut}
 	p := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
 	p.Name = "coltsfootvalve"
 	p.LongDescription = "A serving system for prompts that come back after long gaps."
-	addAll(p, ctx)
+	addAll(p, con)
 	_, err := p.ParseArgs(args)
 	return report(err, out, errOut)
 }
 
 // addAll adds every command; the texts are fixed, so an error is a mistake in them.
-func addAll(p *flags.Parser, ctx *context) {
+func addAll(p *flags.Parser, con *console) {
 	for _, c := range []struct {
 		name, short, long string
 		data              any
 	}{
-		{"serve", "Run a node", "Runs an entry VM's node until SIGTERM, then stops it gracefully.\n\nExample: coltsfootvalve serve --settings node.json", &serveCommand{ctx: ctx}},
-		{"check", "Check a settings file", "Checks a node's settings file and names the field at fault.\n\nExample: coltsfootvalve check --settings node.json", &checkCommand{ctx: ctx}},
-		{"version", "Print the version", "Prints the version of the program.\n\nExample: coltsfootvalve version", &versionCommand{ctx: ctx}},
-		{"status", "Show a node's state", "Shows members, endpoints and settings revision as a node sees them.\n\nExample: coltsfootvalve status --node http://127.0.0.1:7003", &statusCommand{ctx: ctx}},
-		{"explain", "Explain a request", "Shows where a request went and why, at the node that handled it.\n\nExample: coltsfootvalve explain 4f6c0f9e", &explainCommand{ctx: ctx}},
-		{"load", "Send a small load", "Sends a small seeded load to entries and prints percentiles and refusals by reason.\n\nExample: coltsfootvalve load --entry 127.0.0.1:7001 --key KEY --rate 20 --for 10s", &loadCommand{ctx: ctx}},
-		{"metrics", "Show a node's counters", "Shows every counter of a node, each refusal and retry by its reason.\n\nExample: coltsfootvalve metrics", &metrics{ctx: ctx}},
-		{"log-level", "Change a node's log level", "Changes a node's log level while it runs.\n\nExample: coltsfootvalve log-level debug", &logLevel{ctx: ctx}},
-		{"hash-key", "Hash a workspace's key", "Prints the hash of a key for the setting keyHash; the key is read from standard input.\n\nExample: coltsfootvalve hash-key < key.txt", &hashKeyCommand{ctx: ctx}},
+		{"serve", "Run a node", "Runs an entry VM's node until SIGTERM, then stops it gracefully.\n\nExample: coltsfootvalve serve --settings node.json", &serveCommand{con: con}},
+		{"check", "Check a settings file", "Checks a node's settings file and names the field at fault.\n\nExample: coltsfootvalve check --settings node.json", &checkCommand{con: con}},
+		{"version", "Print the version", "Prints the version of the program.\n\nExample: coltsfootvalve version", &versionCommand{con: con}},
+		{"status", "Show a node's state", "Shows members, endpoints and settings revision as a node sees them.\n\nExample: coltsfootvalve status --node http://127.0.0.1:7003", &statusCommand{con: con}},
+		{"explain", "Explain a request", "Shows where a request went and why, at the node that handled it.\n\nExample: coltsfootvalve explain 4f6c0f9e", &explainCommand{con: con}},
+		{"load", "Send a small load", "Sends a small seeded load to entries and prints percentiles and refusals by reason.\n\nExample: coltsfootvalve load --entry 127.0.0.1:7001 --key KEY --rate 20 --for 10s", &loadCommand{con: con}},
+		{"metrics", "Show a node's counters", "Shows every counter of a node, each refusal and retry by its reason.\n\nExample: coltsfootvalve metrics", &metrics{con: con}},
+		{"log-level", "Change a node's log level", "Changes a node's log level while it runs.\n\nExample: coltsfootvalve log-level debug", &logLevel{con: con}},
+		{"hash-key", "Hash a workspace's key", "Prints the hash of a key for the setting keyHash; the key is read from standard input.\n\nExample: coltsfootvalve hash-key < key.txt", &hashKeyCommand{con: con}},
 	} {
 		if _, err := p.AddCommand(c.name, c.short, c.long, c.data); err != nil {
 			panic(err)
 		}
 	}
-	addSettings(p, ctx)
-	addDomain(p, ctx)
-	addMove(p, ctx)
+	addSettings(p, con)
+	addDomain(p, con)
+	addMove(p, con)
 }
 
 // report prints the error, if any, and returns the exit code.
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -1,7 +1,7 @@
 package commands
 
 import (
-	stdcontext "context"
+	"context"
 	"fmt"
 	"os"
 	"os/signal"
@@ -20,7 +20,7 @@
 const gcPercent = 40
 
 type serveCommand struct {
-	ctx      *context
+	con      *console
 	Settings string `long:"settings" value-name:"FILE" required:"true" description:"the node's settings file"`
 }
 
@@ -35,7 +35,7 @@
 		return fmt.Errorf("logLevel: %w", err)
 	}
 	debug.SetGCPercent(gcPercent)
-	n, err := cfvnode.New(cfg, c.ctx.errOut)
+	n, err := cfvnode.New(cfg, c.con.errOut)
 	if err != nil {
 		return err
 	}
@@ -45,7 +45,7 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	<-signals
-	ctx, cancel := stdcontext.WithCancel(stdcontext.Background())
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
 		<-signals
@@ -58,7 +58,7 @@
 }
 
 type checkCommand struct {
-	ctx      *context
+	con      *console
 	Settings string `long:"settings" value-name:"FILE" required:"true" description:"the node's settings file"`
 }
 
@@ -68,16 +68,16 @@
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(c.ctx.out, "%s: good settings for node %s\n", c.Settings, cfg.Name)
+	_, err = fmt.Fprintf(c.con.out, "%s: good settings for node %s\n", c.Settings, cfg.Name)
 	return err
 }
 
 type versionCommand struct {
-	ctx *context
+	con *console
 }
 
 // Execute prints the version.
 func (c *versionCommand) Execute([]string) error {
-	_, err := fmt.Fprintln(c.ctx.out, "coltsfootvalve", version)
+	_, err := fmt.Fprintln(c.con.out, "coltsfootvalve", version)
 	return err
 }
--- a/commands/settings.go
+++ b/commands/settings.go
@@ -1,7 +1,7 @@
 package commands
 
 import (
-	stdcontext "context"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -23,7 +23,7 @@
 }
 
 // addSettings adds the settings commands.
-func addSettings(p *flags.Parser, ctx *context) {
+func addSettings(p *flags.Parser, con *console) {
 	top, err := p.AddCommand("settings", "Read and change settings", "Reads and changes the tree of settings.", &struct{}{})
 	if err != nil {
 		panic(err)
@@ -32,14 +32,14 @@
 		name, short, long string
 		data              any
 	}{
-		{"get", "Print the tree", "Prints the settings in force as a document.\n\nExample: coltsfootvalve settings get", &settingsGet{ctx: ctx}},
-		{"set", "Set one setting", "Sets one setting at one path.\n\nExample: coltsfootvalve settings set services/assistant queueMillis 500", &settingsSet{ctx: ctx}},
-		{"unset", "Unset one setting", "Unsets one setting, so that it is inherited again; without a name the node is removed.\n\nExample: coltsfootvalve settings unset services/assistant queueMillis", &settingsUnset{ctx: ctx}},
-		{"apply", "Apply a document", "Sets all settings of a document at once, or none.\n\nExample: coltsfootvalve settings apply tree.json", &settingsApply{ctx: ctx}},
-		{"diff", "Show what a document changes", "Shows what applying a document would change.\n\nExample: coltsfootvalve settings diff tree.json", &settingsDiff{ctx: ctx}},
-		{"history", "Show accepted changes", "Shows who changed what and when, the newest first.\n\nExample: coltsfootvalve settings history", &settingsHistory{ctx: ctx}},
-		{"reference", "Print the page of all settings", "Prints every setting with its type, range, levels and meaning.\n\nExample: coltsfootvalve settings reference", &settingsReference{ctx: ctx}},
-		{"explain", "Show where values come from", "Shows each value in force at a path and the path that gave it.\n\nExample: coltsfootvalve settings explain services/assistant", &settingsExplain{ctx: ctx}},
+		{"get", "Print the tree", "Prints the settings in force as a document.\n\nExample: coltsfootvalve settings get", &settingsGet{con: con}},
+		{"set", "Set one setting", "Sets one setting at one path.\n\nExample: coltsfootvalve settings set services/assistant queueMillis 500", &settingsSet{con: con}},
+		{"unset", "Unset one setting", "Unsets one setting, so that it is inherited again; without a name the node is removed.\n\nExample: coltsfootvalve settings unset services/assistant queueMillis", &settingsUnset{con: con}},
+		{"apply", "Apply a document", "Sets all settings of a document at once, or none.\n\nExample: coltsfootvalve settings apply tree.json", &settingsApply{con: con}},
+		{"diff", "Show what a document changes", "Shows what applying a document would change.\n\nExample: coltsfootvalve settings diff tree.json", &settingsDiff{con: con}},
+		{"history", "Show accepted changes", "Shows who changed what and when, the newest first.\n\nExample: coltsfootvalve settings history", &settingsHistory{con: con}},
+		{"reference", "Print the page of all settings", "Prints every setting with its type, range, levels and meaning.\n\nExample: coltsfootvalve settings reference", &settingsReference{con: con}},
+		{"explain", "Show where values come from", "Shows each value in force at a path and the path that gave it.\n\nExample: coltsfootvalve settings explain services/assistant", &settingsExplain{con: con}},
 	} {
 		if _, err := top.AddCommand(c.name, c.short, c.long, c.data); err != nil {
 			panic(err)
@@ -48,35 +48,35 @@
 }
 
 type settingsGet struct {
-	ctx *context
+	con *console
 	operatorOptions
 }
 
 // Execute prints the tree.
 func (c *settingsGet) Execute([]string) error {
 	var doc json.RawMessage
-	if err := c.client().Do(stdcontext.Background(), http.MethodGet, "/settings", nil, &doc); err != nil {
+	if err := c.client().Do(context.Background(), http.MethodGet, "/settings", nil, &doc); err != nil {
 		return err
 	}
 	c.Output = "json"
-	return c.ctx.print(c.operatorOptions, doc, nil)
+	return c.con.print(c.operatorOptions, doc, nil)
 }
 
 // change asks for changes and prints the revision accepted.
-func (c *context) change(o changeOptions, changes ...cfvoperator.ChangeJSON) error {
-	revision, err := o.client().Change(stdcontext.Background(), cfvoperator.ChangesJSON{Author: o.Author, Expected: o.Expected, Changes: changes})
+func (c *console) change(o changeOptions, changes ...cfvoperator.ChangeJSON) error {
+	revision, err := o.client().Change(context.Background(), cfvoperator.ChangesJSON{Author: o.Author, Expected: o.Expected, Changes: changes})
 	if err != nil {
 		return err
 	}
 	return c.accepted(o.operatorOptions, revision)
 }
 
-func (c *context) accepted(o operatorOptions, revision uint64) error {
+func (c *console) accepted(o operatorOptions, revision uint64) error {
 	return c.print(o, cfvoperator.AcceptedJSON{Revision: revision}, [][]string{{"accepted as revision", strconv.FormatUint(revision, 10)}})
 }
 
 type settingsSet struct {
-	ctx *context
+	con *console
 	changeOptions
 	Args struct {
 		Path  string `positional-arg-name:"PATH" required:"true"`
@@ -87,11 +87,11 @@
 
 // Execute sets one setting.
 func (c *settingsSet) Execute([]string) error {
-	return c.ctx.change(c.changeOptions, cfvoperator.ChangeJSON{Path: c.Args.Path, Name: c.Args.Name, Value: c.Args.Value})
+	return c.con.change(c.changeOptions, cfvoperator.ChangeJSON{Path: c.Args.Path, Name: c.Args.Name, Value: c.Args.Value})
 }
 
 type settingsUnset struct {
-	ctx *context
+	con *console
 	changeOptions
 	Args struct {
 		Path string `positional-arg-name:"PATH" required:"true"`
@@ -101,7 +101,7 @@
 
 // Execute unsets one setting or removes a node.
 func (c *settingsUnset) Execute([]string) error {
-	return c.ctx.change(c.changeOptions, cfvoperator.ChangeJSON{Path: c.Args.Path, Name: c.Args.Name, Remove: true})
+	return c.con.change(c.changeOptions, cfvoperator.ChangeJSON{Path: c.Args.Path, Name: c.Args.Name, Remove: true})
 }
 
 type fileArgs struct {
@@ -109,7 +109,7 @@
 }
 
 type settingsApply struct {
-	ctx *context
+	con *console
 	changeOptions
 	Args fileArgs `positional-args:"yes" required:"yes"`
 }
@@ -122,14 +122,14 @@
 	}
 	q := url.Values{"author": {c.Author}, "expected": {strconv.FormatUint(c.Expected, 10)}}
 	var out cfvoperator.AcceptedJSON
-	if err := c.client().Do(stdcontext.Background(), http.MethodPost, "/settings/apply?"+q.Encode(), data, &out); err != nil {
+	if err := c.client().Do(context.Background(), http.MethodPost, "/settings/apply?"+q.Encode(), data, &out); err != nil {
 		return err
 	}
-	return c.ctx.accepted(c.operatorOptions, out.Revision)
+	return c.con.accepted(c.operatorOptions, out.Revision)
 }
 
 type settingsDiff struct {
-	ctx *context
+	con *console
 	operatorOptions
 	Args fileArgs `positional-args:"yes" required:"yes"`
 }
@@ -141,36 +141,36 @@
 		return err
 	}
 	var out []string
-	if err := c.client().Do(stdcontext.Background(), http.MethodPost, "/settings/diff", data, &out); err != nil {
+	if err := c.client().Do(context.Background(), http.MethodPost, "/settings/diff", data, &out); err != nil {
 		return err
 	}
 	rows := [][]string{}
 	for _, line := range out {
 		rows = append(rows, []string{line})
 	}
-	return c.ctx.print(c.operatorOptions, out, rows)
+	return c.con.print(c.operatorOptions, out, rows)
 }
 
 type settingsHistory struct {
-	ctx *context
+	con *console
 	operatorOptions
 }
 
 // Execute shows accepted changes.
 func (c *settingsHistory) Execute([]string) error {
 	var out []cfvoperator.HistoryJSON
-	if err := c.client().Do(stdcontext.Background(), http.MethodGet, "/settings/history", nil, &out); err != nil {
+	if err := c.client().Do(context.Background(), http.MethodGet, "/settings/history", nil, &out); err != nil {
 		return err
 	}
 	rows := [][]string{{"revision", "time", "author", "changes"}}
 	for _, h := range out {
 		rows = append(rows, []string{strconv.FormatUint(h.Revision, 10), h.Time, h.Author, strings.Join(h.Changes, "; ")})
 	}
-	return c.ctx.print(c.operatorOptions, out, rows)
+	return c.con.print(c.operatorOptions, out, rows)
 }
 
 type settingsExplain struct {
-	ctx *context
+	con *console
 	operatorOptions
 	Args struct {
 		Path string `positional-arg-name:"PATH" required:"true"`
@@ -181,24 +181,24 @@
 func (c *settingsExplain) Execute([]string) error {
 	var out []cfvoperator.ValueJSON
 	path := "/settings/explain?path=" + url.QueryEscape(c.Args.Path)
-	if err := c.client().Do(stdcontext.Background(), http.MethodGet, path, nil, &out); err != nil {
+	if err := c.client().Do(context.Background(), http.MethodGet, path, nil, &out); err != nil {
 		return err
 	}
 	rows := [][]string{{"setting", "value", "from"}}
 	for _, v := range out {
 		rows = append(rows, []string{v.Name, v.Value, v.Origin})
 	}
-	return c.ctx.print(c.operatorOptions, out, rows)
+	return c.con.print(c.operatorOptions, out, rows)
 }
 
 // addDomain adds the failure domain commands.
-func addDomain(p *flags.Parser, ctx *context) {
+func addDomain(p *flags.Parser, con *console) {
 	top, err := p.AddCommand("domain", "Take failure domains out and back", "Takes failure domains out and back.", &struct{}{})
 	if err != nil {
 		panic(err)
 	}
 	for name, drained := range map[string]bool{"drain": true, "return": false} {
-		c := &domainCommand{ctx: ctx, drained: drained}
+		c := &domainCommand{con: con, drained: drained}
 		long := fmt.Sprintf("Accepts drained=%v for a failure domain.\n\nExample: coltsfootvalve domain %s pampeana/rosario", drained, name)
 		if _, err := top.AddCommand(name, "Set drained to "+strconv.FormatBool(drained), long, c); err != nil {
 			panic(err)
@@ -207,7 +207,7 @@
 }
 
 type domainCommand struct {
-	ctx     *context
+	con     *console
 	drained bool
 	changeOptions
 	Args struct {
@@ -220,7 +220,7 @@
 	if strings.Count(c.Args.Domain, "/") != 1 {
 		return fmt.Errorf("failure domain %q: want REGION/DOMAIN", c.Args.Domain)
 	}
-	return c.ctx.change(c.changeOptions, cfvoperator.ChangeJSON{
+	return c.con.change(c.changeOptions, cfvoperator.ChangeJSON{
 		Path: "regions/" + c.Args.Domain, Name: "drained", Value: strconv.FormatBool(c.drained),
 	})
 }
--- a/commands/status.go
+++ b/commands/status.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	stdcontext "context"
+	"context"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -16,13 +16,13 @@
 )
 
 type statusCommand struct {
-	ctx *context
+	con *console
 	operatorOptions
 }
 
 // Execute shows a node's state.
 func (c *statusCommand) Execute([]string) error {
-	s, err := c.client().Status(stdcontext.Background())
+	s, err := c.client().Status(context.Background())
 	if err != nil {
 		return err
 	}
@@ -36,7 +36,7 @@
 	for _, e := range s.Endpoints {
 		rows = append(rows, []string{e.Name, e.Group, e.Version, e.BootID, strconv.Itoa(e.Held), strconv.Itoa(e.Bound), endpointState(e), strconv.Itoa(e.Waiting)})
 	}
-	return c.ctx.print(c.operatorOptions, s, rows)
+	return c.con.print(c.operatorOptions, s, rows)
 }
 
 func endpointState(e cfvoperator.EndpointJSON) string {
@@ -51,7 +51,7 @@
 }
 
 type explainCommand struct {
-	ctx *context
+	con *console
 	operatorOptions
 	Args struct {
 		RequestID string `positional-arg-name:"REQUEST_ID" required:"true"`
@@ -61,7 +61,7 @@
 // Execute explains a request.
 func (c *explainCommand) Execute([]string) error {
 	var e cfvoperator.ExplanationJSON
-	err := c.client().Do(stdcontext.Background(), http.MethodGet, "/requests/"+url.PathEscape(c.Args.RequestID), nil, &e)
+	err := c.client().Do(context.Background(), http.MethodGet, "/requests/"+url.PathEscape(c.Args.RequestID), nil, &e)
 	if err != nil {
 		return err
 	}
@@ -69,11 +69,11 @@
 	for _, n := range e.Notes {
 		rows = append(rows, []string{(time.Duration(n.AfterMicros) * time.Microsecond).String(), n.Text})
 	}
-	return c.ctx.print(c.operatorOptions, e, rows)
+	return c.con.print(c.operatorOptions, e, rows)
 }
 
 type hashKeyCommand struct {
-	ctx *context
+	con *console
 }
 
 // Execute hashes the key on standard input.
@@ -83,6 +83,6 @@
 	if key == "" {
 		return fmt.Errorf("no key on standard input: %v", err)
 	}
-	_, err = fmt.Fprintln(c.ctx.out, cfvcatalog.HashKey(key))
+	_, err = fmt.Fprintln(c.con.out, cfvcatalog.HashKey(key))
 	return err
 }
--- a/io/cfvbook/desk.go
+++ b/io/cfvbook/desk.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"coltsfootvalve/common/cfvclock"
 	"coltsfootvalve/common/cfverror"
 	"coltsfootvalve/common/cfvlog"
 	"coltsfootvalve/common/cfvmetric"
@@ -210,10 +211,7 @@
 	if errors.Is(err, cfvetcd.ErrConflict) {
 		return
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(afterFailure):
-	}
+	cfvclock.Sleep(ctx, afterFailure)
 }
 
 func (w *writer) tailKey() string { return fmt.Sprintf("%s%d", tailPrefix, w.shard) }
--- a/io/cfvetcd/client.go
+++ b/io/cfvetcd/client.go
@@ -91,16 +91,21 @@
 
 // Put writes a key whatever its revision.
 func (c *Client) Put(ctx context.Context, key string, value []byte, lease int64) error {
-	req := TxnRequest{Success: []Operation{{Put: &PutRequest{Key: []byte(key), Value: value, Lease: lease}}}}
-	var resp TxnResponse
-	return c.call(ctx, "/v3/kv/txn", req, &resp)
+	return c.write(ctx, key, Operation{Put: &PutRequest{Key: []byte(key), Value: value, Lease: lease}})
 }
 
 // Delete removes a key.
 func (c *Client) Delete(ctx context.Context, key string) error {
-	req := TxnRequest{Success: []Operation{{Delete: &DeleteRequest{Key: []byte(key)}}}}
+	return c.write(ctx, key, Operation{Delete: &DeleteRequest{Key: []byte(key)}})
+}
+
+// write does one operation whatever the key's revision.
+func (c *Client) write(ctx context.Context, key string, op Operation) error {
 	var resp TxnResponse
-	return c.call(ctx, "/v3/kv/txn", req, &resp)
+	if err := c.call(ctx, "/v3/kv/txn", TxnRequest{Success: []Operation{op}}, &resp); err != nil {
+		return fmt.Errorf("write key %q: %w", key, err)
+	}
+	return nil
 }
 
 // Grant returns a lease of the given length.
--- a/io/cfvmembership/runner.go
+++ b/io/cfvmembership/runner.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"coltsfootvalve/common/cfvclock"
 	"coltsfootvalve/common/cfvlog"
 	"coltsfootvalve/common/cfvmetric"
 	"coltsfootvalve/core/cfvmember"
@@ -59,25 +60,12 @@
 // Run probes and reads the list until the context ends.
 func (r *Runner) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { r.every(ctx, r.cfg.ListEvery, r.readList) })
-	wg.Go(func() { r.every(ctx, r.cfg.ProbeEvery, r.probeNext) })
+	r.readList(ctx)
+	wg.Go(func() { cfvclock.Every(ctx, r.cfg.ListEvery, r.readList) })
+	wg.Go(func() { cfvclock.Every(ctx, r.cfg.ProbeEvery, r.probeNext) })
 	wg.Wait()
 }
 
-func (r *Runner) every(ctx context.Context, period time.Duration, f func(context.Context)) {
-	f(ctx)
-	t := time.NewTicker(period)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f(ctx)
-		}
-	}
-}
-
 func (r *Runner) readList(ctx context.Context) {
 	vms, err := r.cfg.ReadList(ctx)
 	if err != nil {
--- a/io/cfvmoves/mover.go
+++ b/io/cfvmoves/mover.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"coltsfootvalve/common/cfvclock"
 	"coltsfootvalve/common/cfvlog"
 	"coltsfootvalve/common/cfvmetric"
 	"coltsfootvalve/core/cfvcatalog"
@@ -79,16 +80,7 @@
 
 // Run reports and judges until the context ends.
 func (m *Mover) Run(ctx context.Context) {
-	t := time.NewTicker(m.cfg.Period)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			m.turn(ctx)
-		}
-	}
+	cfvclock.Every(ctx, m.cfg.Period, m.turn)
 }
 
 // turn reports on each move and judges those that fall to this node.
--- a/io/cfvnode/node.go
+++ b/io/cfvnode/node.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"coltsfootvalve/common/cfvclock"
 	"coltsfootvalve/common/cfvhttp"
 	"coltsfootvalve/common/cfvlog"
 	"coltsfootvalve/common/cfvmetric"
@@ -251,16 +252,7 @@
 
 // keepConfigured configures the owner when settings or membership have changed.
 func (n *Node) keepConfigured(ctx context.Context) {
-	t := time.NewTicker(configureEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			n.configureOnce()
-		}
-	}
+	cfvclock.Every(ctx, configureEvery, func(context.Context) { n.configureOnce() })
 }
 
 func (n *Node) configureOnce() {
@@ -302,12 +294,12 @@
 	log.Info("The node stops; %d requests run.", n.callers.Running())
 	n.callers.Leave()
 	n.members.Leave(ctx)
-	sleep(ctx, n.cfg.DrainGrace)
+	cfvclock.Sleep(ctx, n.cfg.DrainGrace)
 	n.callers.Stop()
 	limit, cancel := context.WithTimeout(ctx, n.cfg.DrainLimit)
 	defer cancel()
 	for limit.Err() == nil && (n.callers.Running() > 0 || n.server.Concluding() > 0) {
-		sleep(limit, 10*time.Millisecond)
+		cfvclock.Sleep(limit, 10*time.Millisecond)
 	}
 	out := Stopped{Cut: n.callers.Running()}
 	if out.Cut == 0 {
@@ -328,12 +320,3 @@
 	}
 	n.wg.Wait()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/cfvplace/owner.go
+++ b/io/cfvplace/owner.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"coltsfootvalve/common/cfvclock"
 	"coltsfootvalve/common/cfverror"
 	"coltsfootvalve/common/cfvlog"
 	"coltsfootvalve/common/cfvmetric"
@@ -74,25 +75,12 @@
 // Run does the owner's periodic work until the context ends.
 func (o *Owner) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	wg.Go(func() { every(ctx, tickEvery, o.tick) })
-	wg.Go(func() { every(ctx, loadEvery, o.readLoads) })
-	wg.Go(func() { every(ctx, o.cfg.Lease/leaseParts, o.recognise) })
+	wg.Go(func() { cfvclock.Every(ctx, tickEvery, o.tick) })
+	wg.Go(func() { cfvclock.Every(ctx, loadEvery, o.readLoads) })
+	wg.Go(func() { cfvclock.Every(ctx, o.cfg.Lease/leaseParts, o.recognise) })
 	wg.Wait()
 }
 
-func every(ctx context.Context, period time.Duration, f func(context.Context)) {
-	t := time.NewTicker(period)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f(ctx)
-		}
-	}
-}
-
 // Configure takes the settings and the membership in force.
 func (o *Owner) Configure(c *cfvcatalog.Catalog, v cfvmembership.View) {
 	o.mu.Lock()
@@ -209,13 +197,13 @@
 	for _, name := range o.table.Doubtful() {
 		if !o.asking[name] {
 			o.asking[name] = true
-			go o.ask(name, o.endpoints[name])
+			go o.readLoadNow(name, o.endpoints[name])
 		}
 	}
 }
 
-// ask reads the load report of an endpoint to which a connection broke, at once.
-func (o *Owner) ask(name, address string) {
+// readLoadNow reads the load report of an endpoint to which a connection broke, at once.
+func (o *Owner) readLoadNow(name, address string) {
 	o.readLoad(context.Background(), name, address)
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/io/cfvserve/server.go
+++ b/io/cfvserve/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"coltsfootvalve/common/cfvclock"
 	"coltsfootvalve/common/cfverror"
 	"coltsfootvalve/common/cfvlog"
 	"coltsfootvalve/common/cfvmetric"
@@ -123,14 +124,10 @@
 	}
 	s.cfg.Metrics.Retried(why.Reason)
 	r.trace.Note("retry after %s", why.Reason)
-	t := time.NewTimer(cfvlimit.Backoff(r.tries-1, backoffFirst, backoffMost, rand.Float64()))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !cfvclock.Sleep(ctx, cfvlimit.Backoff(r.tries-1, backoffFirst, backoffMost, rand.Float64())) {
 		return why
 	}
+	return nil
 }
 
 // takeBudget counts a retry against the service's budget. Those that only follow a change
--- a/io/cfvsettings/change.go
+++ b/io/cfvsettings/change.go
@@ -198,8 +198,7 @@
 				return nil
 			}
 		}
-		s.cfg.Sleep(ctx, settlePause)
-		if ctx.Err() != nil {
+		if !s.cfg.Sleep(ctx, settlePause) {
 			break
 		}
 	}
--- a/io/cfvsettings/store.go
+++ b/io/cfvsettings/store.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"coltsfootvalve/common/cfvclock"
 	"coltsfootvalve/common/cfvlog"
 	"coltsfootvalve/common/cfvmetric"
 	"coltsfootvalve/core/cfvcatalog"
@@ -40,7 +41,7 @@
 	KeyValue KeyValue
 	Fetch    func(ctx context.Context, address string, f cfvpeer.FetchSettings) (cfvpeer.Settings, error)
 	Applied  func(*cfvcatalog.Catalog)
-	Sleep    func(ctx context.Context, d time.Duration) // nil sleeps on the clock
+	Sleep    func(ctx context.Context, d time.Duration) bool // nil sleeps on the clock
 	Log      cfvlog.Logger
 	Metrics  *cfvmetric.Registry
 }
@@ -67,7 +68,7 @@
 // New returns a store with an empty tree at revision zero.
 func New(cfg Config) *Store {
 	if cfg.Sleep == nil {
-		cfg.Sleep = sleep
+		cfg.Sleep = cfvclock.Sleep
 	}
 	s := &Store{cfg: cfg}
 	s.current.Store(&snapshot{
@@ -100,15 +101,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // refresh reads the head and applies it if it is newer.
 func (s *Store) refresh(ctx context.Context) {
 	data, _, err := s.cfg.KeyValue.Get(ctx, headKey)
--- a/io/cfvsettings/store_test.go
+++ b/io/cfvsettings/store_test.go
@@ -125,7 +125,7 @@
 			}
 			return (*peers)[i].HandleFetch(q), nil
 		},
-		Sleep: func(context.Context, time.Duration) {},
+		Sleep: func(context.Context, time.Duration) bool { return true },
 		Log:   cfvlog.Discard(), Metrics: cfvmetric.New(),
 	})
 }
--- a/standins/cfvfakeengine/completion.go
+++ b/standins/cfvfakeengine/completion.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"coltsfootvalve/common/cfvclock"
 	"coltsfootvalve/common/cfvhttp"
 	"coltsfootvalve/io/cfvopenai"
 	"coltsfootvalve/standins/cfvfault"
@@ -23,7 +24,7 @@
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, 64<<20))
 	if err != nil {
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	req, err := cfvopenai.DecodeRequest(data)
 	if err != nil {
@@ -32,7 +33,7 @@
 	}
 	f := e.fault.Take(r.URL.Path)
 	if f.Mode == cfvfault.Outage {
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	model, version := cfvopenai.SplitVersion(req.Model)
 	req.Model = model
@@ -42,7 +43,7 @@
 	}
 	run, ok := e.begin(r.Context(), req)
 	if !ok {
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	defer run.cancel()
 	defer e.end(run)
@@ -57,12 +58,12 @@
 // answer prefills, then decodes as the request asks.
 func (e *Engine) answer(w http.ResponseWriter, r *run, f cfvfault.Fault) {
 	if !e.batch.enter(r.ctx, r.request.Priority) {
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	defer e.batch.leave()
 	if !e.prefill(r, f) {
 		e.dropped()
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	w.Header().Set(cfvopenai.HeaderRequestID, r.id)
 	w.Header().Set(cfvopenai.HeaderBootID, r.bootID)
@@ -115,7 +116,7 @@
 	r.prompt = (len(text) + bytesPerToken - 1) / bytesPerToken
 	r.cached = hit * BlockBytes / bytesPerToken
 	cost := time.Duration(r.prompt-r.cached) * e.cfg.PrefillPerToken * time.Duration(r.factor)
-	if !sleep(r.ctx, cost+f.Delay()) {
+	if !wait(r.ctx, cost+f.Delay()) {
 		return false
 	}
 	e.cache.add(keys)
@@ -126,18 +127,8 @@
 	return true
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+func wait(ctx context.Context, d time.Duration) bool {
+	return ctx.Err() == nil && (d <= 0 || cfvclock.Sleep(ctx, d))
 }
 
 // Token returns the i-th token of the answer to a prompt, the same on every engine of a
@@ -168,9 +159,9 @@
 func (e *Engine) whole(w http.ResponseWriter, r *run, f cfvfault.Fault) {
 	var b strings.Builder
 	for i := range r.length() {
-		if !sleep(r.ctx, e.cfg.DecodePerToken*time.Duration(r.factor)) {
+		if !wait(r.ctx, e.cfg.DecodePerToken*time.Duration(r.factor)) {
 			e.dropped()
-			cfvfault.DropConnection(w)
+			cfvfault.DropConnection()
 		}
 		b.WriteString(Token(r.version, r.request.Text(), i))
 	}
@@ -188,7 +179,7 @@
 		ID: r.id, Object: "chat.completion", Model: r.request.Model, Choices: []cfvopenai.Choice{c}, Usage: r.usage(),
 	})
 	if err != nil {
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
@@ -205,12 +196,12 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	n := r.length()
 	for i := r.resume; i < n; i++ {
-		if !sleep(r.ctx, e.cfg.DecodePerToken*time.Duration(r.factor)) {
+		if !wait(r.ctx, e.cfg.DecodePerToken*time.Duration(r.factor)) {
 			e.dropped()
-			cfvfault.DropConnection(w)
+			cfvfault.DropConnection()
 		}
 		if i >= r.resume+(n-r.resume)/2 && e.breakOff(r, f) {
-			cfvfault.DropConnection(w)
+			cfvfault.DropConnection()
 		}
 		e.chunk(w, r, i)
 	}
@@ -251,7 +242,7 @@
 func (e *Engine) send(w http.ResponseWriter, a cfvopenai.Answer) {
 	data, err := json.Marshal(a)
 	if err != nil {
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
 	if f, ok := w.(http.Flusher); ok {
--- a/standins/cfvfakeengine/engine.go
+++ b/standins/cfvfakeengine/engine.go
@@ -214,7 +214,7 @@
 
 func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
 	if e.fault.Take(r.URL.Path).Mode == cfvfault.Outage {
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	e.mu.Lock()
 	now := time.Now()
--- a/standins/cfvfakekv/server.go
+++ b/standins/cfvfakekv/server.go
@@ -99,7 +99,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		f := s.fault.Take(r.URL.Path)
 		if f.Mode == cfvfault.Outage {
-			cfvfault.DropConnection(w)
+			cfvfault.DropConnection()
 		}
 		s.mu.Lock()
 		allowed := l.Allow()
@@ -116,7 +116,7 @@
 		time.Sleep(s.cfg.Latency + f.Delay())
 		if f.Mode == cfvfault.LoseAnswers {
 			h(discard{}, r)
-			cfvfault.DropConnection(w)
+			cfvfault.DropConnection()
 		}
 		h(w, r)
 	}
--- a/standins/cfvfakekv/watch.go
+++ b/standins/cfvfakekv/watch.go
@@ -22,7 +22,7 @@
 		return
 	}
 	if s.fault.Take(r.URL.Path).Mode == cfvfault.Outage {
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	wt := &watcher{key: string(req.Create.Key), end: string(req.Create.RangeEnd), events: make(chan cfvetcd.Event, watchBuffer)}
 	s.mu.Lock()
@@ -57,7 +57,7 @@
 		}
 		switch s.fault.Take(r.URL.Path).Mode {
 		case cfvfault.Outage:
-			cfvfault.DropConnection(w)
+			cfvfault.DropConnection()
 		case cfvfault.Silent:
 			<-r.Context().Done()
 			return
--- a/standins/cfvfakeplain/service.go
+++ b/standins/cfvfakeplain/service.go
@@ -80,7 +80,7 @@
 
 func (s *Service) serveLoad(w http.ResponseWriter, r *http.Request) {
 	if s.fault.Take(r.URL.Path).Mode == cfvfault.Outage {
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	s.mu.Lock()
 	report := cfvopenai.LoadReport{BootID: s.bootID(), Running: s.running, Leaving: s.leaving}
@@ -92,13 +92,13 @@
 	f := s.fault.Take(r.URL.Path)
 	body, err := io.ReadAll(io.LimitReader(r.Body, 8<<20))
 	if err != nil || f.Mode == cfvfault.Outage {
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	run := s.run(r)
 	time.Sleep(s.cfg.Work + f.Delay())
 	switch f.Mode {
 	case cfvfault.LoseAnswers:
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	case cfvfault.Silent:
 		<-r.Context().Done()
 		return
--- a/standins/cfvfakestore/store.go
+++ b/standins/cfvfakestore/store.go
@@ -120,7 +120,7 @@
 func (s *Store) serveLookup(w http.ResponseWriter, r *http.Request) {
 	f := s.fault.Take(r.URL.Path)
 	if f.Mode == cfvfault.Outage {
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	time.Sleep(f.Delay())
 	var req cfvopenai.LookupRequest
@@ -142,7 +142,7 @@
 	f := s.fault.Take(r.URL.Path)
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxBlockBytes))
 	if err != nil || f.Mode == cfvfault.Outage {
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	if f.Mode == cfvfault.Full {
 		s.reject()
@@ -204,7 +204,7 @@
 func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
 	f := s.fault.Take(r.URL.Path)
 	if f.Mode == cfvfault.Outage {
-		cfvfault.DropConnection(w)
+		cfvfault.DropConnection()
 	}
 	generation, _ := strconv.ParseUint(r.URL.Query().Get("generation"), 10, 64)
 	data, onDisk, ok := s.find(r.PathValue("key"), generation)
--- a/standins/cfvfault/switch.go
+++ b/standins/cfvfault/switch.go
@@ -91,7 +91,6 @@
 }
 
 // DropConnection ends the call without an answer.
-func DropConnection(w http.ResponseWriter) {
-	_ = w
+func DropConnection() {
 	panic(http.ErrAbortHandler)
 }
