Name requests to engines by an id of our own

Cause: engines were told the caller's X-Request-Id and their answers checked against it; of two requests with one id a crossed answer could not be told. Found by reading. Each request now has an id of its own on the wire; callers see theirs, and their model's name, in streams and whole answers. go test ./io/cfvnode -run 'Whole|Returning|Stream': pass; the demo exits 0.

--- a/io/cfvopenai/messages.go
+++ b/io/cfvopenai/messages.go
@@ -211,3 +211,27 @@
 	Leaving bool   `json:"leaving"`
 	Loading bool   `json:"loading"`
 }
+
+// nameJSON holds the fields by which an answer names its request and its model.
+type nameJSON struct {
+	ID    string `json:"id"`
+	Model string `json:"model"`
+}
+
+// Rename returns a whole answer under the caller's id and model. A body that is not an
+// answer is returned as it is.
+func Rename(body []byte, id, model string) []byte {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(body, &fields) != nil || fields["choices"] == nil {
+		return body
+	}
+	set, err := json.Marshal(nameJSON{id, model})
+	if err != nil || json.Unmarshal(set, &fields) != nil {
+		return body
+	}
+	out, err := json.Marshal(fields)
+	if err != nil {
+		return body
+	}
+	return out
+}
--- a/io/cfvopenai/messages_test.go
+++ b/io/cfvopenai/messages_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -84,3 +85,11 @@
 	_, err = e.Next()
 	assert.Assert(t, errors.Is(err, io.EOF), "an event that was cut off is not an event")
 }
+
+func ExampleRename() {
+	fmt.Println(string(Rename([]byte(`{"id":"x","model":"a@v1","choices":[]}`), "r-1", "a")))
+	fmt.Println(string(Rename([]byte(`not an answer`), "r-1", "a")))
+	// Output:
+	// {"choices":[],"id":"r-1","model":"a"}
+	// not an answer
+}
--- a/io/cfvserve/completion.go
+++ b/io/cfvserve/completion.go
@@ -13,6 +13,8 @@
 	"coltsfootvalve/io/cfvforward"
 	"coltsfootvalve/io/cfvopenai"
 	"coltsfootvalve/io/cfvplace"
+
+	"github.com/google/uuid"
 )
 
 // confirmWithin bounds the question whether an endpoint that broke off went down.
@@ -64,14 +66,14 @@
 
 func (s *Server) newRequest(id string, w cfvcatalog.Workspace, svc cfvcatalog.Service) *request {
 	return &request{
-		id: id, workspace: w, service: svc, started: time.Now(),
+		id: id, wireID: uuid.NewString(), workspace: w, service: svc, started: time.Now(),
 		scope: cfvprompt.Scope{Secret: w.CacheSecret, Service: svc.Name},
 		trace: s.cfg.Traces.Start(id, w.Name),
 	}
 }
 
 func (s *Server) completeWithRetries(ctx context.Context, r *request, c Completion, emit func(cfvopenai.Answer) error) (Reply, error) {
-	check := cfvstream.New(c.RequestID)
+	check := cfvstream.New(r.wireID)
 	for {
 		reply, err := s.completeOnce(ctx, r, c, check, emit)
 		if err == nil {
@@ -186,7 +188,7 @@
 		return cfvforward.Call{}, cfverror.NotRun(cfverror.ReasonBadRequest, "%v", err)
 	}
 	return cfvforward.Call{
-		RequestID: c.RequestID, Address: slot.Grant.Address, Method: http.MethodPost, Path: c.Path,
+		RequestID: r.wireID, Address: slot.Grant.Address, Method: http.MethodPost, Path: c.Path,
 		Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Silence: r.service.Silence,
 		Seen: func(m cfvforward.Meta) { slot.Seen(m.BootID) },
 	}, nil
@@ -196,7 +198,7 @@
 	began := time.Now()
 	if !c.Request.Stream {
 		a, err := s.cfg.Forward.Whole(ctx, call, r.service.Limit)
-		reply := Reply{Status: a.Status, Header: a.Header, Body: a.Body, First: time.Since(began), Version: a.Meta.Version}
+		reply := Reply{Status: a.Status, Header: a.Header, Body: cfvopenai.Rename(a.Body, c.RequestID, c.Service.Name), First: time.Since(began), Version: a.Meta.Version}
 		return reply, a.Meta, failed(a, err)
 	}
 	var reply Reply
@@ -208,7 +210,7 @@
 		if chunk.Usage != nil {
 			last = chunk.Usage
 		}
-		chunk.Model = c.Service.Name
+		chunk.ID, chunk.Model = c.RequestID, c.Service.Name
 		return emit(chunk)
 	})
 	s.learn(r, reply, last)
--- a/io/cfvserve/server.go
+++ b/io/cfvserve/server.go
@@ -85,7 +85,8 @@
 
 // request is one request while it is handled.
 type request struct {
-	id        string
+	id        string // the caller's
+	wireID    string // ours, which no other request has: endpoints echo it
 	workspace cfvcatalog.Workspace
 	service   cfvcatalog.Service
 	scope     cfvprompt.Scope
