Give the engine stand-in cache events and a weight store

Cache events come late and with gaps in their sequence; loads of weights beyond a bound at once take longer. Nothing of the system reads the events.

--- a/standins/cfvfakeengine/completion.go
+++ b/standins/cfvfakeengine/completion.go
@@ -120,6 +120,7 @@
 		return false
 	}
 	e.cache.add(keys)
+	e.events.add(keys[hit:])
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stats.Prefilled += r.prompt - r.cached
--- a/standins/cfvfakeengine/engine.go
+++ b/standins/cfvfakeengine/engine.go
@@ -32,7 +32,10 @@
 	LoadLag         time.Duration
 	CrashOn         string // a prompt with this text crashes the engine
 	EnforceFencing  bool
-	LoadFor         time.Duration // how long loading weights takes
+	LoadFor         time.Duration // how long loading weights takes without a weight store
+	Weights         *Weights      // the weight store, shared between engines; nil for none
+	EventLag        time.Duration // age at which cache events are shown
+	EventGap        int           // every so many cache events one is lost; 0 for none
 	Vary            Behaviours
 }
 
@@ -55,10 +58,11 @@
 
 // Engine is one model engine.
 type Engine struct {
-	cfg   Config
-	fault cfvfault.Switch
-	cache *cache
-	batch *batch
+	cfg    Config
+	fault  cfvfault.Switch
+	cache  *cache
+	events *events
+	batch  *batch
 
 	mu      sync.Mutex
 	boot    int
@@ -83,6 +87,7 @@
 func New(cfg Config) *Engine {
 	e := &Engine{cfg: cfg, version: cfg.Version, cache: newCache(cfg.CacheBlocks), batch: newBatch(cfg.MaxBatch)}
 	e.served = make(map[string]int)
+	e.events = &events{lag: cfg.EventLag, gapEvery: cfg.EventGap}
 	e.start()
 	return e
 }
@@ -135,6 +140,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
 	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
 	mux.HandleFunc("GET /load", e.serveLoad)
+	mux.Handle("GET /events", e.events)
 	mux.HandleFunc("POST /orders/version", e.serveVersionOrder)
 	mux.Handle("POST /fault", &e.fault)
 	mux.HandleFunc("POST /restart", func(w http.ResponseWriter, _ *http.Request) { e.Restart() })
@@ -252,7 +258,12 @@
 func (e *Engine) load(version string) {
 	e.loading = true
 	boot := e.boot
-	time.AfterFunc(e.cfg.LoadFor, func() {
+	length, end := e.cfg.LoadFor, func() {}
+	if e.cfg.Weights != nil {
+		length, end = e.cfg.Weights.begin()
+	}
+	time.AfterFunc(length, func() {
+		end()
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.loading = false
--- a/standins/main.go
+++ b/standins/main.go
@@ -66,6 +66,9 @@
 	Blocks    int           `long:"blocks" default:"256" description:"blocks in the prefix cache"`
 	Lag       time.Duration `long:"lag" default:"500ms" description:"age of load reports"`
 	CrashOn   string        `long:"crash-on" description:"text of a prompt that crashes the engine"`
+	LoadFor   time.Duration `long:"load-for" default:"400ms" description:"time of loading weights"`
+	EventLag  time.Duration `long:"event-lag" default:"1s" description:"age at which cache events are shown"`
+	EventGap  int           `long:"event-gap" default:"50" description:"every so many cache events one is lost"`
 	Fencing   bool          `long:"fencing" description:"refuse orders with an old fencing number"`
 }
 
@@ -75,6 +78,7 @@
 		Name: c.Name, Version: c.Version, PrefillPerToken: c.Prefill, DecodePerToken: c.Decode, MaxBatch: c.Batch,
 		ColdBears: c.ColdBears, ColdFor: c.ColdFor, ColdFactor: 3, CacheBlocks: c.Blocks, LoadLag: c.Lag,
 		CrashOn: c.CrashOn, EnforceFencing: c.Fencing,
+		LoadFor: c.LoadFor, EventLag: c.EventLag, EventGap: c.EventGap,
 	}).Handler())
 }
 
