--- a/commands/root.go
+++ b/commands/root.go
@@ -48,6 +48,7 @@
 		data              any
 	}{
 		{"serve", "Run a node", "Runs an entry VM's node until SIGTERM, then stops it gracefully.\n\nExample: coltsfootvalve serve --settings node.json", &serveCommand{con: con}},
+		{"entry", "Run an entry on the hosting platform", "Runs an entry on the platform whose settings file the environment names, until SIGTERM.\n\nExample: coltsfootvalve entry --log-success 100", &entryCommand{con: con}},
 		{"check", "Check a settings file", "Checks a node's settings file and names the field at fault.\n\nExample: coltsfootvalve check --settings node.json", &checkCommand{con: con}},
 		{"version", "Print the version", "Prints the version of the program.\n\nExample: coltsfootvalve version", &versionCommand{con: con}},
 		{"status", "Show a node's state", "Shows members, endpoints and settings revision as a node sees them.\n\nExample: coltsfootvalve status --node http://127.0.0.1:7003", &statusCommand{con: con}},
--- a/common/cfvlog/logger.go
+++ b/common/cfvlog/logger.go
@@ -57,3 +57,13 @@
 	zerolog.SetGlobalLevel(level)
 	return nil
 }
+
+// Say logs a sentence with named values: pairs of a name and a value.
+func (l Logger) Say(sentence string, pairs ...any) {
+	l.inner.Info().Fields(pairs).Msg(l.prefix + sentence)
+}
+
+// Alarm logs a sentence that an operator may act on with named values.
+func (l Logger) Alarm(sentence string, pairs ...any) {
+	l.inner.Warn().Fields(pairs).Msg(l.prefix + sentence)
+}
--- /dev/null
+++ b/core/cfvdispatch/dispatcher.go
@@ -0,0 +1,339 @@
+// Package cfvdispatch chooses the endpoint of each request at one entry: by cached prompt
+// parts, by what runs there, by what a cold endpoint bears and by what was seen to fail.
+package cfvdispatch
+
+import (
+	"math"
+	"time"
+
+	"coltsfootvalve/core/cfvfleet"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Figures of the choice. An endpoint's score is the time until it answers, as far as the
+// entry can tell, in milliseconds.
+const (
+	readTokensPerMs = 60.0  // prompt tokens read in a millisecond; the platform's engines read 64 and 93
+	runningMs       = 6.0   // what one running request adds to the others
+	missFactor      = 4.0   // reading a shared part again also takes time from all other requests there
+	oldWeightsMs    = 250.0 // answers on replaced weights lose a share of their worth
+	failingMs       = 400.0 // an endpoint that fails while its health is good
+	coldMs          = 60.0  // a cold endpoint, so that warm ones go first
+	domainMs        = 1.0   // another failure domain
+)
+
+// Query is what the choice depends on beside the dispatcher's own knowledge.
+type Query struct {
+	Endpoints   []*cfvfleet.Endpoint // usable ones of the service
+	ColdUntil   func(id string) time.Duration
+	ColdPerSec  float64 // what a cold endpoint bears; 0: no limit
+	Affinity    string  // shared parts; empty: none
+	Tokens      int     // of the prompt
+	Shared      int     // tokens of the shared parts
+	Stored      bool    // a store holds the shared parts
+	Model       string
+	Wanted      int64 // newest weights; 0: not named
+	RefuseOld   bool  // older weights may not begin any more
+	PreferNew   bool  // older weights lose worth
+	Domain      string
+	Exclude     map[string]bool // endpoints that rejected the request
+	MaxPerEntry int             // most requests of this entry at one endpoint; 0: no bound
+}
+
+// Choice is where a request goes.
+type Choice struct {
+	Endpoint *cfvfleet.Endpoint
+	Primary  *cfvfleet.Endpoint // where its shared parts are most likely cached; may be nil
+}
+
+// Reason says why no endpoint was chosen.
+type Reason int
+
+// The reasons for no choice.
+const (
+	Chosen Reason = iota
+	NoneKnown
+	AllCold
+	AllFull
+	AllOld
+)
+
+// state is what the entry knows of one endpoint by its own requests.
+type state struct {
+	inc       cfvfleet.Incarnation
+	running   int
+	tokens    int // prompt tokens not yet answered
+	peers     Load
+	down      time.Duration // not used before, unless nothing else is left
+	backoff   time.Duration
+	probing   bool
+	coldTo    time.Duration
+	coldSends []time.Duration
+	loadingTo time.Duration // weights are being loaded
+	weights   map[string]int64
+	outcomes  outcomes
+}
+
+// Load is what other entries have at an endpoint.
+type Load struct {
+	Running int
+	Tokens  int
+}
+
+// Dispatcher chooses endpoints. Times are durations on a clock that also runs while the
+// machine is suspended. It is not safe for concurrent use.
+type Dispatcher struct {
+	self    string
+	states  map[string]*state
+	entries []string
+}
+
+// New returns the dispatcher of the named entry.
+func New(self string) *Dispatcher {
+	return &Dispatcher{self: self, states: make(map[string]*state), entries: []string{self}}
+}
+
+// SetEntries says which entries share the endpoints.
+func (d *Dispatcher) SetEntries(names []string) {
+	if len(names) > 0 {
+		d.entries = names
+	}
+}
+
+// of returns the state of an endpoint, anew for each start of its process.
+func (d *Dispatcher) of(e *cfvfleet.Endpoint) *state {
+	s := d.states[e.ID]
+	if s == nil || s.inc != e.Incarnation() {
+		running, tokens := 0, 0
+		if s != nil {
+			running, tokens = s.running, s.tokens
+		}
+		s = &state{inc: e.Incarnation(), running: running, tokens: tokens, weights: make(map[string]int64)}
+		d.states[e.ID] = s
+	}
+	return s
+}
+
+// Keep drops the states of all endpoints but the given ones.
+func (d *Dispatcher) Keep(endpoints []*cfvfleet.Endpoint) {
+	keep := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		keep[e.ID] = true
+	}
+	for id, s := range d.states {
+		if !keep[id] && s.running == 0 {
+			delete(d.states, id)
+		}
+	}
+}
+
+// Choose returns the endpoint of a request, or why there is none. U is a random number in
+// [0, 1) that breaks ties.
+func (d *Dispatcher) Choose(now time.Duration, q Query, u float64) (c Choice, why Reason) {
+	why = NoneKnown
+	best, second := math.Inf(1), math.Inf(1)
+	var spare *cfvfleet.Endpoint // in doubt, but better than none
+	c.Primary = d.primary(now, q)
+	for _, e := range q.Endpoints {
+		if q.Exclude[e.ID] {
+			continue
+		}
+		s := d.of(e)
+		if q.RefuseOld && d.Version(e, q.Model) < q.Wanted {
+			why = max(why, AllOld)
+			continue
+		}
+		if q.MaxPerEntry > 0 && s.running >= q.MaxPerEntry {
+			why = max(why, AllFull)
+			continue
+		}
+		if !d.bears(now, e, s, q) {
+			why = max(why, AllCold)
+			continue
+		}
+		score := d.score(now, e, s, q, c.Primary) + tie(q.Affinity, e.ID, u)
+		if now < s.down {
+			if score < second {
+				second, spare = score, e
+			}
+			continue
+		}
+		if score < best {
+			best, c.Endpoint = score, e
+		}
+	}
+	if c.Endpoint == nil {
+		c.Endpoint = spare
+	}
+	if c.Endpoint != nil {
+		return c, Chosen
+	}
+	return c, why
+}
+
+// primary returns the endpoint that the shared parts of a prompt belong to.
+func (d *Dispatcher) primary(now time.Duration, q Query) *cfvfleet.Endpoint {
+	if q.Affinity == "" {
+		return nil
+	}
+	var best *cfvfleet.Endpoint
+	var high uint64
+	for _, e := range q.Endpoints {
+		if now < d.of(e).down {
+			continue
+		}
+		if h := xxhash.Sum64String(q.Affinity + "\x00" + e.ID); best == nil || h > high {
+			best, high = e, h
+		}
+	}
+	return best
+}
+
+// tie prefers the same endpoint for the same shared parts, and any for others, by less
+// than a millisecond.
+func tie(affinity, id string, u float64) float64 {
+	h := xxhash.Sum64String(affinity + "\x00" + id)
+	if affinity == "" {
+		h += uint64(u * math.MaxUint64)
+	}
+	return 1 - float64(h>>11)/(1<<53)
+}
+
+// score estimates the milliseconds until the endpoint answers.
+func (d *Dispatcher) score(now time.Duration, e *cfvfleet.Endpoint, s *state, q Query, primary *cfvfleet.Endpoint) float64 {
+	ms := float64(s.tokens+s.peers.Tokens)/readTokensPerMs + float64(s.running+s.peers.Running)*runningMs*float64(1)
+	if q.Affinity != "" && primary != nil && e.ID != primary.ID {
+		miss := float64(q.Shared) / readTokensPerMs
+		if !q.Stored {
+			miss *= missFactor
+		}
+		ms += miss
+	}
+	if q.PreferNew && d.Version(e, q.Model) < q.Wanted {
+		ms += oldWeightsMs
+	}
+	if now < s.loadingTo {
+		ms += oldWeightsMs
+	}
+	if d.coldUntil(e, s, q) > now {
+		ms += coldMs
+	}
+	if e.Domain != q.Domain {
+		ms += domainMs
+	}
+	return ms + s.outcomes.excess(now)*failingMs
+}
+
+func (d *Dispatcher) coldUntil(e *cfvfleet.Endpoint, s *state, q Query) time.Duration {
+	t := s.coldTo
+	if q.ColdUntil != nil {
+		t = max(t, q.ColdUntil(e.ID))
+	}
+	return t
+}
+
+// bears reports whether a cold endpoint may get one more request of this entry now.
+func (d *Dispatcher) bears(now time.Duration, e *cfvfleet.Endpoint, s *state, q Query) bool {
+	if q.ColdPerSec <= 0 || d.coldUntil(e, s, q) <= now && now >= s.down {
+		return true
+	}
+	return s.recent(now) < d.coldShare(e.ID, q.ColdPerSec)
+}
+
+// coldWindow is the span over which a cold endpoint's requests are bounded.
+const coldWindow = time.Second
+
+// recent returns the requests sent to the endpoint within the last second.
+func (s *state) recent(now time.Duration) int {
+	for len(s.coldSends) > 0 && now-s.coldSends[0] >= coldWindow {
+		s.coldSends = s.coldSends[1:]
+	}
+	return len(s.coldSends)
+}
+
+// coldShare returns how many requests a second this entry may send to a cold endpoint, so
+// that all entries together stay within what it bears. Where there are more entries than
+// that, only those with the highest hash have a share.
+func (d *Dispatcher) coldShare(id string, perSec float64) int {
+	n := len(d.entries)
+	if share := int(perSec) / n; share >= 2 {
+		return share
+	}
+	holders := max(int(perSec)/2, 1)
+	mine := xxhash.Sum64String(d.self + "\x00" + id)
+	above := 0
+	for _, name := range d.entries {
+		if name != d.self && xxhash.Sum64String(name+"\x00"+id) > mine {
+			above++
+		}
+	}
+	if above < holders {
+		return min(int(perSec), 2)
+	}
+	return 0
+}
+
+// Version returns the version of a model's weights that an endpoint is believed to run.
+func (d *Dispatcher) Version(e *cfvfleet.Endpoint, model string) int64 {
+	return max(d.of(e).weights[model], e.Weights[model])
+}
+
+// Start notes that a request was sent.
+func (d *Dispatcher) Start(now time.Duration, e *cfvfleet.Endpoint, tokens int) {
+	s := d.of(e)
+	s.running++
+	s.tokens += tokens
+	s.coldSends = append(s.coldSends, now)
+	s.recent(now)
+}
+
+// Answered notes that the endpoint has read the prompt.
+func (d *Dispatcher) Answered(e *cfvfleet.Endpoint, tokens int) {
+	if s := d.states[e.ID]; s != nil {
+		s.tokens = max(s.tokens-tokens, 0)
+	}
+}
+
+// Finish notes that a request is over.
+func (d *Dispatcher) Finish(e *cfvfleet.Endpoint) {
+	if s := d.states[e.ID]; s != nil {
+		s.running = max(s.running-1, 0)
+	}
+}
+
+// Loaded notes which weights an endpoint said that it runs.
+func (d *Dispatcher) Loaded(e *cfvfleet.Endpoint, model string, version int64) {
+	s := d.of(e)
+	s.weights[model] = max(s.weights[model], version)
+	s.loadingTo = 0
+}
+
+// Loading notes that an endpoint refuses requests while it loads weights.
+func (d *Dispatcher) Loading(e *cfvfleet.Endpoint, until time.Duration) { d.of(e).loadingTo = until }
+
+// Running returns what this entry has at an endpoint.
+func (d *Dispatcher) Running(id string) Load {
+	if s := d.states[id]; s != nil {
+		return Load{s.running, s.tokens}
+	}
+	return Load{}
+}
+
+// Loads returns what this entry has at all endpoints where it has something.
+func (d *Dispatcher) Loads() map[string]Load {
+	out := make(map[string]Load)
+	for id, s := range d.states {
+		if s.running > 0 || s.tokens > 0 {
+			out[id] = Load{s.running, s.tokens}
+		}
+	}
+	return out
+}
+
+// SetPeers says what all other entries have at the endpoints.
+func (d *Dispatcher) SetPeers(loads map[string]Load) {
+	for id, s := range d.states {
+		s.peers = loads[id]
+	}
+}
--- /dev/null
+++ b/core/cfvparts/catalog.go
@@ -0,0 +1,245 @@
+// Package cfvparts knows which parts of prompts the stores hold, where a new part is saved
+// and when a part may be freed. A part is named by its salt, which holds the version of the
+// weights, so that a part of older weights is never found.
+package cfvparts
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key names a part in a store.
+type Key struct {
+	Salt string
+	Part string
+}
+
+// Event says that a store now holds a part completely, or no longer.
+type Event struct {
+	Salt    string
+	Part    string
+	Tokens  int
+	Removed bool
+}
+
+// Batch is what a store told at once.
+type Batch struct {
+	Epoch       int64 // changes when the store restarts, empty
+	Next        int64 // where to go on
+	Lost        bool  // events before these are missing
+	Full        bool  // a listing of everything
+	Events      []Event
+	ClockMillis int64 // the store's clock; 0: not said
+}
+
+// Store is what is fixed about a store.
+type Store struct {
+	Addr   string
+	Domain string
+	Tokens int // capacity
+}
+
+// shelf is what is believed of one store.
+type shelf struct {
+	store Store
+	epoch int64
+	known bool // false until a batch has told what it holds
+	held  map[Key]int
+	used  int
+	wants map[Key]want          // saves under way
+	freed map[Key]time.Duration // parts that are about to be freed
+	clock int64                 // the store's clock in milliseconds, as of clockAt
+	at    time.Duration
+}
+
+// want is a save under way.
+type want struct {
+	begun  time.Duration
+	tokens int
+}
+
+// saveTime is how long a save may take before it counts as lost: transfers that would wait
+// over two seconds are not started.
+const saveTime = 3 * time.Second
+
+// fillShare is the share of a store's capacity up to which parts are saved; the rest is
+// left for parts that are being written and for blocks that are not filled.
+const fillShare = 0.95
+
+// Catalog is the knowledge of one entry. Times are durations on a clock that also runs
+// while the machine is suspended. It is not safe for concurrent use.
+type Catalog struct {
+	shelves map[string]*shelf
+}
+
+// NewCatalog returns an empty catalogue.
+func NewCatalog() *Catalog { return &Catalog{shelves: make(map[string]*shelf)} }
+
+// SetStores says which stores there are.
+func (c *Catalog) SetStores(stores []Store) {
+	keep := make(map[string]bool)
+	for _, s := range stores {
+		keep[s.Addr] = true
+		if have := c.shelves[s.Addr]; have != nil {
+			have.store = s
+			continue
+		}
+		c.shelves[s.Addr] = newShelf(s)
+	}
+	for addr := range c.shelves {
+		if !keep[addr] {
+			delete(c.shelves, addr)
+		}
+	}
+}
+
+func newShelf(s Store) *shelf {
+	return &shelf{store: s, held: make(map[Key]int), wants: make(map[Key]want), freed: make(map[Key]time.Duration)}
+}
+
+// Addrs returns the addresses of all stores, sorted.
+func (c *Catalog) Addrs() []string {
+	var out []string
+	for addr := range c.shelves {
+		out = append(out, addr)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Apply takes what a store told. It reports false if the catalogue must be filled from a
+// listing: the store restarted, or events were lost.
+func (c *Catalog) Apply(now time.Duration, addr string, b Batch) bool {
+	s := c.shelves[addr]
+	if s == nil {
+		return true
+	}
+	if b.Full || b.Epoch != s.epoch {
+		fresh := newShelf(s.store)
+		fresh.epoch = b.Epoch
+		*s = *fresh
+	}
+	s.clock, s.at = b.ClockMillis, now
+	for _, e := range b.Events {
+		k := Key{e.Salt, e.Part}
+		s.used -= s.held[k]
+		delete(s.held, k)
+		delete(s.wants, k)
+		if e.Removed || e.Tokens <= 0 {
+			delete(s.freed, k)
+			continue
+		}
+		s.held[k] = e.Tokens
+		s.used += e.Tokens
+	}
+	if b.Full {
+		s.known = true
+	}
+	return s.known && !b.Lost
+}
+
+// Forget drops what is believed of a store that does not answer: it may have restarted.
+func (c *Catalog) Forget(addr string) {
+	if s := c.shelves[addr]; s != nil {
+		*s = *newShelf(s.store)
+	}
+}
+
+// Find returns the address of a store that holds all tokens of a part; empty: none is
+// known to. Where several do, one in the given failure domain goes first.
+func (c *Catalog) Find(k Key, tokens int, domain string) string {
+	best := ""
+	for _, addr := range c.Addrs() {
+		s := c.shelves[addr]
+		if !s.known || s.held[k] < tokens || tokens <= 0 {
+			continue
+		}
+		if _, going := s.freed[k]; going {
+			continue
+		}
+		if best == "" || s.store.Domain == domain {
+			best = addr
+		}
+	}
+	return best
+}
+
+// Target returns the store that should keep a part, and notes that it is being saved;
+// empty: it has no room, or the part is kept or being saved already.
+func (c *Catalog) Target(now time.Duration, k Key, tokens int) string {
+	var best *shelf
+	score := math.Inf(-1)
+	for _, s := range c.shelves {
+		if s.store.Tokens <= 0 {
+			continue
+		}
+		// Rendezvous hashing weighted by capacity, so that all entries choose alike.
+		u := (float64(xxhash.Sum64String(s.store.Addr+"\x00"+k.Part)>>11) + 0.5) / (1 << 53)
+		if w := -float64(s.store.Tokens) / math.Log(u); w > score {
+			best, score = s, w
+		}
+	}
+	if best == nil || !best.known || best.held[k] >= tokens {
+		return ""
+	}
+	if w, ok := best.wants[k]; ok && now-w.begun < saveTime {
+		return ""
+	}
+	if float64(best.used+best.pending(now)+tokens) > fillShare*float64(best.store.Tokens) {
+		return ""
+	}
+	best.wants[k] = want{now, tokens}
+	return best.store.Addr
+}
+
+// pending returns a bound on the tokens of saves under way, and drops the lost ones.
+func (s *shelf) pending(now time.Duration) int {
+	n := 0
+	for k, w := range s.wants {
+		if now-w.begun >= saveTime {
+			delete(s.wants, k)
+			continue
+		}
+		n += w.tokens
+	}
+	return n
+}
+
+// Outdated returns parts of a store for which old says so, at most n, and the store's
+// epoch. They are no longer found from now on.
+func (c *Catalog) Outdated(now time.Duration, addr string, n int, old func(salt string) bool) (keys []Key, epoch int64) {
+	s := c.shelves[addr]
+	if s == nil || !s.known {
+		return nil, 0
+	}
+	for k := range s.held {
+		if len(keys) == n {
+			break
+		}
+		if old(k.Salt) {
+			keys = append(keys, k)
+			s.freed[k] = now
+		}
+	}
+	return keys, s.epoch
+}
+
+// Clock returns the stores' clock in milliseconds, or 0 where none has told it.
+func (c *Catalog) Clock(now time.Duration, addr string) int64 {
+	s := c.shelves[addr]
+	if s == nil || s.clock == 0 {
+		return 0
+	}
+	return s.clock + (now - s.at).Milliseconds()
+}
+
+// Held returns how many parts and tokens a store is believed to hold.
+func (c *Catalog) Held(addr string) (parts, tokens int) {
+	if s := c.shelves[addr]; s != nil {
+		return len(s.held), s.used
+	}
+	return 0, 0
+}
--- /dev/null
+++ b/io/cfvduty/duty.go
@@ -0,0 +1,401 @@
+// Package cfvduty lets one entry at a time give orders to endpoints: to load newly named
+// weights, and to free cache parts of replaced ones. The duty is a lease in the platform's
+// store; the revision of the item that names its holder is the fencing token.
+package cfvduty
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"coltsfootvalve/common/cfvclock"
+	"coltsfootvalve/common/cfvlog"
+	"coltsfootvalve/core/cfvcall"
+	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvmirror"
+	"coltsfootvalve/core/cfvparts"
+	"coltsfootvalve/core/cfvweights"
+	"coltsfootvalve/io/cfvbelief"
+)
+
+// Figures of the duty.
+const (
+	step        = 100 * time.Millisecond
+	leaseTime   = 2500 * time.Millisecond
+	renewEvery  = 800 * time.Millisecond
+	leaseMargin = 600 * time.Millisecond // no order is given this long before the lease ends
+	contention  = 500 * time.Millisecond // entries wait up to this long before they take a free duty
+	freeAfter   = 7 * time.Second        // no fetch of a replaced part can be under way any more
+	freeEvery   = 500 * time.Millisecond
+	freeAtOnce  = 64
+	loadsShare  = 6 // one in so many endpoints loads at once
+	leastLoads  = 2
+)
+
+// Store is what the duty needs of the platform's store.
+type Store struct {
+	Grant    func(ctx context.Context, ttl time.Duration) (lease int64, granted time.Duration, err error)
+	Renew    func(ctx context.Context, lease int64) error
+	End      func(ctx context.Context, lease int64) error
+	Take     func(ctx context.Context, lease int64, holder []byte) (revision int64, err error)
+	Record   func(ctx context.Context, fence int64, record []byte) error
+	NoLease  error
+	Conflict error
+}
+
+// Config configures a Duty.
+type Config struct {
+	Self      string
+	Store     Store
+	Holder    func() (cfvmirror.Record, bool) // the item that names the holder
+	LastGiver func() (cfvmirror.Record, bool) // the item that Record writes
+	Belief    *cfvbelief.Belief
+	Version   func(e *cfvfleet.Endpoint, model string) int64
+	Loaded    func(e *cfvfleet.Endpoint, model string, version int64)
+	Running   func(id string) int
+	Report    func(ctx context.Context, addr, id string) (cfvweights.Report, error)
+	Load      func(ctx context.Context, addr, id string, o cfvweights.Order) (cfvweights.Result, error)
+	Free      func(ctx context.Context, addr string, epoch int64, parts []cfvparts.Key) error
+	Catalog   func(func(c *cfvparts.Catalog))
+	Pause     time.Duration // between the orders of two givers
+	Now       func() time.Duration
+	Log       cfvlog.Logger
+	Count     func(name string, n int64)
+}
+
+// Duty takes the duty when it is free and does it while it holds it.
+type Duty struct {
+	cfg       Config
+	lease     int64
+	fence     int64 // 0: not held
+	until     time.Duration
+	renewed   time.Duration
+	mayGive   time.Duration // orders of the holder before may still be under way until then
+	freeSince time.Duration
+	delay     time.Duration
+	recorded  map[string]int64 // versions for which a record was written under this fence
+	plans     map[string]*cfvweights.Plan
+	freed     time.Duration
+	results   chan result
+}
+
+// result is how an order ended.
+type result struct {
+	model    string
+	endpoint *cfvfleet.Endpoint
+	result   cfvweights.Result
+	fence    int64
+}
+
+// maxResults is how many results wait to be read; more orders are never under way.
+const maxResults = 1024
+
+// record names who gives orders for which versions.
+type record struct {
+	Giver    string           `json:"giver"`
+	Versions map[string]int64 `json:"versions"`
+}
+
+// New returns a duty that is not held.
+func New(cfg Config) *Duty {
+	return &Duty{cfg: cfg, plans: make(map[string]*cfvweights.Plan), results: make(chan result, maxResults)}
+}
+
+// Run takes and does the duty until the context ends, and then gives it up.
+func (d *Duty) Run(ctx context.Context) {
+	cfvclock.Every(ctx, step, d.turn)
+	if d.fence == 0 {
+		return
+	}
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	if err := d.cfg.Store.End(end, d.lease); err != nil {
+		d.cfg.Log.Alarm("the duty could not be given up and runs out", "error", err.Error())
+		return
+	}
+	d.cfg.Log.Say("the duty was given up", "fence", d.fence)
+}
+
+func (d *Duty) turn(ctx context.Context) {
+	if d.fence == 0 {
+		d.tryTake(ctx)
+		return
+	}
+	d.renew(ctx)
+	d.takeResults()
+	if !d.holds() {
+		return
+	}
+	d.giveOrders(ctx)
+	d.freeParts(ctx)
+}
+
+// holds reports whether the lease surely holds for the time of an order.
+func (d *Duty) holds() bool { return d.fence != 0 && d.cfg.Now() < d.until-leaseMargin }
+
+// tryTake takes the duty if nobody holds it.
+func (d *Duty) tryTake(ctx context.Context) {
+	now := d.cfg.Now()
+	age, known := d.cfg.Belief.Age()
+	if _, held := d.cfg.Holder(); held || !known || age > leaseTime {
+		d.freeSince = 0
+		return
+	}
+	if d.freeSince == 0 {
+		d.freeSince, d.delay = now, time.Duration(rand.Int64N(int64(contention)))
+	}
+	if now-d.freeSince < d.delay {
+		return
+	}
+	d.freeSince = 0
+	lease, ttl, err := d.cfg.Store.Grant(ctx, leaseTime)
+	if err != nil {
+		d.cfg.Log.Alarm("no lease for the duty", "error", err.Error())
+		return
+	}
+	holder, err := json.Marshal(d.cfg.Self)
+	if err != nil {
+		d.cfg.Log.Alarm("the duty's item can't be written", "error", err.Error())
+		return
+	}
+	fence, err := d.cfg.Store.Take(ctx, lease, holder)
+	if err != nil {
+		d.cfg.Log.Say("the duty was not taken", "error", err.Error())
+		if end := d.cfg.Store.End(ctx, lease); end != nil {
+			d.cfg.Log.Alarm("a lease could not be given up and runs out", "error", end.Error())
+		}
+		return
+	}
+	d.lease, d.fence, d.until, d.renewed = lease, fence, now+ttl, now
+	d.recorded = make(map[string]int64)
+	d.plans = make(map[string]*cfvweights.Plan)
+	d.mayGive = now + d.pause(now)
+	d.cfg.Log.Say("the duty was taken", "fence", fence, "ordersInMillis", (d.mayGive - now).Milliseconds())
+}
+
+// pause returns how long to wait since the holder before may have given orders just now.
+func (d *Duty) pause(time.Duration) time.Duration {
+	item, ok := d.cfg.LastGiver()
+	if !ok {
+		return 0
+	}
+	var r record
+	if err := json.Unmarshal(item.Value, &r); err != nil {
+		d.cfg.Log.Alarm("the last giver's item can't be read", "error", err.Error())
+		return d.cfg.Pause
+	}
+	if r.Giver == d.cfg.Self {
+		return 0
+	}
+	unfinished := false
+	d.cfg.Belief.Read(func(v *cfvfleet.View) {
+		for model, version := range r.Versions {
+			// Orders are given only for weights that a record names.
+			unfinished = unfinished || d.cfg.Now()-v.Wanted(model).Since < d.cfg.Pause+leaseTime
+			for _, e := range v.All() {
+				if _, has := e.Weights[model]; has && d.cfg.Version(e, model) < version {
+					unfinished = true
+				}
+			}
+		}
+	})
+	if unfinished {
+		return d.cfg.Pause
+	}
+	return 0
+}
+
+// renew extends the lease, or notes that it has ended.
+func (d *Duty) renew(ctx context.Context) {
+	now := d.cfg.Now()
+	if now >= d.until {
+		d.lose("the lease ran out")
+		return
+	}
+	if now-d.renewed < renewEvery {
+		return
+	}
+	err := d.cfg.Store.Renew(ctx, d.lease)
+	switch {
+	case errors.Is(err, d.cfg.Store.NoLease):
+		d.lose("the store no longer knows the lease")
+	case err != nil:
+		d.cfg.Log.Alarm("the duty could not be renewed", "error", err.Error(), "leftMillis", (d.until - now).Milliseconds())
+		d.renewed = now - renewEvery + step
+	default:
+		d.renewed, d.until = now, now+leaseTime
+	}
+}
+
+func (d *Duty) lose(why string) {
+	d.cfg.Log.Alarm("the duty was lost", "fence", d.fence, "why", why)
+	d.fence = 0
+}
+
+// giveOrders orders endpoints with replaced weights to load the newest.
+func (d *Duty) giveOrders(ctx context.Context) {
+	now := d.cfg.Now()
+	if now < d.mayGive {
+		return
+	}
+	type job struct {
+		model   string
+		version int64
+		targets []cfvweights.Target
+		byID    map[string]*cfvfleet.Endpoint
+	}
+	var jobs []job
+	d.cfg.Belief.Read(func(v *cfvfleet.View) {
+		for _, model := range v.Models() {
+			j := job{model: model, version: v.Wanted(model).Version, byID: make(map[string]*cfvfleet.Endpoint)}
+			for _, e := range v.All() {
+				if _, has := e.Weights[model]; !has {
+					continue
+				}
+				j.byID[e.ID] = e
+				j.targets = append(j.targets, cfvweights.Target{
+					ID: e.ID, Born: e.Born, Version: d.cfg.Version(e, model), Leaving: e.Leaving, Running: d.cfg.Running(e.ID),
+				})
+			}
+			jobs = append(jobs, j)
+		}
+	})
+	for _, j := range jobs {
+		plan := d.plans[j.model]
+		if plan == nil {
+			plan = cfvweights.NewPlan(max(leastLoads, len(j.targets)/loadsShare))
+			d.plans[j.model] = plan
+		}
+		due := plan.Next(now, j.version, j.targets)
+		if len(due) == 0 {
+			continue
+		}
+		if !d.announce(ctx, j.model, j.version) {
+			return
+		}
+		for _, t := range due {
+			go d.order(ctx, j.byID[t.ID], d.until-leaseMargin, cfvweights.Order{Model: j.model, Version: j.version, Mode: cfvweights.Retain, Fence: d.fence})
+		}
+	}
+}
+
+// announce writes, before the first order for a version, that this holder gives it. It
+// reports whether orders may be given.
+func (d *Duty) announce(ctx context.Context, model string, version int64) bool {
+	if d.recorded[model] == version {
+		return true
+	}
+	r := record{Giver: d.cfg.Self, Versions: map[string]int64{model: version}}
+	for m, v := range d.recorded {
+		if m != model {
+			r.Versions[m] = v
+		}
+	}
+	data, err := json.Marshal(r)
+	if err == nil {
+		err = d.cfg.Store.Record(ctx, d.fence, data)
+	}
+	if errors.Is(err, d.cfg.Store.Conflict) {
+		d.lose("another entry holds it")
+		return false
+	}
+	if err != nil {
+		d.cfg.Log.Alarm("orders can't be announced", "model", model, "version", version, "error", err.Error())
+		return false
+	}
+	d.recorded[model] = version
+	return d.holds()
+}
+
+// order gives one order, unless its time is over.
+func (d *Duty) order(ctx context.Context, e *cfvfleet.Endpoint, until time.Duration, o cfvweights.Order) {
+	res := result{model: o.Model, endpoint: e, fence: o.Fence, result: cfvweights.Unknown}
+	defer func() { d.results <- res }()
+	report, err := d.cfg.Report(ctx, e.Addr, e.ID)
+	if err != nil {
+		d.cfg.Log.Say("an endpoint did not tell its weights", "endpoint", e.ID, "error", err.Error())
+		return
+	}
+	if have := report.Versions[o.Model]; have >= o.Version {
+		d.cfg.Loaded(e, o.Model, have)
+		res.result = cfvweights.Done
+		return
+	}
+	if report.Busy {
+		res.result = cfvweights.Busy
+		return
+	}
+	if d.cfg.Now() >= until {
+		res.result = cfvweights.Refused
+		return
+	}
+	o.After = report.Orders
+	d.cfg.Count("duty.orders", 1)
+	res.result, err = d.cfg.Load(ctx, e.Addr, e.ID, o)
+	pairs := []any{"endpoint", e.ID, "model", o.Model, "version", o.Version, "fence", o.Fence, "after", o.After, "result", res.result.String()}
+	if err != nil {
+		pairs = append(pairs, "error", err.Error())
+	}
+	d.cfg.Log.Say("an endpoint was ordered to load weights", pairs...)
+	if res.result == cfvweights.Done {
+		d.cfg.Loaded(e, o.Model, o.Version)
+	}
+}
+
+// takeResults hands results of orders to their plans.
+func (d *Duty) takeResults() {
+	for {
+		select {
+		case r := <-d.results:
+			if r.fence != d.fence {
+				continue
+			}
+			if r.result == cfvweights.Fenced {
+				d.lose("an endpoint has seen a higher fencing token")
+				continue
+			}
+			if plan := d.plans[r.model]; plan != nil {
+				plan.Ended(d.cfg.Now(), r.endpoint.ID, r.result)
+			}
+		default:
+			return
+		}
+	}
+}
+
+// freeParts frees cache parts of weights that were replaced a while ago.
+func (d *Duty) freeParts(ctx context.Context) {
+	now := d.cfg.Now()
+	if now-d.freed < freeEvery {
+		return
+	}
+	d.freed = now
+	current := make(map[string]cfvfleet.Wanted)
+	d.cfg.Belief.Read(func(v *cfvfleet.View) {
+		for _, m := range v.Models() {
+			current[m] = v.Wanted(m)
+		}
+	})
+	old := func(salt string) bool {
+		model, version, ok := cfvcall.SaltVersion(salt)
+		w, named := current[model]
+		return ok && named && version < w.Version && now-w.Since > freeAfter
+	}
+	var addrs []string
+	d.cfg.Catalog(func(c *cfvparts.Catalog) { addrs = c.Addrs() })
+	for _, addr := range addrs {
+		var keys []cfvparts.Key
+		var epoch int64
+		d.cfg.Catalog(func(c *cfvparts.Catalog) { keys, epoch = c.Outdated(now, addr, freeAtOnce, old) })
+		if len(keys) == 0 {
+			continue
+		}
+		if err := d.cfg.Free(ctx, addr, epoch, keys); err != nil {
+			d.cfg.Log.Say("parts could not be freed", "store", addr, "parts", len(keys), "error", err.Error())
+			continue
+		}
+		d.cfg.Count("duty.freed", int64(len(keys)))
+	}
+}
--- /dev/null
+++ b/io/cfventry/attempt.go
@@ -0,0 +1,518 @@
+package cfventry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"coltsfootvalve/common/cfverror"
+	"coltsfootvalve/core/cfvcall"
+	"coltsfootvalve/core/cfvdispatch"
+	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvparts"
+)
+
+// Figures of attempts.
+const (
+	maxArrivals   = 4       // endpoints that one request is offered to
+	maxBuffered   = 1 << 20 // a longer answer is passed on as it arrives
+	hedgeFactor   = 3       // a repeatable request is sent elsewhere after so many objectives
+	rejectedPause = 15 * time.Millisecond
+	loadingTime   = 500 * time.Millisecond  // an endpoint that rejects while it has room loads weights
+	oldWeightsIn  = 1200 * time.Millisecond // from then on older weights cost worth
+	oldWeightsEnd = 0.7                     // share of the bound from which older weights begin nothing
+	fetchTime     = 1500 * time.Millisecond // a fetch that takes longer is thrown away
+	comeBack      = 300 * time.Millisecond
+)
+
+// outcome is how an attempt ended.
+type outcome int
+
+const (
+	answered outcome = iota // the caller has its answer
+	again                   // not run there
+	broken                  // may have run there
+	left                    // the caller is gone
+	expired                 // the time is over
+)
+
+// run sends the request to endpoints until one answers.
+func (q *request) run() {
+	e := q.entry
+	e.mu.Lock()
+	e.budget(q.serviceName()).Request(e.cfg.Now())
+	e.mu.Unlock()
+	for {
+		if q.left() < leastLeft {
+			q.expire()
+			return
+		}
+		choice, d, refusal := q.choose()
+		if refusal != nil {
+			q.refuse(refusal)
+			return
+		}
+		if q.arrivals > 0 && !e.mayRepeat(q.service.Name, q.repeatReason()) {
+			q.giveUp(cfverror.ReasonRetryBudget, "the budget of repeats is spent")
+			return
+		}
+		switch q.attempt(choice, d) {
+		case answered:
+			return
+		case left:
+			q.refuse(&statusError{refusal: cfverror.Unknown(cfverror.ReasonCallerGone, "the caller left")})
+			return
+		case expired:
+			q.expire()
+			return
+		case again:
+			if q.arrivals >= maxArrivals {
+				q.giveUp(cfverror.ReasonEndpointsFull, "%d endpoints rejected the request", q.arrivals)
+				return
+			}
+		case broken:
+			if !q.route.Repeatable() || q.sent >= q.route.Attempts {
+				q.giveUp(cfverror.ReasonEndpointFailed, "the endpoint broke off")
+				return
+			}
+		}
+	}
+}
+
+func (q *request) repeatReason() cfverror.Reason {
+	if q.sent > 0 {
+		return cfverror.ReasonEndpointFailed
+	}
+	return cfverror.ReasonEndpointsFull
+}
+
+func (q *request) serviceName() string {
+	if q.service == nil {
+		q.service = q.index.Service(q.route.Pick(q.entry.cfg.Random()))
+		if q.service == nil {
+			q.service = &cfvfleet.Service{Name: q.route.Service}
+		}
+	}
+	return q.service.Name
+}
+
+// expire answers a request whose time is over.
+func (q *request) expire() {
+	if q.stream.begun() {
+		q.cut("the time limit is reached")
+		return
+	}
+	if q.sent == 0 {
+		q.refuse(q.later(comeBack, cfverror.ReasonTimeout, "the time limit is reached"))
+		return
+	}
+	q.refuse(&statusError{status: http.StatusGatewayTimeout, refusal: cfverror.Unknown(cfverror.ReasonTimeout, "the time limit is reached")})
+}
+
+// giveUp answers a request that is not sent again.
+func (q *request) giveUp(reason cfverror.Reason, format string, args ...any) {
+	if q.stream.begun() {
+		q.cut(fmt.Sprintf(format, args...))
+		return
+	}
+	if q.sent == 0 {
+		q.refuse(q.later(comeBack, reason, format, args...))
+		return
+	}
+	q.refuse(&statusError{status: http.StatusBadGateway, refusal: cfverror.Unknown(reason, format, args...)})
+}
+
+// cut ends a stream that has begun in a way that the caller can't take for its end.
+func (q *request) cut(why string) {
+	q.entry.cfg.Metrics.Refused(cfverror.ReasonAnswerTruncated)
+	q.entry.cfg.Log.Alarm("a stream was cut", q.facts("why", why)...)
+	panic(http.ErrAbortHandler)
+}
+
+// choose picks the endpoint and says what it is told.
+func (q *request) choose() (c cfvdispatch.Choice, d cfvcall.Directions, refusal *statusError) {
+	e := q.entry
+	now := e.cfg.Now()
+	query := q.query(now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c, why := e.dispatcher.Choose(now, query, e.cfg.Random())
+	if why != cfvdispatch.Chosen {
+		return c, d, q.noEndpoint(why, len(query.Endpoints))
+	}
+	d = q.directions(now, query, c)
+	e.dispatcher.Start(now, c.Endpoint, q.load())
+	return c, d, nil
+}
+
+// load is what the request adds to the prompt tokens that an endpoint has to read.
+func (q *request) load() int { return q.call.Prompt.Tokens }
+
+func (q *request) noEndpoint(why cfvdispatch.Reason, known int) *statusError {
+	reason, after := cfverror.ReasonNoEndpoint, comeBack
+	switch why {
+	case cfvdispatch.AllCold:
+		reason = cfverror.ReasonEndpointsCold
+	case cfvdispatch.AllFull:
+		reason = cfverror.ReasonEndpointsFull
+	case cfvdispatch.AllOld:
+		reason = cfverror.ReasonVersionMissing
+	}
+	if q.stream.begun() {
+		q.cut("no endpoint to go on at: " + string(reason))
+	}
+	if q.sent > 0 {
+		return &statusError{status: http.StatusBadGateway, refusal: cfverror.Unknown(reason, "none of %d endpoints can take the request", known)}
+	}
+	return q.later(after, reason, "none of %d endpoints can take the request", known)
+}
+
+// query collects what the choice depends on.
+func (q *request) query(now time.Duration) cfvdispatch.Query {
+	e := q.entry
+	q.serviceName()
+	p := &q.call.Prompt
+	query := cfvdispatch.Query{
+		ColdPerSec: q.service.ColdPerSecond, Tokens: p.Tokens, Shared: p.SharedTokens(), Affinity: p.Affinity(),
+		Model: p.Model, Domain: e.cfg.Domain, Exclude: q.rejected,
+	}
+	cold := make(map[string]time.Duration)
+	e.cfg.Belief.Read(func(v *cfvfleet.View) {
+		query.Endpoints = v.Usable(q.service.Name)
+		for _, ep := range query.Endpoints {
+			cold[ep.ID] = v.ColdUntil(ep.ID)
+		}
+		if w := v.Wanted(p.Model); p.Model != "" && w.Version > 0 {
+			query.Wanted = w.Version
+			query.PreferNew = now-w.Since > oldWeightsIn
+			query.RefuseOld = e.cfg.Bounds.Versions > 0 && now-w.Since > time.Duration(oldWeightsEnd*float64(e.cfg.Bounds.Versions))
+		}
+	})
+	query.ColdUntil = func(id string) time.Duration { return cold[id] }
+	query.Stored = q.stored(query.Wanted)
+	return query
+}
+
+// stored reports whether stores hold all shared parts for the newest weights.
+func (q *request) stored(version int64) bool {
+	shared := q.call.Prompt.Shared()
+	if len(shared) == 0 || q.entry.cfg.Parts == nil {
+		return false
+	}
+	salt := cfvcall.Salt(q.workspace, q.call.Prompt.Model, max(version, 1))
+	all := true
+	q.entry.cfg.Parts.Do(func(c *cfvparts.Catalog) {
+		for _, part := range shared {
+			all = all && c.Find(cfvparts.Key{Salt: salt, Part: part.ID}, part.Tokens, "") != ""
+		}
+	})
+	return all
+}
+
+// directions says what the endpoint is told. The caller holds the entry's lock.
+func (q *request) directions(now time.Duration, query cfvdispatch.Query, c cfvdispatch.Choice) cfvcall.Directions {
+	e := q.entry
+	d := cfvcall.Directions{Endpoint: c.Endpoint.ID, Left: q.left(), ResumeAfter: q.resumeAfter()}
+	if q.call.Deadline == 0 && q.route.Timeout == 0 {
+		d.Left = 0
+	}
+	if q.workspace != nil {
+		d.Workspace = q.workspace.Name
+	}
+	p := &q.call.Prompt
+	if p.Model == "" {
+		return d
+	}
+	d.Priority, d.HasPriority = q.priority(), true
+	version := max(e.dispatcher.Version(c.Endpoint, p.Model), 1)
+	d.WeightVersion = version
+	d.Salt = cfvcall.Salt(q.workspace, p.Model, version)
+	if len(p.Shared()) == 0 || e.cfg.Parts == nil || version < query.Wanted {
+		return d
+	}
+	d.Fetch, d.Save = make([]string, len(p.Parts)), make([]string, len(p.Parts))
+	e.cfg.Parts.Do(func(cat *cfvparts.Catalog) {
+		for i, part := range p.Shared() {
+			k := cfvparts.Key{Salt: d.Salt, Part: part.ID}
+			d.Fetch[i] = cat.Find(k, part.Tokens, c.Endpoint.Domain)
+			if d.Fetch[i] == "" {
+				d.Save[i] = cat.Target(now, k, part.Tokens)
+				continue
+			}
+			if clock := cat.Clock(now, d.Fetch[i]); clock > 0 {
+				d.FetchUntil = clock + fetchTime.Milliseconds()
+			}
+		}
+	})
+	return d
+}
+
+// attempt sends the request to one endpoint.
+func (q *request) attempt(c cfvdispatch.Choice, d cfvcall.Directions) outcome {
+	e, ep := q.entry, c.Endpoint
+	q.arrivals++
+	pending := q.load()
+	settle := func() {
+		if pending > 0 {
+			e.mu.Lock()
+			e.dispatcher.Answered(ep, pending)
+			e.mu.Unlock()
+			pending = 0
+		}
+	}
+	defer func() {
+		settle()
+		e.mu.Lock()
+		e.dispatcher.Finish(ep)
+		e.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(q.r.Context(), q.left())
+	defer cancel()
+	hedge := q.hedgeTimer(cancel)
+	defer hedge.stop()
+	var s sending
+	resp, err := q.send(s.trace(ctx), ep, d)
+	if err != nil {
+		return q.sendFailed(ep, &s, hedge, err)
+	}
+	defer resp.Body.Close()
+	v := e.cfg.Wire.ReadVerdict(resp.StatusCode, resp.Header)
+	q.learn(ep, v)
+	switch {
+	case v.RequestID != "" && v.RequestID != q.call.ID:
+		cancel()
+		q.note(ep, "the answer belongs to another request", "answerId", v.RequestID)
+		e.upstreams.drop(ep.ID)
+		q.sent++
+		q.failed(ep)
+		return broken
+	case v.NotRun || v.Misdirected:
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, headerLimit)) // keeps the connection; the answer says nothing more
+		return q.rejectedBy(ep, v, resp.StatusCode)
+	case !v.Signed:
+		q.note(ep, "the answer is not the endpoint's own", "status", resp.StatusCode)
+		q.sent++
+		q.failed(ep)
+		return broken
+	}
+	q.sent++
+	if resp.StatusCode/100 == 2 && q.route.Kind == cfvfleet.Streaming {
+		return q.relay(ep, resp, hedge, settle)
+	}
+	return q.deliver(ep, resp, hedge)
+}
+
+// send makes the exchange up to the head of the answer.
+func (q *request) send(ctx context.Context, ep *cfvfleet.Endpoint, d cfvcall.Directions) (*http.Response, error) {
+	req := &http.Request{
+		Method: q.r.Method, URL: q.r.URL, Host: q.r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: q.entry.cfg.Wire.Forwarded(q.r.Header, d),
+	}
+	u := *q.r.URL
+	u.Scheme, u.Host = "http", ep.Addr
+	req.URL = &u
+	// A body without GetBody keeps the client library from repeating the request on its own.
+	req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(q.body)), int64(len(q.body))
+	conns := q.conns()
+	q.entry.mu.Lock()
+	keep := q.entry.keep[q.service.Name]
+	q.entry.mu.Unlock()
+	return q.entry.upstreams.to(ep, conns, keep).transport.RoundTrip(req.WithContext(ctx))
+}
+
+// conns is this entry's part of the connections that an endpoint accepts.
+func (q *request) conns() int {
+	if q.service.MaxConns <= 0 {
+		return 64
+	}
+	q.entry.mu.Lock()
+	defer q.entry.mu.Unlock()
+	return max(int(connShare*float64(q.service.MaxConns))/q.entry.entries, leastConns)
+}
+
+// sendFailed judges an exchange that brought no answer.
+func (q *request) sendFailed(ep *cfvfleet.Endpoint, s *sending, h *hedge, err error) outcome {
+	e := q.entry
+	wasSent := s.left()
+	if wasSent {
+		q.sent++
+	}
+	q.note(ep, "an endpoint did not answer", "wasSent", wasSent, "error", err.Error(), "hedged", h.fired())
+	switch {
+	case q.gone():
+		return left
+	case h.fired():
+		e.upstreams.drop(ep.ID)
+		q.failed(ep)
+		return broken
+	case errors.Is(err, context.DeadlineExceeded) || q.left() < leastLeft:
+		e.upstreams.drop(ep.ID)
+		q.failed(ep)
+		return expired
+	}
+	q.rejected[ep.ID] = true
+	if !wasSent {
+		if !s.reused {
+			e.suspect(ep, q.service)
+		}
+		return again
+	}
+	e.suspect(ep, q.service)
+	q.crashed(ep)
+	q.failed(ep)
+	return broken
+}
+
+// rejectedBy notes an answer that says the request has not run.
+func (q *request) rejectedBy(ep *cfvfleet.Endpoint, v cfvcall.Verdict, status int) outcome {
+	e := q.entry
+	q.rejected[ep.ID] = true
+	q.note(ep, "an endpoint rejected the request", "status", status, "endpointSeen", v.EndpointID, "weightVersion", v.WeightVersion)
+	now := e.cfg.Now()
+	switch {
+	case v.Misdirected && v.EndpointID != "" && v.EndpointID != ep.ID:
+		e.suspect(ep, q.service)
+	case v.Misdirected:
+		delete(q.rejected, ep.ID) // other weights; learned from the answer where it names them
+		if v.WeightVersion == 0 {
+			q.rejected[ep.ID] = true
+		}
+	case q.call.Prompt.Model != "":
+		e.mu.Lock()
+		e.dispatcher.Loading(ep, now+loadingTime)
+		e.mu.Unlock()
+	}
+	return again
+}
+
+// learn takes what an answer says of its endpoint.
+func (q *request) learn(ep *cfvfleet.Endpoint, v cfvcall.Verdict) {
+	e := q.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if v.WeightVersion > 0 && q.call.Prompt.Model != "" && (v.EndpointID == "" || v.EndpointID == ep.ID) {
+		e.dispatcher.Loaded(ep, q.call.Prompt.Model, v.WeightVersion)
+	}
+	if v.KeepAlive > 0 && e.keep[q.service.Name] != v.KeepAlive {
+		e.keep[q.service.Name] = v.KeepAlive
+	}
+}
+
+// note logs what an endpoint did to the request.
+func (q *request) note(ep *cfvfleet.Endpoint, sentence string, pairs ...any) {
+	q.entry.cfg.Log.Say(sentence, append(q.facts("endpoint", ep.ID, "leftMillis", q.left().Milliseconds()), pairs...)...)
+}
+
+// failed counts a failure of the endpoint.
+func (q *request) failed(ep *cfvfleet.Endpoint) { q.count(ep, true) }
+
+// count takes how a request ended at an endpoint.
+func (q *request) count(ep *cfvfleet.Endpoint, failed bool) {
+	e := q.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	u := e.usual[q.route.Name]
+	if u == nil {
+		u = &cfvdispatch.Usual{}
+		e.usual[q.route.Name] = u
+	}
+	e.dispatcher.Outcome(e.cfg.Now(), ep, u.Add(failed))
+	if !failed {
+		e.dispatcher.Served(ep)
+	}
+}
+
+// crashed notes that an endpoint went down while it ran the request.
+func (q *request) crashed(ep *cfvfleet.Endpoint) {
+	q.entry.mu.Lock()
+	defer q.entry.mu.Unlock()
+	q.entry.quarantine.Crashed(time.Now(), q.print, fmt.Sprintf("%s/%d", ep.ID, ep.Born))
+}
+
+// deliver reads a whole answer and passes it on.
+func (q *request) deliver(ep *cfvfleet.Endpoint, resp *http.Response, h *hedge) outcome {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
+	if err != nil {
+		q.note(ep, "an answer was not complete", "status", resp.StatusCode, "error", err.Error())
+		switch {
+		case q.gone():
+			return left
+		case h.fired():
+		case errors.Is(err, context.DeadlineExceeded):
+			q.failed(ep)
+			return expired
+		}
+		q.rejected[ep.ID] = true
+		q.failed(ep)
+		return broken
+	}
+	bad := resp.StatusCode >= http.StatusInternalServerError
+	q.count(ep, bad)
+	if bad && q.mayTryElsewhere(ep) {
+		return broken
+	}
+	h.stop()
+	q.head(resp)
+	if len(body) > maxBuffered {
+		return q.passOn(ep, resp, body)
+	}
+	q.w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	q.w.WriteHeader(resp.StatusCode)
+	if _, err := q.w.Write(body); err != nil {
+		q.note(ep, "the caller did not take its answer", "error", err.Error())
+	}
+	q.done(ep, resp.StatusCode)
+	return answered
+}
+
+// mayTryElsewhere reports whether a failure of the endpoint's own is worth another try.
+func (q *request) mayTryElsewhere(ep *cfvfleet.Endpoint) bool {
+	if !q.route.Repeatable() || q.sent >= q.route.Attempts || q.left() < q.route.Objective/4 {
+		return false
+	}
+	q.rejected[ep.ID] = true
+	others := 0
+	q.entry.cfg.Belief.Read(func(v *cfvfleet.View) {
+		for _, other := range v.Usable(q.service.Name) {
+			if !q.rejected[other.ID] {
+				others++
+			}
+		}
+	})
+	return others > 0 && q.entry.roomToRepeat(q.service.Name)
+}
+
+// passOn copies a long answer as it arrives.
+func (q *request) passOn(ep *cfvfleet.Endpoint, resp *http.Response, start []byte) outcome {
+	q.w.WriteHeader(resp.StatusCode)
+	if _, err := io.Copy(q.w, io.MultiReader(bytes.NewReader(start), resp.Body)); err != nil {
+		q.note(ep, "a long answer was not complete", "error", err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	q.done(ep, resp.StatusCode)
+	return answered
+}
+
+// head copies the headers of an answer.
+func (q *request) head(resp *http.Response) {
+	for name, values := range resp.Header {
+		if q.entry.cfg.Wire.Returned(name) {
+			q.w.Header()[name] = values
+		}
+	}
+}
+
+// done logs a served request, or one in so many.
+func (q *request) done(ep *cfvfleet.Endpoint, status int) {
+	e := q.entry
+	e.cfg.Metrics.Count("served."+q.service.Name, 1)
+	n := e.served.Add(1)
+	if status < http.StatusInternalServerError && (e.cfg.LogSuccess <= 0 || n%int64(e.cfg.LogSuccess) != 0) {
+		return
+	}
+	q.note(ep, "a request was answered", "status", status)
+}
--- /dev/null
+++ b/io/cfventry/entry.go
@@ -0,0 +1,303 @@
+// Package cfventry serves callers on a hosted platform: it takes their requests, sends each
+// to an endpoint and returns the answer. What the platform's headers mean comes in as
+// functions.
+package cfventry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"coltsfootvalve/common/cfvclock"
+	"coltsfootvalve/common/cfverror"
+	"coltsfootvalve/common/cfvlog"
+	"coltsfootvalve/common/cfvmetric"
+	"coltsfootvalve/core/cfvcall"
+	"coltsfootvalve/core/cfvdispatch"
+	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvlimit"
+	"coltsfootvalve/core/cfvparts"
+	"coltsfootvalve/io/cfvbelief"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Wire translates between the platform's headers and the product's types.
+type Wire struct {
+	ReadCall    func(http.Header) (cfvcall.Call, error)
+	Forwarded   func(http.Header, cfvcall.Directions) http.Header
+	ReadVerdict func(status int, h http.Header) cfvcall.Verdict
+	Returned    func(header string) bool
+	ReadHealth  func(status int, h http.Header) (id string, healthy bool, coldFor time.Duration)
+	ReadyPath   string
+}
+
+// Bounds are the figures that the operators hold the system to.
+type Bounds struct {
+	Revoke       time.Duration // a removed key is not served later than this; 0: no bound
+	Versions     time.Duration // nothing begins on older weights later than this
+	RetryRatio   float64
+	RetrySlack   float64
+	RetryWindow  time.Duration
+	ShutdownTime time.Duration
+}
+
+// Config configures an Entry.
+type Config struct {
+	Name       string
+	Domain     string
+	Callers    string // address
+	Ready      string // address
+	Wire       Wire
+	Bounds     Bounds
+	Belief     *cfvbelief.Belief
+	Parts      *Parts
+	PeerLoads  func() map[string]cfvdispatch.Load
+	Now        func() time.Duration // a clock that also runs while the machine is suspended
+	Random     func() float64
+	Log        cfvlog.Logger
+	Metrics    *cfvmetric.Registry
+	LogSuccess int // one in so many served requests is logged; 0: none
+}
+
+// Entry is the part of a process that serves callers. It is safe for concurrent use.
+type Entry struct {
+	cfg       Config
+	upstreams *upstreams
+	probes    *http.Client
+	callers   *http.Server
+	ready     *http.Server
+	stopping  atomic.Bool
+	running   atomic.Int64
+	served    atomic.Int64
+
+	mu         sync.Mutex
+	dispatcher *cfvdispatch.Dispatcher
+	quarantine *cfvlimit.Quarantine
+	budgets    map[string]*cfvlimit.RepeatWindow // by service
+	usual      map[string]*cfvdispatch.Usual     // by route
+	keep       map[string]time.Duration          // idle time of connections, by service
+	entries    int
+}
+
+// New returns an entry that does not listen yet.
+func New(cfg Config) *Entry {
+	e := &Entry{
+		cfg: cfg, dispatcher: cfvdispatch.New(cfg.Name), quarantine: cfvlimit.NewQuarantine(),
+		budgets: make(map[string]*cfvlimit.RepeatWindow), usual: make(map[string]*cfvdispatch.Usual),
+		keep: make(map[string]time.Duration), entries: 1,
+	}
+	e.upstreams = newUpstreams(func() { cfg.Metrics.Count("endpoints.dials", 1) })
+	e.probes = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext, DisableKeepAlives: true,
+	}}
+	return e
+}
+
+// Limits of the servers. Callers' own limits come with the configuration.
+const (
+	headerTimeout  = 10 * time.Second
+	callerIdle     = 120 * time.Second // beyond any idle time that a configuration allows
+	callerHeaders  = 64 << 10
+	housekeeping   = 500 * time.Millisecond
+	refreshPeers   = 200 * time.Millisecond
+	stopAccepting  = 2500 * time.Millisecond // the balancer needs two questions, a second apart
+	shutdownMargin = 400 * time.Millisecond
+)
+
+// Start listens for callers and for the balancer.
+func (e *Entry) Start(ctx context.Context) (err error) {
+	front := echo.New()
+	front.HideBanner, front.HidePort = true, true
+	front.Any("/*", func(c echo.Context) error {
+		e.serve(c.Response().Writer, c.Request())
+		return nil
+	})
+	e.callers = &http.Server{Handler: front, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: callerHeaders}
+	e.ready = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	for _, s := range []struct {
+		server *http.Server
+		addr   string
+	}{{e.callers, e.cfg.Callers}, {e.ready, e.cfg.Ready}} {
+		l, err := net.Listen("tcp", s.addr)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", s.addr, err)
+		}
+		go func() {
+			if err := s.server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				e.cfg.Log.Alarm("a server ended", "addr", s.addr, "error", err.Error())
+			}
+		}()
+	}
+	go cfvclock.Every(ctx, housekeeping, func(context.Context) { e.tidy() })
+	go cfvclock.Every(ctx, refreshPeers, func(context.Context) { e.takePeerLoads() })
+	return nil
+}
+
+// Stop ends the entry without cutting a request: it answers that it is not ready, goes on
+// for as long as the balancer may send connections, and then waits for what runs.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.stopping.Store(true)
+	begun := e.cfg.Now()
+	e.cfg.Log.Say("the entry stops", "running", e.running.Load())
+	cfvclock.Sleep(ctx, stopAccepting)
+	left := e.cfg.Bounds.ShutdownTime - (e.cfg.Now() - begun) - shutdownMargin
+	wait, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	err := e.callers.Shutdown(wait)
+	e.cfg.Log.Say("the entry has stopped", "running", e.running.Load(), "tookMillis", (e.cfg.Now() - begun).Milliseconds())
+	return errors.Join(err, e.ready.Close())
+}
+
+// fresh reports whether the belief is young enough to serve requests with keys, and its
+// age.
+func (e *Entry) fresh() (age time.Duration, ok bool) {
+	age, known := e.cfg.Belief.Age()
+	if !known {
+		return 0, false
+	}
+	return age, e.cfg.Bounds.Revoke <= 0 || age < e.cfg.Bounds.Revoke-revokeMargin
+}
+
+// revokeMargin covers clocks that drift and the time between the check and the sending.
+const revokeMargin = 400 * time.Millisecond
+
+func (e *Entry) serveReady(w http.ResponseWriter, r *http.Request) {
+	status := http.StatusOK
+	if r.URL.Path != e.cfg.Wire.ReadyPath {
+		status = http.StatusNotFound
+	} else if _, ok := e.fresh(); !ok || e.stopping.Load() || e.index() == nil {
+		status = http.StatusServiceUnavailable
+	}
+	w.WriteHeader(status)
+}
+
+func (e *Entry) index() (x *cfvfleet.Index) {
+	e.cfg.Belief.Read(func(v *cfvfleet.View) { x = v.Index() })
+	return x
+}
+
+// tidy forgets what concerns endpoints and entries that are gone.
+func (e *Entry) tidy() {
+	var all []*cfvfleet.Endpoint
+	var names []string
+	e.cfg.Belief.Read(func(v *cfvfleet.View) {
+		all = v.All()
+		for _, n := range v.Entries() {
+			names = append(names, n.Name)
+		}
+	})
+	e.mu.Lock()
+	e.dispatcher.Keep(all)
+	e.dispatcher.SetEntries(names)
+	e.entries = max(len(names), 1)
+	e.quarantine.Expire(time.Now())
+	for _, b := range e.budgets {
+		b.SetSlack(e.slack())
+	}
+	e.mu.Unlock()
+	e.upstreams.keepOnly(all)
+}
+
+// slack is this entry's part of the repeats that are allowed beside the ratio, with room
+// for entries that are not known yet.
+func (e *Entry) slack() float64 { return e.cfg.Bounds.RetrySlack / float64(e.entries+1) }
+
+func (e *Entry) takePeerLoads() {
+	loads := e.cfg.PeerLoads()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dispatcher.SetPeers(loads)
+}
+
+// Loads returns what this entry has at the endpoints.
+func (e *Entry) Loads() map[string]cfvdispatch.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dispatcher.Loads()
+}
+
+// Suspicions returns what is suspected of requests that crash endpoints.
+func (e *Entry) Suspicions() []cfvlimit.Suspicion {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.quarantine.Updates(suspicionsAtOnce, suspicionsTimes)
+}
+
+// Bounds on how suspicions spread.
+const (
+	suspicionsAtOnce = 16
+	suspicionsTimes  = 24
+)
+
+// Suspected takes a suspicion of another entry.
+func (e *Entry) Suspected(s cfvlimit.Suspicion) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.quarantine.Merge(time.Now(), s)
+}
+
+// Loaded notes the weights that an endpoint was seen to run.
+func (e *Entry) Loaded(ep *cfvfleet.Endpoint, model string, version int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dispatcher.Loaded(ep, model, version)
+}
+
+// Version returns the version of a model's weights that an endpoint is believed to run.
+func (e *Entry) Version(ep *cfvfleet.Endpoint, model string) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dispatcher.Version(ep, model)
+}
+
+// budget returns the repeats of a service. The caller holds the lock.
+func (e *Entry) budget(service string) *cfvlimit.RepeatWindow {
+	b := e.budgets[service]
+	if b == nil {
+		b = cfvlimit.NewRepeatWindow(cfvlimit.RepeatConfig{
+			Ratio: e.cfg.Bounds.RetryRatio * ratioUsed, Slack: e.slack(), Window: e.cfg.Bounds.RetryWindow,
+		})
+		e.budgets[service] = b
+	}
+	return b
+}
+
+// ratioUsed is the part of the allowed ratio that entries use: repeats of endpoints that
+// reject are counted by them too.
+const ratioUsed = 0.9
+
+// mayRepeat takes one repeat from the budget of a service.
+func (e *Entry) mayRepeat(service string, reason cfverror.Reason) bool {
+	e.mu.Lock()
+	ok := e.budget(service).Take(e.cfg.Now())
+	e.mu.Unlock()
+	if ok {
+		e.cfg.Metrics.Retried(reason)
+	}
+	return ok
+}
+
+// Parts tells where shared parts of prompts are kept. It is safe for concurrent use.
+type Parts struct {
+	mu      sync.Mutex
+	catalog *cfvparts.Catalog
+	now     func() time.Duration
+}
+
+// NewParts returns a lookup over a catalogue.
+func NewParts(now func() time.Duration) *Parts {
+	return &Parts{catalog: cfvparts.NewCatalog(), now: now}
+}
+
+// Do calls f with the catalogue, which f must not keep.
+func (p *Parts) Do(f func(c *cfvparts.Catalog)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(p.catalog)
+}
--- /dev/null
+++ b/io/cfvfollow/follower.go
@@ -0,0 +1,109 @@
+// Package cfvfollow keeps an entry's belief up to date from the platform's store.
+package cfvfollow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"coltsfootvalve/common/cfvclock"
+	"coltsfootvalve/common/cfvlog"
+	"coltsfootvalve/core/cfvmirror"
+	"coltsfootvalve/io/cfvbelief"
+)
+
+// Figures of the following.
+const (
+	watchWait = 1 * time.Second        // a connection that went silent is noticed within it and an answer's time
+	hush      = 1 * time.Second        // a watch may hear nothing for this long although items changed
+	firstWait = 150 * time.Millisecond // pause after a failed call
+	mostWait  = 800 * time.Millisecond
+	awayLeast = 600 * time.Millisecond // failures for less are no outage
+)
+
+// Config configures a Follower.
+type Config struct {
+	List        func(context.Context) (records []cfvmirror.Record, asOf int64, err error)
+	Watch       func(ctx context.Context, after int64, wait time.Duration) (records []cfvmirror.Record, asOf int64, err error)
+	HistoryGone error // what Watch fails with when it can't go on from a revision
+	Belief      *cfvbelief.Belief
+	Now         func() time.Duration
+	Log         cfvlog.Logger
+}
+
+// Follower follows the store.
+type Follower struct {
+	cfg     Config
+	listed  bool
+	failing time.Duration // since when calls have failed; 0: they don't
+}
+
+// New returns a follower.
+func New(cfg Config) *Follower { return &Follower{cfg: cfg} }
+
+// Run follows the store until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	wait := firstWait
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			wait = firstWait
+			f.recovered()
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.failed(err)
+		cfvclock.Sleep(ctx, wait/2+time.Duration(rand.Int64N(int64(wait/2))))
+		wait = min(2*wait, mostWait)
+	}
+}
+
+// step lists the store once, and watches it from then on.
+func (f *Follower) step(ctx context.Context) error {
+	if !f.listed {
+		sent := f.cfg.Now()
+		records, asOf, err := f.cfg.List(ctx)
+		if err != nil {
+			return err
+		}
+		f.cfg.Belief.Learn("store", records, asOf, true)
+		f.cfg.Belief.Confirm(asOf, sent)
+		f.listed = true
+		return nil
+	}
+	sent := f.cfg.Now()
+	records, asOf, err := f.cfg.Watch(ctx, f.cfg.Belief.AsOf(), watchWait)
+	if errors.Is(err, f.cfg.HistoryGone) {
+		f.cfg.Log.Say("the store's history is gone, all items are listed", "asOf", f.cfg.Belief.AsOf())
+		f.listed = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.cfg.Belief.Learn("store", records, asOf, false)
+	f.cfg.Belief.Confirm(asOf, sent-hush)
+	return nil
+}
+
+func (f *Follower) failed(err error) {
+	if f.failing == 0 {
+		f.failing = f.cfg.Now()
+		f.cfg.Log.Alarm("the store was lost", "error", err.Error(), "asOf", f.cfg.Belief.AsOf())
+	}
+}
+
+func (f *Follower) recovered() {
+	if f.failing == 0 {
+		return
+	}
+	away := f.cfg.Now() - f.failing
+	f.failing = 0
+	f.cfg.Log.Say("the store is back", "awayMillis", away.Milliseconds(), "asOf", f.cfg.Belief.AsOf())
+	if away > awayLeast {
+		f.cfg.Belief.StoreReturned()
+	}
+}
--- /dev/null
+++ b/io/cfvstock/follower.go
@@ -0,0 +1,135 @@
+// Package cfvstock keeps an entry's catalogue of the stores of cache parts up to date from
+// the stores' events.
+package cfvstock
+
+import (
+	"context"
+	"time"
+
+	"coltsfootvalve/common/cfvclock"
+	"coltsfootvalve/common/cfvlog"
+	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvparts"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Figures of the following.
+const (
+	eventWait  = 800 * time.Millisecond // calls that wait less than 200 ms are priced
+	eventPause = 150 * time.Millisecond // collects events, so that a busy store is not asked at each of them
+	failPause  = 400 * time.Millisecond
+	checkPause = 500 * time.Millisecond
+	callsSpare = 2 // event calls of a store that are left to others
+)
+
+// Config configures a Follower.
+type Config struct {
+	Self    string
+	Events  func(ctx context.Context, addr string, since int64, wait time.Duration) (cfvparts.Batch, error)
+	List    func(ctx context.Context, addr string) (cfvparts.Batch, error)
+	View    func(func(v *cfvfleet.View))
+	Catalog func(func(c *cfvparts.Catalog))
+	Now     func() time.Duration
+	Log     cfvlog.Logger
+}
+
+// Follower follows all stores of the configuration.
+type Follower struct {
+	cfg     Config
+	running map[string]context.CancelFunc
+}
+
+// New returns a follower.
+func New(cfg Config) *Follower {
+	return &Follower{cfg: cfg, running: make(map[string]context.CancelFunc)}
+}
+
+// Run follows the stores until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.adjust(ctx)
+	cfvclock.Every(ctx, checkPause, f.adjust)
+}
+
+// adjust begins to follow new stores and ends it for those that are gone or that enough
+// other entries follow.
+func (f *Follower) adjust(ctx context.Context) {
+	var stores []cfvparts.Store
+	wanted := make(map[string]bool)
+	f.cfg.View(func(v *cfvfleet.View) {
+		x := v.Index()
+		if x == nil {
+			return
+		}
+		entries := v.Entries()
+		for _, s := range x.Stores() {
+			st := s.Store
+			stores = append(stores, cfvparts.Store{Addr: st.Addr, Domain: st.Domain, Tokens: st.Tokens})
+			if Rank(f.cfg.Self, st.Addr, entries) < max(st.MaxCalls-callsSpare, 1) || st.MaxCalls == 0 {
+				wanted[st.Addr] = true
+			}
+		}
+	})
+	f.cfg.Catalog(func(c *cfvparts.Catalog) { c.SetStores(stores) })
+	for addr, stop := range f.running {
+		if !wanted[addr] {
+			stop()
+			delete(f.running, addr)
+			f.cfg.Catalog(func(c *cfvparts.Catalog) { c.Forget(addr) })
+		}
+	}
+	for addr := range wanted {
+		if f.running[addr] == nil {
+			own, stop := context.WithCancel(ctx)
+			f.running[addr] = stop
+			go f.follow(own, addr)
+		}
+	}
+}
+
+// Rank returns how many other entries go before this one at a store.
+func Rank(self, addr string, entries []cfvfleet.Entry) int {
+	mine := xxhash.Sum64String(self + "\x00" + addr)
+	n := 0
+	for _, e := range entries {
+		if e.Name != self && xxhash.Sum64String(e.Name+"\x00"+addr) > mine {
+			n++
+		}
+	}
+	return n
+}
+
+// follow keeps what one store holds up to date.
+func (f *Follower) follow(ctx context.Context, addr string) {
+	listed, next, lost := false, int64(0), false
+	for ctx.Err() == nil {
+		var b cfvparts.Batch
+		var err error
+		if listed {
+			b, err = f.cfg.Events(ctx, addr, next, eventWait)
+		} else {
+			b, err = f.cfg.List(ctx, addr)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.cfg.Catalog(func(c *cfvparts.Catalog) { c.Forget(addr) })
+			if !lost {
+				f.cfg.Log.Alarm("a store of cache parts was lost", "store", addr, "error", err.Error())
+			}
+			listed, lost = false, true
+			cfvclock.Sleep(ctx, failPause)
+			continue
+		}
+		if lost {
+			f.cfg.Log.Say("a store of cache parts is back", "store", addr, "epoch", b.Epoch)
+			lost = false
+		}
+		next = b.Next
+		f.cfg.Catalog(func(c *cfvparts.Catalog) { listed = c.Apply(f.cfg.Now(), addr, b) })
+		if len(b.Events) > 0 {
+			cfvclock.Sleep(ctx, eventPause)
+		}
+	}
+}
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Generates the code of the peer protocol. The result is committed, so a build needs no
+# Generates the code of the peer protocols. The result is committed, so a build needs no
 # generator. Needs protoc from the system's packages.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -8,4 +8,4 @@
 GOBIN="$tools" go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 GOBIN="$tools" go install connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.21.1
 PATH="$tools:$PATH" protoc --go_out=. --go_opt=module=coltsfootvalve \
-  --connect-go_out=. --connect-go_opt=module=coltsfootvalve io/cfvwire/peer.proto
+  --connect-go_out=. --connect-go_opt=module=coltsfootvalve io/cfvwire/peer.proto io/cfvwire/cfvwireentry/entry.proto
