Let tests of the cache tier wait for a store's answer

Cause: an entry gives a store VM 50 ms to say which blocks it holds. Beside a busy machine the first lookup takes longer, nothing is exported, and a test that waits for the export waits for good: TestBlockReusedAfterItsManifestWas- ReadIsRefused, TestStoreFaultsCostTimeNeverAnswers, TestCallersCannotName- BlocksOrSalts. TestLeavingEndpointGetsNoNewWork took a pause after a failed report for the leaving, and a slot given before it for a new one. Change: the bound is a setting, storeLookupMillis; the tests set a minute. Ruled out: the estimate of imports (an entry that never imported chooses it).

--- a/core/cfvslot/adopt.go
+++ b/core/cfvslot/adopt.go
@@ -130,7 +130,8 @@
 	Bound   int
 	Cold    bool
 	Settled bool
-	Shut    bool
+	Shut    bool // gets no work at the moment
+	Leaving bool // gets no work any more, or not until it is taken back
 	Waiting int
 }
 
@@ -149,6 +150,7 @@
 			Cold:    e.isCold(),
 			Settled: e.settled,
 			Shut:    e.shut(now),
+			Leaving: e.cfg.Drained || e.leaving,
 		}
 		if q, ok := t.queues[e.cfg.Group]; ok {
 			s.Waiting = len(q.list)
--- a/io/cfvnode/cluster_test.go
+++ b/io/cfvnode/cluster_test.go
@@ -154,6 +154,7 @@
 	cfg.MovePeriod = 50 * time.Millisecond
 	cfg.ListEvery = 200 * time.Millisecond
 	cfg.DrainGrace = 100 * time.Millisecond
+	cfg.StoreLookup = time.Minute // a lookup that is given up leaves nothing to wait for
 	if config != nil {
 		config(&cfg)
 	}
--- a/io/cfvnode/config.go
+++ b/io/cfvnode/config.go
@@ -34,6 +34,7 @@
 	ListEvery         time.Duration
 	MovePeriod        time.Duration // of reports and decisions on version moves
 	Lease             time.Duration // how long an entry recognises one owner of a group
+	StoreLookup       time.Duration // how long a store VM may take to say which blocks it holds
 	Certificate       string        // file names; empty for plain connections
 	Key               string
 	Authority         string
@@ -47,14 +48,15 @@
 // DefaultConfig returns the defaults of a node.
 func DefaultConfig() Config {
 	return Config{
-		LogLevel:   "info",
-		DrainGrace: 2 * time.Second,
-		DrainLimit: 30 * time.Second,
-		ProbeEvery: 200 * time.Millisecond,
-		SuspectFor: 1500 * time.Millisecond,
-		ListEvery:  time.Second,
-		Lease:      3 * time.Second,
-		MovePeriod: time.Second,
+		LogLevel:    "info",
+		DrainGrace:  2 * time.Second,
+		DrainLimit:  30 * time.Second,
+		ProbeEvery:  200 * time.Millisecond,
+		SuspectFor:  1500 * time.Millisecond,
+		ListEvery:   time.Second,
+		Lease:       3 * time.Second,
+		StoreLookup: 50 * time.Millisecond,
+		MovePeriod:  time.Second,
 	}
 }
 
@@ -75,6 +77,7 @@
 	SuspectForMillis  *int64   `json:"suspectForMillis"`
 	ListEveryMillis   *int64   `json:"listEveryMillis"`
 	LeaseMillis       *int64   `json:"leaseMillis"`
+	StoreLookupMillis *int64   `json:"storeLookupMillis"`
 	Certificate       string   `json:"certificate"`
 	Key               string   `json:"key"`
 	Authority         string   `json:"authority"`
@@ -120,6 +123,7 @@
 	setMillis(&cfg.SuspectFor, j.SuspectForMillis)
 	setMillis(&cfg.ListEvery, j.ListEveryMillis)
 	setMillis(&cfg.Lease, j.LeaseMillis)
+	setMillis(&cfg.StoreLookup, j.StoreLookupMillis)
 	return cfg, cfg.validate()
 }
 
@@ -172,7 +176,7 @@
 		name  string
 		value time.Duration
 	}{
-		{"probeEveryMillis", c.ProbeEvery}, {"suspectForMillis", c.SuspectFor}, {"listEveryMillis", c.ListEvery},
+		{"probeEveryMillis", c.ProbeEvery}, {"suspectForMillis", c.SuspectFor}, {"listEveryMillis", c.ListEvery}, {"storeLookupMillis", c.StoreLookup},
 	} {
 		if f.value <= 0 {
 			return fmt.Errorf("%s: want more than 0, got %d", f.name, f.value.Milliseconds())
--- a/io/cfvnode/node.go
+++ b/io/cfvnode/node.go
@@ -163,7 +163,7 @@
 	})
 	n.server = cfvserve.New(cfvserve.Config{
 		Self: n.self, Catalog: n.settings.Catalog, Acquire: n.entry.Acquire, Forward: n.forward,
-		Tier:  cfvtier.New(cfvtier.Config{Catalog: n.settings.Catalog, Metrics: n.metrics}),
+		Tier:  cfvtier.New(cfvtier.Config{Catalog: n.settings.Catalog, Metrics: n.metrics, LookupWithin: n.cfg.StoreLookup}),
 		Claim: n.claim, Conclude: n.conclude, Admit: n.limits.admit, Dismiss: n.limits.dismiss,
 		Alive:   n.alive,
 		Version: n.moves.Version,
--- a/io/cfvtier/tier.go
+++ b/io/cfvtier/tier.go
@@ -19,9 +19,9 @@
 
 // Bounds of planning one transfer.
 const (
-	lookupWithin = 50 * time.Millisecond
-	downFor      = time.Second // how long a store that does not answer is not asked
-	exportsMost  = 4           // exports of this node that may be under way
+	lookupWithin = 50 * time.Millisecond // unless configured; a lookup delays the first token
+	downFor      = time.Second           // how long a store that does not answer is not asked
+	exportsMost  = 4                     // exports of this node that may be under way
 	exportTime   = 2 * time.Second
 	firstImport  = 5 * time.Millisecond  // guess for one block
 	firstCompute = 50 * time.Millisecond // guess for one block
@@ -29,8 +29,9 @@
 
 // Config configures a tier. The functions are its seams.
 type Config struct {
-	Catalog func() *cfvcatalog.Catalog
-	Metrics *cfvmetric.Registry
+	Catalog      func() *cfvcatalog.Catalog
+	Metrics      *cfvmetric.Registry
+	LookupWithin time.Duration // how long a store may take to say what it holds; 0: 50 ms
 }
 
 // Tier plans transfers. It is safe for concurrent use.
@@ -46,8 +47,11 @@
 
 // New returns a tier that knows nothing of its stores.
 func New(cfg Config) *Tier {
+	if cfg.LookupWithin <= 0 {
+		cfg.LookupWithin = lookupWithin
+	}
 	return &Tier{
-		cfg: cfg, http: cfvhttp.NewClient(lookupWithin, 8),
+		cfg: cfg, http: cfvhttp.NewClient(cfg.LookupWithin, 8),
 		choosers: make(map[string]*cfvcache.Chooser), down: make(map[string]time.Time),
 	}
 }
@@ -114,7 +118,7 @@
 	if isDown {
 		return nil, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, lookupWithin)
+	ctx, cancel := context.WithTimeout(ctx, t.cfg.LookupWithin)
 	defer cancel()
 	var resp cfvopenai.LookupResponse
 	err := cfvhttp.Call(ctx, t.http, http.MethodPost, "http://"+store+"/lookup", cfvopenai.LookupRequest{Keys: keys}, &resp)
