Log where each request goes in detail

Cause: what a request's endpoint depended on was not to be seen. Change: a line at level debug with candidates, primary, load, fetch and save.

--- a/common/cfvlog/logger.go
+++ b/common/cfvlog/logger.go
@@ -67,3 +67,13 @@
 func (l Logger) Alarm(sentence string, pairs ...any) {
 	l.inner.Warn().Fields(pairs).Msg(l.prefix + sentence)
 }
+
+// Detailed reports whether details are logged.
+func (l Logger) Detailed() bool {
+	return l.inner.GetLevel() <= zerolog.DebugLevel && zerolog.GlobalLevel() <= zerolog.DebugLevel
+}
+
+// Detail logs a sentence of detail with named values.
+func (l Logger) Detail(sentence string, pairs ...any) {
+	l.inner.Debug().Fields(pairs).Msg(l.prefix + sentence)
+}
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"coltsfootvalve/common/cfverror"
@@ -146,9 +147,26 @@
 	}
 	d = q.directions(now, query, c)
 	e.dispatcher.Start(now, c.Endpoint, q.load())
+	q.placed(c, d, query)
 	return c, d, nil
 }
 
+// placed logs where the request goes, and what decided it.
+func (q *request) placed(c cfvdispatch.Choice, d cfvcall.Directions, query cfvdispatch.Query) {
+	e := q.entry
+	if !e.cfg.Log.Detailed() {
+		return
+	}
+	primary := ""
+	if c.Primary != nil {
+		primary = c.Primary.ID
+	}
+	load := e.dispatcher.Running(c.Endpoint.ID)
+	e.cfg.Log.Detail("a request was placed", q.facts("endpoint", c.Endpoint.ID, "primary", primary, "candidates", len(query.Endpoints),
+		"running", load.Running, "tokens", query.Tokens, "sharedTokens", query.Shared, "stored", query.Stored,
+		"fetch", strings.Join(d.Fetch, ","), "save", strings.Join(d.Save, ","), "weights", d.WeightVersion, "affinity", query.Affinity)...)
+}
+
 // load is what the request adds to the prompt tokens that an endpoint has to read.
 func (q *request) load() int { return q.call.Prompt.Tokens }
 
