--- a/commands/entry.go
+++ b/commands/entry.go
@@ -85,7 +85,7 @@
 		PeerLoads: func() map[string]cfvdispatch.Load { return h.exchange.Loads() }, LogSuccess: logSuccess,
 	})
 	h.exchange = cfvexchange.New(cfvexchange.Config{
-		Self: settings.Node, Seeds: settings.Seeds, Belief: h.belief, Now: cfvclock.Boot, Loads: h.entry.Loads,
+		Self: settings.Node, Domain: settings.Domain, Seeds: settings.Seeds, Belief: h.belief, Now: cfvclock.Boot, Loads: h.entry.Loads, Parts: h.parts.Do,
 		Suspicions: h.entry.Suspicions, Suspected: h.entry.Suspected, Log: log.Part("exchange"), Count: h.metrics.Count,
 		StartMillis: time.Now().UnixMilli(),
 	})
@@ -140,11 +140,17 @@
 	h.log.Say("the settings were read again", "node", s.Node)
 }
 
+// hub reports whether this entry asks the platform on behalf of others.
+func (h *hostedEntry) hub() (is bool) {
+	h.belief.Read(func(v *cfvfleet.View) { is = cfvfleet.IsHub(h.settings.Node, v.Entries()) })
+	return is
+}
+
 // startLoops starts what keeps the belief up to date.
 func (h *hostedEntry) startLoops(ctx context.Context) {
 	follower := cfvfollow.New(cfvfollow.Config{
 		List: h.store.List, Watch: h.store.Watch, HistoryGone: platform.ErrHistoryGone, Belief: h.belief,
-		Now: cfvclock.Boot, Log: h.log.Part("follow"),
+		Hub: h.hub, Now: cfvclock.Boot, Log: h.log.Part("follow"),
 	})
 	stock := cfvstock.New(cfvstock.Config{
 		Self: h.settings.Node, Events: h.engines.Events, List: h.engines.List, View: h.belief.Read, Catalog: h.parts.Do,
@@ -186,7 +192,7 @@
 // duty puts the giving of orders together.
 func (h *hostedEntry) duty() *cfvduty.Duty {
 	return cfvduty.New(cfvduty.Config{
-		Self: h.settings.Node, Belief: h.belief, Version: h.entry.Version, Loaded: h.entry.Loaded,
+		Self: h.settings.Node, Hub: h.hub, Belief: h.belief, Version: h.entry.Version, Loaded: h.entry.Loaded,
 		Running: func(id string) int { return h.entry.Loads()[id].Running },
 		Report:  h.engines.Weights, Load: h.engines.Load, Free: h.engines.Free,
 		Catalog: func(f func(*cfvparts.Catalog)) { h.parts.Do(f) },
--- a/core/cfvparts/catalog.go
+++ b/core/cfvparts/catalog.go
@@ -4,6 +4,7 @@
 package cfvparts
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -19,12 +20,29 @@
 
 // Event says that a store now holds a part completely, or no longer.
 type Event struct {
+	Number  int64 // in the order of the store
 	Salt    string
 	Part    string
 	Tokens  int
 	Removed bool
 }
 
+// Position is how far the knowledge of one store goes.
+type Position struct {
+	Addr  string
+	Epoch int64
+	Next  int64 // number of the first event that is not known
+}
+
+// News is what another entry knows of one store beyond a position.
+type News struct {
+	Position
+	Full        bool // a listing of everything
+	Events      []Event
+	Age         time.Duration // how long ago the store was heard
+	ClockMillis int64         // the store's clock at that time; 0: not known
+}
+
 // Batch is what a store told at once.
 type Batch struct {
 	Epoch       int64 // changes when the store restarts, empty
@@ -46,7 +64,10 @@
 type shelf struct {
 	store Store
 	epoch int64
+	next  int64
 	known bool // false until a batch has told what it holds
+	heard time.Duration
+	last  map[Key]Event // newest event of each part, also of removed ones
 	held  map[Key]int
 	used  int
 	wants map[Key]want          // saves under way
@@ -97,7 +118,7 @@
 }
 
 func newShelf(s Store) *shelf {
-	return &shelf{store: s, held: make(map[Key]int), wants: make(map[Key]want), freed: make(map[Key]time.Duration)}
+	return &shelf{store: s, last: make(map[Key]Event), held: make(map[Key]int), wants: make(map[Key]want), freed: make(map[Key]time.Duration)}
 }
 
 // Addrs returns the addresses of all stores, sorted.
@@ -118,29 +139,131 @@
 		return true
 	}
 	if b.Full || b.Epoch != s.epoch {
-		fresh := newShelf(s.store)
-		fresh.epoch = b.Epoch
-		*s = *fresh
+		s.restart(b.Epoch)
 	}
-	s.clock, s.at = b.ClockMillis, now
+	s.clock, s.at, s.heard = b.ClockMillis, now, now
 	for _, e := range b.Events {
-		k := Key{e.Salt, e.Part}
-		s.used -= s.held[k]
-		delete(s.held, k)
-		delete(s.wants, k)
-		if e.Removed || e.Tokens <= 0 {
-			delete(s.freed, k)
+		s.take(e)
+	}
+	s.next = b.Next
+	s.known = s.known || b.Full
+	s.trim()
+	return s.known && !b.Lost
+}
+
+// restart forgets everything but what is fixed.
+func (s *shelf) restart(epoch int64) {
+	fresh := newShelf(s.store)
+	fresh.epoch = epoch
+	*s = *fresh
+}
+
+// take applies one event, unless a newer one of the part is known.
+func (s *shelf) take(e Event) {
+	k := Key{e.Salt, e.Part}
+	if have, ok := s.last[k]; ok && have.Number > e.Number {
+		return
+	}
+	s.last[k] = e
+	s.used -= s.held[k]
+	delete(s.held, k)
+	delete(s.wants, k)
+	if e.Removed || e.Tokens <= 0 {
+		delete(s.freed, k)
+		return
+	}
+	s.held[k] = e.Tokens
+	s.used += e.Tokens
+}
+
+// spareEvents is how many removals are remembered beside twice the parts held.
+const spareEvents = 4096
+
+// trim forgets removals when there are many. A peer that misses one asks the store for a
+// part in vain.
+func (s *shelf) trim() {
+	if len(s.last) <= 2*len(s.held)+spareEvents {
+		return
+	}
+	for k, e := range s.last {
+		if e.Removed {
+			delete(s.last, k)
+		}
+	}
+}
+
+// Positions returns how far the knowledge of each store goes.
+func (c *Catalog) Positions() []Position {
+	var out []Position
+	for _, addr := range c.Addrs() {
+		s := c.shelves[addr]
+		p := Position{Addr: addr}
+		if s.known {
+			p.Epoch, p.Next = s.epoch, s.next
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// maxNews bounds the events that one answer carries; more follow with the next.
+const maxNews = 2000
+
+// Since returns what is known beyond another entry's positions.
+func (c *Catalog) Since(now time.Duration, positions []Position) []News {
+	var out []News
+	for _, p := range positions {
+		s := c.shelves[p.Addr]
+		if s == nil || !s.known {
 			continue
 		}
-		s.held[k] = e.Tokens
-		s.used += e.Tokens
+		n := News{Position: Position{p.Addr, s.epoch, s.next}, Age: now - s.heard, ClockMillis: s.clock}
+		n.Full = p.Epoch != s.epoch || p.Next > s.next
+		for _, e := range s.last {
+			if n.Full && !e.Removed || !n.Full && e.Number >= p.Next {
+				n.Events = append(n.Events, e)
+			}
+		}
+		if len(n.Events) > maxNews && !n.Full {
+			slices.SortFunc(n.Events, func(a, b Event) int { return cmp.Compare(a.Number, b.Number) })
+			n.Events = n.Events[:maxNews]
+			n.Next = n.Events[maxNews-1].Number
+		}
+		out = append(out, n)
 	}
-	if b.Full {
+	return out
+}
+
+// Merge takes what another entry knows. Sent is when it was asked.
+func (c *Catalog) Merge(sent time.Duration, n News) {
+	s := c.shelves[n.Addr]
+	heard := sent - n.Age
+	if s == nil || s.known && s.epoch != n.Epoch && s.heard >= heard {
+		return
+	}
+	if !s.known || s.epoch != n.Epoch {
+		if !n.Full {
+			return
+		}
+		s.restart(n.Epoch)
 		s.known = true
 	}
-	return s.known && !b.Lost
+	for _, e := range n.Events {
+		s.take(e)
+	}
+	s.next = max(s.next, n.Next)
+	if heard > s.heard {
+		s.heard = heard
+		if n.ClockMillis > 0 {
+			s.clock, s.at = n.ClockMillis, heard
+		}
+	}
 }
 
+// staleAfter is the age from which a store may have restarted unnoticed, so that nothing
+// is fetched from it: stores restart within two seconds at the soonest.
+const staleAfter = 1800 * time.Millisecond
+
 // Forget drops what is believed of a store that does not answer: it may have restarted.
 func (c *Catalog) Forget(addr string) {
 	if s := c.shelves[addr]; s != nil {
@@ -150,11 +273,11 @@
 
 // Find returns the address of a store that holds all tokens of a part; empty: none is
 // known to. Where several do, one in the given failure domain goes first.
-func (c *Catalog) Find(k Key, tokens int, domain string) string {
+func (c *Catalog) Find(now time.Duration, k Key, tokens int, domain string) string {
 	best := ""
 	for _, addr := range c.Addrs() {
 		s := c.shelves[addr]
-		if !s.known || s.held[k] < tokens || tokens <= 0 {
+		if !s.known || now-s.heard > staleAfter || s.held[k] < tokens || tokens <= 0 {
 			continue
 		}
 		if _, going := s.freed[k]; going {
--- a/io/cfvduty/duty.go
+++ b/io/cfvduty/duty.go
@@ -26,7 +26,8 @@
 	leaseTime   = 2500 * time.Millisecond
 	renewEvery  = 800 * time.Millisecond
 	leaseMargin = 600 * time.Millisecond // no order is given this long before the lease ends
-	contention  = 500 * time.Millisecond // entries wait up to this long before they take a free duty
+	contention  = 500 * time.Millisecond // hubs wait up to this long before they take a free duty
+	leafDelay   = 1 * time.Second        // other entries wait this much longer
 	freeAfter   = 7 * time.Second        // no fetch of a replaced part can be under way any more
 	freeEvery   = 500 * time.Millisecond
 	freeAtOnce  = 64
@@ -51,6 +52,7 @@
 	Store     Store
 	Holder    func() (cfvmirror.Record, bool) // the item that names the holder
 	LastGiver func() (cfvmirror.Record, bool) // the item that Record writes
+	Hub       func() bool
 	Belief    *cfvbelief.Belief
 	Version   func(e *cfvfleet.Endpoint, model string) int64
 	Loaded    func(e *cfvfleet.Endpoint, model string, version int64)
@@ -145,6 +147,9 @@
 	}
 	if d.freeSince == 0 {
 		d.freeSince, d.delay = now, time.Duration(rand.Int64N(int64(contention)))
+		if !d.cfg.Hub() {
+			d.delay += leafDelay
+		}
 	}
 	if now-d.freeSince < d.delay {
 		return
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -211,12 +211,12 @@
 		}
 	})
 	query.ColdUntil = func(id string) time.Duration { return cold[id] }
-	query.Stored = q.stored(query.Wanted)
+	query.Stored = q.stored(now, query.Wanted)
 	return query
 }
 
 // stored reports whether stores hold all shared parts for the newest weights.
-func (q *request) stored(version int64) bool {
+func (q *request) stored(now time.Duration, version int64) bool {
 	shared := q.call.Prompt.Shared()
 	if len(shared) == 0 || q.entry.cfg.Parts == nil {
 		return false
@@ -225,7 +225,7 @@
 	all := true
 	q.entry.cfg.Parts.Do(func(c *cfvparts.Catalog) {
 		for _, part := range shared {
-			all = all && c.Find(cfvparts.Key{Salt: salt, Part: part.ID}, part.Tokens, "") != ""
+			all = all && c.Find(now, cfvparts.Key{Salt: salt, Part: part.ID}, part.Tokens, "") != ""
 		}
 	})
 	return all
@@ -256,7 +256,7 @@
 	e.cfg.Parts.Do(func(cat *cfvparts.Catalog) {
 		for i, part := range p.Shared() {
 			k := cfvparts.Key{Salt: d.Salt, Part: part.ID}
-			d.Fetch[i] = cat.Find(k, part.Tokens, c.Endpoint.Domain)
+			d.Fetch[i] = cat.Find(now, k, part.Tokens, c.Endpoint.Domain)
 			if d.Fetch[i] == "" {
 				d.Save[i] = cat.Target(now, k, part.Tokens)
 				continue
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -43,7 +43,7 @@
 	defaultLimit   = 30 * time.Second // for requests with neither deadline nor time limit
 	leastLeft      = 4 * time.Millisecond
 	defaultBody    = 8 << 20
-	staleRefusal   = 2 * time.Second // an older belief may lack a new route or key
+	staleRefusal   = 3 * time.Second // an older belief may lack a new route or key
 	elsewhere      = 50 * time.Millisecond
 	quarantineTime = 30 * time.Second
 )
--- /dev/null
+++ b/io/cfvexchange/codec.go
@@ -0,0 +1,84 @@
+package cfvexchange
+
+import (
+	"time"
+
+	"coltsfootvalve/core/cfvdispatch"
+	"coltsfootvalve/core/cfvmirror"
+	"coltsfootvalve/core/cfvparts"
+	"coltsfootvalve/io/cfvwire/cfvwireentry"
+)
+
+func recordsToWire(records []cfvmirror.Record) []*cfvwireentry.Record {
+	out := make([]*cfvwireentry.Record, 0, len(records))
+	for _, r := range records {
+		out = append(out, &cfvwireentry.Record{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted})
+	}
+	return out
+}
+
+func recordsFromWire(records []*cfvwireentry.Record) []cfvmirror.Record {
+	out := make([]cfvmirror.Record, 0, len(records))
+	for _, r := range records {
+		out = append(out, cfvmirror.Record{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted()})
+	}
+	return out
+}
+
+func endpointsToWire(loads map[string]cfvdispatch.Load) []*cfvwireentry.EndpointLoad {
+	out := make([]*cfvwireentry.EndpointLoad, 0, len(loads))
+	for id, l := range loads {
+		out = append(out, &cfvwireentry.EndpointLoad{Id: id, Running: uint32(l.Running), Tokens: uint32(l.Tokens)})
+	}
+	return out
+}
+
+func endpointsFromWire(list []*cfvwireentry.EndpointLoad) map[string]cfvdispatch.Load {
+	out := make(map[string]cfvdispatch.Load, len(list))
+	for _, e := range list {
+		out[e.GetId()] = cfvdispatch.Load{Running: int(e.GetRunning()), Tokens: int(e.GetTokens())}
+	}
+	return out
+}
+
+func positionToWire(p cfvparts.Position) *cfvwireentry.StorePosition {
+	return &cfvwireentry.StorePosition{Addr: p.Addr, Epoch: p.Epoch, Next: p.Next}
+}
+
+func positionFromWire(w *cfvwireentry.StorePosition) cfvparts.Position {
+	return cfvparts.Position{Addr: w.GetAddr(), Epoch: w.GetEpoch(), Next: w.GetNext()}
+}
+
+func positionsFromWire(list []*cfvwireentry.StorePosition) []cfvparts.Position {
+	out := make([]cfvparts.Position, 0, len(list))
+	for _, w := range list {
+		out = append(out, positionFromWire(w))
+	}
+	return out
+}
+
+// newsToWire rounds the age up, so that it is never younger than it is.
+func newsToWire(n cfvparts.News) *cfvwireentry.StoreNews {
+	out := &cfvwireentry.StoreNews{
+		Position: positionToWire(n.Position), Full: n.Full, AgeMillis: n.Age.Milliseconds() + 1, ClockMillis: n.ClockMillis,
+	}
+	for _, e := range n.Events {
+		out.Events = append(out.Events, &cfvwireentry.PartEvent{
+			Number: e.Number, Salt: e.Salt, Part: e.Part, Tokens: uint32(max(e.Tokens, 0)), Removed: e.Removed,
+		})
+	}
+	return out
+}
+
+func newsFromWire(w *cfvwireentry.StoreNews) cfvparts.News {
+	n := cfvparts.News{
+		Position: positionFromWire(w.GetPosition()), Full: w.GetFull(), Age: time.Duration(w.GetAgeMillis()) * time.Millisecond,
+		ClockMillis: w.GetClockMillis(),
+	}
+	for _, e := range w.GetEvents() {
+		n.Events = append(n.Events, cfvparts.Event{
+			Number: e.GetNumber(), Salt: e.GetSalt(), Part: e.GetPart(), Tokens: int(e.GetTokens()), Removed: e.GetRemoved(),
+		})
+	}
+	return n
+}
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -15,7 +15,7 @@
 	"coltsfootvalve/core/cfvdispatch"
 	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/core/cfvlimit"
-	"coltsfootvalve/core/cfvmirror"
+	"coltsfootvalve/core/cfvparts"
 	"coltsfootvalve/io/cfvbelief"
 	"coltsfootvalve/io/cfvwire/cfvwireentry"
 	"coltsfootvalve/io/cfvwire/cfvwireentry/cfvwireentryconnect"
@@ -25,19 +25,24 @@
 
 // Figures of the exchange.
 const (
-	period      = 250 * time.Millisecond // between two questions of an entry
+	leafPeriod  = 200 * time.Millisecond // between two questions of an entry to its hub
+	hubPeriod   = 100 * time.Millisecond // between two questions of a hub to others
 	pullTimeout = 700 * time.Millisecond
 	loadMemory  = 1500 * time.Millisecond // an older load is no longer believed
 	maxBytes    = 16 << 20
+	silentFor   = 2 * time.Second // a hub that did not answer is not asked for so long
+	strayEvery  = 16              // one in so many questions of a hub goes to any entry
 )
 
 // Config configures an Exchange.
 type Config struct {
 	Self        string
+	Domain      string
 	Seeds       []string // addresses of other entries while none is known
 	Belief      *cfvbelief.Belief
 	Now         func() time.Duration
 	Loads       func() map[string]cfvdispatch.Load
+	Parts       func(func(c *cfvparts.Catalog))
 	Suspicions  func() []cfvlimit.Suspicion
 	Suspected   func(cfvlimit.Suspicion)
 	Log         cfvlog.Logger
@@ -53,8 +58,12 @@
 	seq     int64
 	loads   map[string]load // by entry
 	silence map[string]time.Duration
+	turn    int
 }
 
+// everyone is the name under which a hub tells the load of all entries but the asking one.
+const everyone = "*"
+
 // load is what another entry had under way.
 type load struct {
 	started   int64
@@ -77,39 +86,63 @@
 
 // Run asks other entries until the context ends.
 func (x *Exchange) Run(ctx context.Context) {
-	cfvclock.Every(ctx, period, func(ctx context.Context) {
-		name, addr := x.pick()
-		if addr == "" {
-			return
+	for {
+		hub, name, addr := x.pick()
+		if addr != "" {
+			x.ask(ctx, name, addr)
+		}
+		period := leafPeriod
+		if hub {
+			period = hubPeriod
 		}
-		if err := x.pull(ctx, addr); err != nil && ctx.Err() == nil {
-			x.cfg.Count("exchange.failed", 1)
-			x.lost(name, err)
+		if !cfvclock.Sleep(ctx, period) {
 			return
 		}
+	}
+}
+
+func (x *Exchange) ask(ctx context.Context, name, addr string) {
+	err := x.pull(ctx, addr)
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		x.cfg.Count("exchange.failed", 1)
+		x.lost(name, err)
+	default:
 		x.regained(name)
-	})
+	}
 }
 
-// pick returns another entry at random.
-func (x *Exchange) pick() (name, addr string) {
-	var others []cfvfleet.Entry
-	x.cfg.Belief.Read(func(v *cfvfleet.View) {
-		for _, e := range v.Entries() {
-			if e.Name != x.cfg.Self {
-				others = append(others, e)
-			}
+// pick returns whom to ask next: hubs ask each other in turn, the others ask a hub that
+// answers, and seeds are asked while no other entry is known.
+func (x *Exchange) pick() (hub bool, name, addr string) {
+	var entries []cfvfleet.Entry
+	x.cfg.Belief.Read(func(v *cfvfleet.View) { entries = v.Entries() })
+	hubs := cfvfleet.HomeHubs(cfvfleet.Entry{Name: x.cfg.Self, Domain: x.cfg.Domain}, entries)
+	if len(hubs) == 0 {
+		if len(x.cfg.Seeds) == 0 {
+			return false, "", ""
 		}
-	})
-	if len(others) > 0 {
-		e := others[rand.IntN(len(others))]
-		return e.Name, e.Addr
-	}
-	if len(x.cfg.Seeds) > 0 {
 		a := x.cfg.Seeds[rand.IntN(len(x.cfg.Seeds))]
-		return a, a
+		return false, a, a
 	}
-	return "", ""
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.turn++
+	if cfvfleet.IsHub(x.cfg.Self, entries) {
+		h := hubs[x.turn%len(hubs)]
+		if x.turn%strayEvery == 0 {
+			h = entries[rand.IntN(len(entries))]
+		}
+		return true, h.Name, h.Addr
+	}
+	for _, h := range hubs {
+		if since, silent := x.silence[h.Name]; !silent || x.cfg.Now()-since > silentFor {
+			return false, h.Name, h.Addr
+		}
+	}
+	e := entries[rand.IntN(len(entries))]
+	return false, e.Name, e.Addr
 }
 
 // pull asks the entry at addr for what this one lacks.
@@ -118,7 +151,9 @@
 	defer cancel()
 	sent := x.cfg.Now()
 	client := cfvwireentryconnect.NewExchangeClient(x.client, "http://"+addr, connect.WithReadMaxBytes(maxBytes))
-	resp, err := client.Pull(ctx, connect.NewRequest(&cfvwireentry.PullRequest{Entry: x.cfg.Self, AsOf: x.cfg.Belief.AsOf(), Load: x.own()}))
+	resp, err := client.Pull(ctx, connect.NewRequest(&cfvwireentry.PullRequest{
+		Entry: x.cfg.Self, AsOf: x.cfg.Belief.AsOf(), Load: x.own(), Stores: x.positions(),
+	}))
 	if err != nil {
 		return err
 	}
@@ -132,6 +167,11 @@
 	for _, l := range m.GetLoads() {
 		x.take(l)
 	}
+	x.cfg.Parts(func(c *cfvparts.Catalog) {
+		for _, n := range m.GetStores() {
+			c.Merge(sent, newsFromWire(n))
+		}
+	})
 	for _, s := range m.GetSuspicions() {
 		x.cfg.Suspected(cfvlimit.Suspicion{
 			Fingerprint: s.GetFingerprint(), Endpoints: s.GetEndpoints(),
@@ -151,7 +191,12 @@
 	if age, ok := x.cfg.Belief.Age(); ok {
 		out.AgeMillis = age.Milliseconds() + 1 // rounded up, so that it is never younger than it is
 	}
-	out.Loads = append(x.relayed(r.Msg.GetEntry()), x.own())
+	out.Loads = append(out.Loads, x.relayed(r.Msg.GetEntry()))
+	x.cfg.Parts(func(c *cfvparts.Catalog) {
+		for _, n := range c.Since(x.cfg.Now(), positionsFromWire(r.Msg.GetStores())) {
+			out.Stores = append(out.Stores, newsToWire(n))
+		}
+	})
 	for _, s := range x.cfg.Suspicions() {
 		out.Suspicions = append(out.Suspicions, &cfvwireentry.Suspicion{
 			Fingerprint: s.Fingerprint, Endpoints: s.Endpoints, LeftMillis: time.Until(s.Until).Milliseconds(),
@@ -163,8 +208,9 @@
 func (x *Exchange) lost(name string, err error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if _, ok := x.silence[name]; !ok {
-		x.silence[name] = x.cfg.Now()
+	_, already := x.silence[name]
+	x.silence[name] = x.cfg.Now()
+	if !already {
 		x.cfg.Log.Alarm("an entry does not answer", "entry", name, "error", err.Error())
 	}
 }
@@ -178,40 +224,62 @@
 	}
 }
 
+// positions returns how far this entry's knowledge of the stores goes.
+func (x *Exchange) positions() (out []*cfvwireentry.StorePosition) {
+	x.cfg.Parts(func(c *cfvparts.Catalog) {
+		for _, p := range c.Positions() {
+			out = append(out, positionToWire(p))
+		}
+	})
+	return out
+}
+
 // own returns what this entry has under way.
 func (x *Exchange) own() *cfvwireentry.Load {
 	x.mu.Lock()
 	x.seq++
 	out := &cfvwireentry.Load{Entry: x.cfg.Self, Started: x.cfg.StartMillis, Sequence: x.seq}
 	x.mu.Unlock()
-	for id, l := range x.cfg.Loads() {
-		out.Endpoints = append(out.Endpoints, &cfvwireentry.EndpointLoad{Id: id, Running: uint32(l.Running), Tokens: uint32(l.Tokens)})
-	}
+	out.Endpoints = endpointsToWire(x.cfg.Loads())
 	return out
 }
 
-// maxRelayed bounds the loads of other entries that an answer carries.
-const maxRelayed = 12
-
-// relayed returns fresh loads of others for the asking entry.
-func (x *Exchange) relayed(asking string) []*cfvwireentry.Load {
+// relayed returns what the asking entry is told of the loads of others: a hub, what this
+// entry and those that ask it have; any other entry, what all have.
+func (x *Exchange) relayed(asking string) *cfvwireentry.Load {
+	var entries []cfvfleet.Entry
+	x.cfg.Belief.Read(func(v *cfvfleet.View) { entries = v.Entries() })
+	hubs := make(map[string]bool)
+	for _, h := range cfvfleet.Hubs(entries) {
+		hubs[h.Name] = true
+	}
+	sum := x.cfg.Loads()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	var out []*cfvwireentry.Load
+	x.seq++
+	out := &cfvwireentry.Load{Entry: everyone, Started: x.cfg.StartMillis, Sequence: x.seq}
+	if hubs[asking] {
+		out.Entry = x.cfg.Self
+	}
 	for name, l := range x.loads {
-		if name == asking || x.cfg.Now()-l.at > loadMemory/2 || len(out) >= maxRelayed {
+		if name == asking || name == everyone || x.cfg.Now()-l.at > loadMemory || hubs[asking] && hubs[name] {
 			continue
 		}
-		w := &cfvwireentry.Load{Entry: name, Started: l.started, Sequence: l.sequence}
-		for id, e := range l.endpoints {
-			w.Endpoints = append(w.Endpoints, &cfvwireentry.EndpointLoad{Id: id, Running: uint32(e.Running), Tokens: uint32(e.Tokens)})
-		}
-		out = append(out, w)
+		add(sum, l.endpoints)
 	}
+	out.Endpoints = endpointsToWire(sum)
 	return out
 }
 
-// take keeps the load of another entry if it is newer than the one known.
+// add adds loads to a sum.
+func add(sum, loads map[string]cfvdispatch.Load) {
+	for id, l := range loads {
+		have := sum[id]
+		sum[id] = cfvdispatch.Load{Running: have.Running + l.Running, Tokens: have.Tokens + l.Tokens}
+	}
+}
+
+// take keeps the load of another entry, or of all, if it is newer than the one known.
 func (x *Exchange) take(w *cfvwireentry.Load) {
 	if w.GetEntry() == x.cfg.Self {
 		return
@@ -219,14 +287,13 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	have := x.loads[w.GetEntry()]
-	if w.GetStarted() < have.started || w.GetStarted() == have.started && w.GetSequence() <= have.sequence {
+	// Hubs take turns to tell the load of all, each with a sequence of its own.
+	if w.GetEntry() != everyone && (w.GetStarted() < have.started || w.GetStarted() == have.started && w.GetSequence() <= have.sequence) {
 		return
 	}
-	l := load{started: w.GetStarted(), sequence: w.GetSequence(), at: x.cfg.Now(), endpoints: make(map[string]cfvdispatch.Load)}
-	for _, e := range w.GetEndpoints() {
-		l.endpoints[e.GetId()] = cfvdispatch.Load{Running: int(e.GetRunning()), Tokens: int(e.GetTokens())}
+	x.loads[w.GetEntry()] = load{
+		started: w.GetStarted(), sequence: w.GetSequence(), at: x.cfg.Now(), endpoints: endpointsFromWire(w.GetEndpoints()),
 	}
-	x.loads[w.GetEntry()] = l
 }
 
 // Loads returns what all other entries have at the endpoints, as far as it is fresh.
@@ -237,28 +304,14 @@
 	for name, l := range x.loads {
 		if x.cfg.Now()-l.at > loadMemory {
 			delete(x.loads, name)
-			continue
-		}
-		for id, e := range l.endpoints {
-			sum := out[id]
-			out[id] = cfvdispatch.Load{Running: sum.Running + e.Running, Tokens: sum.Tokens + e.Tokens}
 		}
 	}
-	return out
-}
-
-func recordsToWire(records []cfvmirror.Record) []*cfvwireentry.Record {
-	out := make([]*cfvwireentry.Record, 0, len(records))
-	for _, r := range records {
-		out = append(out, &cfvwireentry.Record{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted})
+	if all, ok := x.loads[everyone]; ok {
+		add(out, all.endpoints)
+		return out
 	}
-	return out
-}
-
-func recordsFromWire(records []*cfvwireentry.Record) []cfvmirror.Record {
-	out := make([]cfvmirror.Record, 0, len(records))
-	for _, r := range records {
-		out = append(out, cfvmirror.Record{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted()})
+	for _, l := range x.loads {
+		add(out, l.endpoints)
 	}
 	return out
 }
--- a/io/cfvfollow/follower.go
+++ b/io/cfvfollow/follower.go
@@ -15,7 +15,10 @@
 
 // Figures of the following.
 const (
-	watchWait = 1 * time.Second        // a connection that went silent is noticed within it and an answer's time
+	watchWait = 500 * time.Millisecond  // a connection that went silent is noticed within it and an answer's time
+	gather    = 60 * time.Millisecond   // changes that come close together are fetched by one call
+	leafAge   = 2600 * time.Millisecond // an entry that hears nothing from hubs asks the store itself from this age on
+	leafCheck = 100 * time.Millisecond
 	hush      = 1 * time.Second        // a watch may hear nothing for this long although items changed
 	firstWait = 150 * time.Millisecond // pause after a failed call
 	mostWait  = 800 * time.Millisecond
@@ -28,6 +31,7 @@
 	Watch       func(ctx context.Context, after int64, wait time.Duration) (records []cfvmirror.Record, asOf int64, err error)
 	HistoryGone error // what Watch fails with when it can't go on from a revision
 	Belief      *cfvbelief.Belief
+	Hub         func() bool // whether this entry asks the store on behalf of others
 	Now         func() time.Duration
 	Log         cfvlog.Logger
 }
@@ -35,7 +39,7 @@
 // Follower follows the store.
 type Follower struct {
 	cfg     Config
-	listed  bool
+	relist  bool          // the history after the belief is gone
 	failing time.Duration // since when calls have failed; 0: they don't
 }
 
@@ -46,6 +50,10 @@
 func (f *Follower) Run(ctx context.Context) {
 	wait := firstWait
 	for ctx.Err() == nil {
+		if !f.due() {
+			cfvclock.Sleep(ctx, leafCheck)
+			continue
+		}
 		err := f.step(ctx)
 		if err == nil {
 			wait = firstWait
@@ -61,9 +69,19 @@
 	}
 }
 
+// due reports whether this entry should ask the store: it is a hub, or it hears too little
+// from them.
+func (f *Follower) due() bool {
+	if f.cfg.Hub() {
+		return true
+	}
+	age, known := f.cfg.Belief.Age()
+	return !known || age > leafAge
+}
+
 // step lists the store once, and watches it from then on.
 func (f *Follower) step(ctx context.Context) error {
-	if !f.listed {
+	if f.cfg.Belief.AsOf() == 0 || f.relist {
 		sent := f.cfg.Now()
 		records, asOf, err := f.cfg.List(ctx)
 		if err != nil {
@@ -71,14 +89,14 @@
 		}
 		f.cfg.Belief.Learn("store", records, asOf, true)
 		f.cfg.Belief.Confirm(asOf, sent)
-		f.listed = true
+		f.relist = false
 		return nil
 	}
 	sent := f.cfg.Now()
 	records, asOf, err := f.cfg.Watch(ctx, f.cfg.Belief.AsOf(), watchWait)
 	if errors.Is(err, f.cfg.HistoryGone) {
 		f.cfg.Log.Say("the store's history is gone, all items are listed", "asOf", f.cfg.Belief.AsOf())
-		f.listed = false
+		f.relist = true
 		return nil
 	}
 	if err != nil {
@@ -86,6 +104,9 @@
 	}
 	f.cfg.Belief.Learn("store", records, asOf, false)
 	f.cfg.Belief.Confirm(asOf, sent-hush)
+	if len(records) > 0 {
+		cfvclock.Sleep(ctx, gather)
+	}
 	return nil
 }
 
--- a/io/cfvstock/follower.go
+++ b/io/cfvstock/follower.go
@@ -10,8 +10,6 @@
 	"coltsfootvalve/common/cfvlog"
 	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/core/cfvparts"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Figures of the following.
@@ -20,7 +18,6 @@
 	eventPause = 150 * time.Millisecond // collects events, so that a busy store is not asked at each of them
 	failPause  = 400 * time.Millisecond
 	checkPause = 500 * time.Millisecond
-	callsSpare = 2 // event calls of a store that are left to others
 )
 
 // Config configures a Follower.
@@ -51,8 +48,8 @@
 	cfvclock.Every(ctx, checkPause, f.adjust)
 }
 
-// adjust begins to follow new stores and ends it for those that are gone or that enough
-// other entries follow.
+// adjust begins to follow new stores and ends it for those that are gone, or for all where
+// this entry is no hub.
 func (f *Follower) adjust(ctx context.Context) {
 	var stores []cfvparts.Store
 	wanted := make(map[string]bool)
@@ -61,11 +58,11 @@
 		if x == nil {
 			return
 		}
-		entries := v.Entries()
+		hub := cfvfleet.IsHub(f.cfg.Self, v.Entries())
 		for _, s := range x.Stores() {
 			st := s.Store
 			stores = append(stores, cfvparts.Store{Addr: st.Addr, Domain: st.Domain, Tokens: st.Tokens})
-			if Rank(f.cfg.Self, st.Addr, entries) < max(st.MaxCalls-callsSpare, 1) || st.MaxCalls == 0 {
+			if hub {
 				wanted[st.Addr] = true
 			}
 		}
@@ -75,7 +72,6 @@
 		if !wanted[addr] {
 			stop()
 			delete(f.running, addr)
-			f.cfg.Catalog(func(c *cfvparts.Catalog) { c.Forget(addr) })
 		}
 	}
 	for addr := range wanted {
@@ -87,18 +83,6 @@
 	}
 }
 
-// Rank returns how many other entries go before this one at a store.
-func Rank(self, addr string, entries []cfvfleet.Entry) int {
-	mine := xxhash.Sum64String(self + "\x00" + addr)
-	n := 0
-	for _, e := range entries {
-		if e.Name != self && xxhash.Sum64String(e.Name+"\x00"+addr) > mine {
-			n++
-		}
-	}
-	return n
-}
-
 // follow keeps what one store holds up to date.
 func (f *Follower) follow(ctx context.Context, addr string) {
 	listed, next, lost := false, int64(0), false
