--- a/io/cfventry/stream.go
+++ b/io/cfventry/stream.go
@@ -101,6 +101,7 @@
 			q.head(resp)
 			q.w.WriteHeader(resp.StatusCode)
 			q.stream.started = true
+			q.began(ep)
 		}
 		if id := lastID(chunk); id != "" {
 			q.stream.lastID = id
@@ -114,6 +115,13 @@
 	}
 }
 
+// began logs the first event.
+func (q *request) began(ep *cfvfleet.Endpoint) {
+	if q.entry.cfg.Log.Detailed() {
+		q.entry.cfg.Log.Detail("a stream began", q.facts("endpoint", ep.ID, "tokens", q.call.Prompt.Tokens)...)
+	}
+}
+
 // endStream ends a stream that its endpoint ended.
 func (q *request) endStream(ep *cfvfleet.Endpoint, resp *http.Response, rest []byte) outcome {
 	if len(rest) > 0 && q.route.Repeatable() {
