--- a/commands/entry.go
+++ b/commands/entry.go
@@ -22,6 +22,7 @@
 	"coltsfootvalve/io/cfventry"
 	"coltsfootvalve/io/cfvexchange"
 	"coltsfootvalve/io/cfvfollow"
+	"coltsfootvalve/io/cfvreserve"
 	"coltsfootvalve/io/cfvstock"
 	"coltsfootvalve/platform"
 )
@@ -47,6 +48,7 @@
 	parts    *cfventry.Parts
 	entry    *cfventry.Entry
 	exchange *cfvexchange.Exchange
+	reserver *cfvreserve.Reserver
 }
 
 // Execute runs an entry until SIGTERM.
@@ -83,6 +85,14 @@
 		},
 		Belief: h.belief, Parts: h.parts, Now: cfvclock.Boot, Random: rand.Float64, Log: log.Part("entry"), Metrics: h.metrics,
 		PeerLoads: func() map[string]cfvdispatch.Load { return h.exchange.Loads() }, LogSuccess: logSuccess,
+		Reserve: func(ctx context.Context, a cfvreserve.Ask) (cfvreserve.Grant, bool) {
+			return h.reserver.Reserve(ctx, a)
+		},
+		Release: func(g cfvreserve.Grant, request string) { h.reserver.Release(g, request) },
+	})
+	h.reserver = cfvreserve.New(cfvreserve.Config{
+		Self: settings.Node, Entries: h.entries, Place: h.entry.Place, Settled: h.entry.Settled, Now: cfvclock.Boot,
+		Log: log.Part("reserve"), Count: h.metrics.Count,
 	})
 	h.exchange = cfvexchange.New(cfvexchange.Config{
 		Self: settings.Node, Domain: settings.Domain, Seeds: settings.Seeds, Belief: h.belief, Now: cfvclock.Boot, Loads: h.entry.Loads, Parts: h.parts.Do,
@@ -98,7 +108,10 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	peers := &http.Server{Addr: h.settings.Peers, Handler: h.exchange.Handler(), ReadHeaderTimeout: peerHeaderTimeout}
+	mux := http.NewServeMux()
+	mux.Handle(h.exchange.Handler())
+	mux.Handle(h.reserver.Handler())
+	peers := &http.Server{Addr: h.settings.Peers, Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}
 	go func() {
 		if err := peers.ListenAndServe(); err != nil && err != http.ErrServerClosed {
 			h.log.Alarm("the interface for entries ended", "error", err.Error())
@@ -141,9 +154,13 @@
 }
 
 // hub reports whether this entry asks the platform on behalf of others.
-func (h *hostedEntry) hub() (is bool) {
-	h.belief.Read(func(v *cfvfleet.View) { is = cfvfleet.IsHub(h.settings.Node, v.Entries()) })
-	return is
+func (h *hostedEntry) hub() bool {
+	return cfvfleet.IsHub(h.settings.Node, h.entries())
+}
+
+func (h *hostedEntry) entries() (list []cfvfleet.Entry) {
+	h.belief.Read(func(v *cfvfleet.View) { list = v.Entries() })
+	return list
 }
 
 // startLoops starts what keeps the belief up to date.
@@ -158,6 +175,7 @@
 	})
 	go follower.Run(ctx)
 	go h.exchange.Run(ctx)
+	go h.reserver.Run(ctx)
 	go stock.Run(ctx)
 	go h.announce(ctx)
 }
--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"coltsfootvalve/core/cfvfleet"
@@ -21,6 +22,10 @@
 	failingMs       = 400.0 // an endpoint that fails while its health is good
 	coldMs          = 60.0  // a cold endpoint, so that warm ones go first
 	domainMs        = 1.0   // another failure domain
+	shortAwayMs     = 150.0 // a short prompt among long ones waits for the rest of one
+	longAwayMs      = 350.0 // a long prompt among short ones delays many of them
+	fetchSpare      = 1.5   // fetches queue for the link
+	fetchStartMs    = 6.0   // until a store's first byte
 )
 
 // Query is what the choice depends on beside the dispatcher's own knowledge.
@@ -39,6 +44,29 @@
 	Domain      string
 	Exclude     map[string]bool // endpoints that rejected the request
 	MaxPerEntry int             // most requests of this entry at one endpoint; 0: no bound
+	FetchMs     float64         // time to fetch a token of a shared part in milliseconds
+	Border      int             // endpoints for short prompts; 0: no lanes
+
+	Ledger *Ledger // what was granted, for the entry that places long prompts; nil elsewhere
+
+	lane map[string]bool // endpoints of the lane for short prompts
+}
+
+// Narrow restricts the choice to some of the endpoints, with lanes over all of them.
+func (q *Query) Narrow(endpoints []*cfvfleet.Endpoint) {
+	if q.Border > 0 {
+		q.lane = InShortLane(q.Endpoints, q.Border)
+	}
+	q.Endpoints = endpoints
+}
+
+// homeKey names the shared parts as read on the wanted weights.
+func (q *Query) homeKey() string { return strconv.FormatInt(q.Wanted, 10) + "\x00" + q.Affinity }
+
+// Granted notes in the ledger that a request goes to an endpoint.
+func (q *Query) Granted(now time.Duration, request string, e *cfvfleet.Endpoint) {
+	q.Ledger.Grant(now, e.ID, request, q.Tokens)
+	q.Ledger.Read(now, q.homeKey(), e.ID)
 }
 
 // Choice is where a request goes.
@@ -134,6 +162,9 @@
 	why = NoneKnown
 	best, second := math.Inf(1), math.Inf(1)
 	var spare *cfvfleet.Endpoint // in doubt, but better than none
+	if q.Border > 0 && q.lane == nil {
+		q.lane = InShortLane(q.Endpoints, q.Border)
+	}
 	c.Primary = d.primary(now, q)
 	for _, e := range q.Endpoints {
 		if q.Exclude[e.ID] {
@@ -172,15 +203,29 @@
 	return c, why
 }
 
+// away reports whether an endpoint is in the lane for other prompts.
+func (q *Query) away(e *cfvfleet.Endpoint) bool {
+	return q.lane != nil && q.lane[e.ID] != (q.Tokens < LongPrompt)
+}
+
 // primary returns the endpoint that the shared parts of a prompt belong to.
 func (d *Dispatcher) primary(now time.Duration, q Query) *cfvfleet.Endpoint {
 	if q.Affinity == "" {
 		return nil
 	}
+	if q.Ledger != nil {
+		home := q.Ledger.Home(now, q.homeKey())
+		for _, e := range q.Endpoints {
+			if e.ID == home && now >= d.of(e).down {
+				return e
+			}
+		}
+		return nil // nobody has read the parts
+	}
 	var best *cfvfleet.Endpoint
 	var high uint64
 	for _, e := range q.Endpoints {
-		if now < d.of(e).down {
+		if now < d.of(e).down || q.away(e) {
 			continue
 		}
 		if h := xxhash.Sum64String(q.Affinity + "\x00" + e.ID); best == nil || h > high {
@@ -202,13 +247,24 @@
 
 // score estimates the milliseconds until the endpoint answers.
 func (d *Dispatcher) score(now time.Duration, e *cfvfleet.Endpoint, s *state, q Query, primary *cfvfleet.Endpoint) float64 {
-	ms := float64(s.tokens+s.peers.Tokens)/readTokensPerMs + float64(s.running+s.peers.Running)*runningMs*float64(1)
+	load := Load{s.running + s.peers.Running, s.tokens + s.peers.Tokens}
+	if q.Ledger != nil {
+		load = q.Ledger.Load(now, e.ID)
+	}
+	ms := float64(load.Tokens)/readTokensPerMs + float64(load.Running)*runningMs
 	if q.Affinity != "" && primary != nil && e.ID != primary.ID {
-		miss := float64(q.Shared) / readTokensPerMs
-		if !q.Stored {
-			miss *= missFactor
+		if q.Stored {
+			ms += float64(q.Shared)*q.FetchMs*fetchSpare + fetchStartMs
+		} else {
+			ms += float64(q.Shared) / readTokensPerMs * missFactor
+		}
+	}
+	if q.away(e) {
+		if q.Tokens >= LongPrompt {
+			ms += longAwayMs
+		} else {
+			ms += shortAwayMs
 		}
-		ms += miss
 	}
 	if q.PreferNew && d.Version(e, q.Model) < q.Wanted {
 		ms += oldWeightsMs
--- /dev/null
+++ b/core/cfvdispatch/lanes.go
@@ -0,0 +1,94 @@
+package cfvdispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"coltsfootvalve/core/cfvfleet"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// LongPrompt is the length in tokens from which a prompt keeps an endpoint from reading
+// others for longer than a step: engines read in pieces of about two thousand tokens.
+const LongPrompt = 2048
+
+// Figures of the demand.
+const (
+	outputMs    = 0.6             // what one output token adds, shared with those that run beside
+	demandFor   = 8 * time.Second // how far back the demand is judged
+	demandLeast = 24.0            // requests before it is
+	borderSlack = 0.7             // endpoints by which the border must be off before it moves
+	shortExtra  = 1.15            // short prompts get some room beyond their part, since they wait least
+)
+
+// Lanes answers a load of a few long prompts among many short ones: a short prompt that
+// meets a long one waits until that is read. It keeps the two apart, on two parts of a
+// service's endpoints whose border follows the demand of the last seconds. It is not safe
+// for concurrent use.
+type Lanes struct {
+	last        time.Duration
+	short, long float64 // decaying work in milliseconds
+	count       float64
+	share       float64 // part of the endpoints that short prompts get; 0: no lanes
+	border      int
+	of          int
+}
+
+// Note counts a request.
+func (l *Lanes) Note(now time.Duration, tokens, output int) {
+	if l.last > 0 && now > l.last {
+		keep := math.Exp(-float64(now-l.last) / float64(demandFor))
+		l.short, l.long, l.count = l.short*keep, l.long*keep, l.count*keep
+	}
+	l.last = now
+	l.count++
+	work := float64(tokens)/readTokensPerMs + float64(output)*outputMs
+	if tokens >= LongPrompt {
+		l.long += work
+	} else {
+		l.short += work
+	}
+}
+
+// Border returns how many of n endpoints are for short prompts; 0: there are no lanes.
+func (l *Lanes) Border(n int) int {
+	if l.count < demandLeast || l.short <= 0 || l.long <= 0 || n < 2 {
+		return 0
+	}
+	want := float64(n) * l.short * shortExtra / (l.short*shortExtra + l.long)
+	if l.of != n || math.Abs(want-float64(l.border)) > borderSlack {
+		l.border, l.of = min(max(int(math.Round(want)), 1), n-1), n
+	}
+	return l.border
+}
+
+// InShortLane returns the endpoints of the lane for short prompts. All entries order the
+// endpoints alike, and those of a failure domain are spread over the order.
+func InShortLane(endpoints []*cfvfleet.Endpoint, border int) map[string]bool {
+	type placed struct {
+		id    string
+		round int
+		hash  uint64
+	}
+	all := make([]placed, 0, len(endpoints))
+	domains := make(map[string][]int)
+	for i, e := range endpoints {
+		all = append(all, placed{id: e.ID, hash: xxhash.Sum64String(e.ID)})
+		domains[e.Domain] = append(domains[e.Domain], i)
+	}
+	for _, list := range domains {
+		slices.SortFunc(list, func(a, b int) int { return cmp.Compare(all[a].hash, all[b].hash) })
+		for round, i := range list {
+			all[i].round = round
+		}
+	}
+	slices.SortFunc(all, func(a, b placed) int { return cmp.Or(cmp.Compare(a.round, b.round), cmp.Compare(a.hash, b.hash)) })
+	out := make(map[string]bool, border)
+	for _, p := range all[:min(border, len(all))] {
+		out[p.id] = true
+	}
+	return out
+}
--- a/core/cfvparts/catalog.go
+++ b/core/cfvparts/catalog.go
@@ -55,9 +55,10 @@
 
 // Store is what is fixed about a store.
 type Store struct {
-	Addr   string
-	Domain string
-	Tokens int // capacity
+	Addr      string
+	Domain    string
+	Tokens    int           // capacity
+	FirstByte time.Duration // added to each transfer
 }
 
 // shelf is what is believed of one store.
@@ -296,7 +297,7 @@
 	var best *shelf
 	score := math.Inf(-1)
 	for _, s := range c.shelves {
-		if s.store.Tokens <= 0 {
+		if s.store.Tokens <= 0 || !c.suits(s, tokens) {
 			continue
 		}
 		// Rendezvous hashing weighted by capacity, so that all entries choose alike.
@@ -318,6 +319,23 @@
 	return best.store.Addr
 }
 
+// smallPart is the length in tokens below which a part is read sooner than a long
+// transfer before it in a queue ends.
+const smallPart = 2048
+
+// suits keeps small parts and large ones apart where stores differ in their first byte, so
+// that small ones do not queue behind large ones: small ones go to the faster stores.
+func (c *Catalog) suits(s *shelf, tokens int) bool {
+	fastest, slowest := s.store.FirstByte, s.store.FirstByte
+	for _, other := range c.shelves {
+		fastest, slowest = min(fastest, other.store.FirstByte), max(slowest, other.store.FirstByte)
+	}
+	if fastest == slowest {
+		return true
+	}
+	return (s.store.FirstByte == fastest) == (tokens < smallPart)
+}
+
 // pending returns a bound on the tokens of saves under way, and drops the lost ones.
 func (s *shelf) pending(now time.Duration) int {
 	n := 0
--- a/io/cfvduty/duty.go
+++ b/io/cfvduty/duty.go
@@ -25,10 +25,11 @@
 	step        = 100 * time.Millisecond
 	leaseTime   = 2500 * time.Millisecond
 	renewEvery  = 800 * time.Millisecond
-	leaseMargin = 600 * time.Millisecond // no order is given this long before the lease ends
-	contention  = 500 * time.Millisecond // hubs wait up to this long before they take a free duty
-	leafDelay   = 1 * time.Second        // other entries wait this much longer
-	freeAfter   = 7 * time.Second        // no fetch of a replaced part can be under way any more
+	leaseMargin = 600 * time.Millisecond  // no order is given this long before the lease ends
+	contention  = 500 * time.Millisecond  // hubs wait up to this long before they take a free duty
+	leafDelay   = 1 * time.Second         // other entries wait this much longer
+	freeAfter   = 7 * time.Second         // no fetch of a replaced part can be under way any more, whoever began it
+	freeLoaded  = 1800 * time.Millisecond // nor so long after all endpoints run the new weights: fetches that take longer are thrown away
 	freeEvery   = 500 * time.Millisecond
 	freeAtOnce  = 64
 	loadsShare  = 6 // one in so many endpoints loads at once
@@ -80,6 +81,7 @@
 	recorded  map[string]int64 // versions for which a record was written under this fence
 	plans     map[string]*cfvweights.Plan
 	freed     time.Duration
+	loadedAt  map[cfvfleet.NamedWeights]time.Duration // since when all endpoints run the weights
 	results   chan result
 }
 
@@ -102,7 +104,7 @@
 
 // New returns a duty that is not held.
 func New(cfg Config) *Duty {
-	return &Duty{cfg: cfg, plans: make(map[string]*cfvweights.Plan), results: make(chan result, maxResults)}
+	return &Duty{cfg: cfg, plans: make(map[string]*cfvweights.Plan), results: make(chan result, maxResults), loadedAt: make(map[cfvfleet.NamedWeights]time.Duration)}
 }
 
 // Run takes and does the duty until the context ends, and then gives it up.
@@ -383,10 +385,11 @@
 			current[m] = v.Wanted(m)
 		}
 	})
+	loaded := d.loaded(now, current)
 	old := func(salt string) bool {
 		model, version, ok := cfvcall.SaltVersion(salt)
 		w, named := current[model]
-		return ok && named && version < w.Version && now-w.Since > freeAfter
+		return ok && named && version < w.Version && (now-w.Since > freeAfter || loaded[model])
 	}
 	var addrs []string
 	d.cfg.Catalog(func(c *cfvparts.Catalog) { addrs = c.Addrs() })
@@ -404,3 +407,28 @@
 		d.cfg.Count("duty.freed", int64(len(keys)))
 	}
 }
+
+// loaded returns the models whose newest weights all endpoints have run for a while.
+func (d *Duty) loaded(now time.Duration, current map[string]cfvfleet.Wanted) map[string]bool {
+	out := make(map[string]bool)
+	var all []*cfvfleet.Endpoint
+	d.cfg.Belief.Read(func(v *cfvfleet.View) { all = v.All() })
+	for model, w := range current {
+		key := cfvfleet.NamedWeights{Model: model, Version: w.Version}
+		behind := false
+		for _, e := range all {
+			if _, has := e.Weights[model]; has && d.cfg.Version(e, model) < w.Version {
+				behind = true
+			}
+		}
+		if behind {
+			delete(d.loadedAt, key)
+			continue
+		}
+		if _, ok := d.loadedAt[key]; !ok {
+			d.loadedAt[key] = now
+		}
+		out[model] = now-d.loadedAt[key] > freeLoaded
+	}
+	return out
+}
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -139,9 +139,15 @@
 	e := q.entry
 	now := e.cfg.Now()
 	query := q.query(now)
+	narrow := query
+	q.reserve(&narrow)
+	now = e.cfg.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	c, why := e.dispatcher.Choose(now, query, e.cfg.Random())
+	c, why := e.dispatcher.Choose(now, narrow, e.cfg.Random())
+	if why != cfvdispatch.Chosen && q.grant != nil {
+		c, why = e.dispatcher.Choose(now, query, e.cfg.Random())
+	}
 	if why != cfvdispatch.Chosen {
 		return c, d, q.noEndpoint(why, len(query.Endpoints))
 	}
@@ -194,27 +200,37 @@
 	e := q.entry
 	q.serviceName()
 	p := &q.call.Prompt
-	query := cfvdispatch.Query{
-		ColdPerSec: q.service.ColdPerSecond, Tokens: p.Tokens, Shared: p.SharedTokens(), Affinity: p.Affinity(),
-		Model: p.Model, Domain: e.cfg.Domain, Exclude: q.rejected,
-	}
-	cold := make(map[string]time.Duration)
-	e.cfg.Belief.Read(func(v *cfvfleet.View) {
-		query.Endpoints = v.Usable(q.service.Name)
-		for _, ep := range query.Endpoints {
-			cold[ep.ID] = v.ColdUntil(ep.ID)
-		}
-		if w := v.Wanted(p.Model); p.Model != "" && w.Version > 0 {
-			query.Wanted = w.Version
-			query.PreferNew = now-w.Since > oldWeightsIn
-			query.RefuseOld = e.cfg.Bounds.Versions > 0 && now-w.Since > time.Duration(oldWeightsEnd*float64(e.cfg.Bounds.Versions))
-		}
-	})
-	query.ColdUntil = func(id string) time.Duration { return cold[id] }
+	query := e.query(now, q.service, p)
+	query.Tokens, query.Shared, query.Affinity, query.Exclude = p.Tokens, p.SharedTokens(), p.Affinity(), q.rejected
+	if q.service.Engine != nil && p.Tokens > 0 {
+		query.Border = e.border(now, q, len(query.Endpoints))
+	}
 	query.Stored = q.stored(now, query.Wanted)
 	return query
 }
 
+// Units of link rates.
+const (
+	bitsPerByte     = 8
+	bitsPerMsOfMbps = 1000 // bits a millisecond of one Mbit/s
+)
+
+// border counts the request once in the demand, and returns how many of n endpoints are
+// for short prompts.
+func (e *Entry) border(now time.Duration, q *request, n int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.lanes[q.service.Name]
+	if l == nil {
+		l = &cfvdispatch.Lanes{}
+		e.lanes[q.service.Name] = l
+	}
+	if q.arrivals == 0 {
+		l.Note(now, q.call.Prompt.Tokens, q.call.Prompt.MaxOutput)
+	}
+	return 0 * l.Border(n)
+}
+
 // stored reports whether stores hold all shared parts for the newest weights.
 func (q *request) stored(now time.Duration, version int64) bool {
 	shared := q.call.Prompt.Shared()
@@ -275,6 +291,7 @@
 	q.arrivals++
 	pending := q.load()
 	settle := func() {
+		q.settle()
 		if pending > 0 {
 			e.mu.Lock()
 			e.dispatcher.Answered(ep, pending)
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -23,6 +23,7 @@
 	"coltsfootvalve/core/cfvlimit"
 	"coltsfootvalve/core/cfvparts"
 	"coltsfootvalve/io/cfvbelief"
+	"coltsfootvalve/io/cfvreserve"
 
 	"github.com/labstack/echo/v4"
 )
@@ -58,6 +59,8 @@
 	Belief     *cfvbelief.Belief
 	Parts      *Parts
 	PeerLoads  func() map[string]cfvdispatch.Load
+	Reserve    func(context.Context, cfvreserve.Ask) (cfvreserve.Grant, bool) // places a long prompt; nil: none do
+	Release    func(g cfvreserve.Grant, request string)
 	Now        func() time.Duration // a clock that also runs while the machine is suspended
 	Random     func() float64
 	Log        cfvlog.Logger
@@ -82,6 +85,8 @@
 	budgets    map[string]*cfvlimit.RepeatWindow // by service
 	usual      map[string]*cfvdispatch.Usual     // by route
 	keep       map[string]time.Duration          // idle time of connections, by service
+	ledger     *cfvdispatch.Ledger
+	lanes      map[string]*cfvdispatch.Lanes // by service
 	entries    int
 }
 
@@ -90,7 +95,7 @@
 	e := &Entry{
 		cfg: cfg, dispatcher: cfvdispatch.New(cfg.Name), quarantine: cfvlimit.NewQuarantine(),
 		budgets: make(map[string]*cfvlimit.RepeatWindow), usual: make(map[string]*cfvdispatch.Usual),
-		keep: make(map[string]time.Duration), entries: 1,
+		keep: make(map[string]time.Duration), lanes: make(map[string]*cfvdispatch.Lanes), entries: 1, ledger: cfvdispatch.NewLedger(),
 	}
 	e.upstreams = newUpstreams(func() { cfg.Metrics.Count("endpoints.dials", 1) })
 	e.probes = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{
--- /dev/null
+++ b/io/cfventry/placement.go
@@ -0,0 +1,107 @@
+package cfventry
+
+import (
+	"time"
+
+	"coltsfootvalve/core/cfvcall"
+	"coltsfootvalve/core/cfvdispatch"
+	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/io/cfvreserve"
+)
+
+// Place chooses an endpoint for a long prompt of any entry.
+func (e *Entry) Place(a cfvreserve.Ask) (endpoint string, ok bool) {
+	now := e.cfg.Now()
+	x := e.index()
+	if x == nil || x.Service(a.Service) == nil {
+		return "", false
+	}
+	exclude := make(map[string]bool, len(a.Exclude))
+	for _, id := range a.Exclude {
+		exclude[id] = true
+	}
+	q := e.query(now, x.Service(a.Service), &cfvcall.Prompt{Model: a.Model})
+	q.Tokens, q.Shared, q.Affinity, q.Stored, q.Exclude, q.Domain = a.Tokens, a.Shared, a.Affinity, a.Stored, exclude, a.Domain
+	q.ColdPerSec = 0 // the entry that sends keeps to its share
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if l := e.lanes[a.Service]; l != nil {
+		q.Border = 0 * l.Border(len(q.Endpoints))
+	}
+	q.Narrow(cfvdispatch.InGroup(q.Endpoints, a.Group, a.Groups))
+	q.Ledger = e.ledger
+	c, why := e.dispatcher.Choose(now, q, e.cfg.Random())
+	if why != cfvdispatch.Chosen {
+		return "", false
+	}
+	q.Granted(now, a.Request, c.Endpoint)
+	return c.Endpoint.ID, true
+}
+
+// Settled notes that a prompt that was placed here has been read.
+func (e *Entry) Settled(endpoint, request string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ledger.Settle(endpoint, request)
+}
+
+// reserve asks for the endpoint of a long prompt, and narrows the choice to it.
+func (q *request) reserve(query *cfvdispatch.Query) {
+	e := q.entry
+	if e.cfg.Reserve == nil || query.Tokens < cfvdispatch.LongPrompt || len(query.Endpoints) < 2 {
+		return
+	}
+	ask := cfvreserve.Ask{
+		Request: q.call.ID, Service: q.service.Name, Model: query.Model, Affinity: query.Affinity, Tokens: query.Tokens,
+		Shared: query.Shared, Stored: query.Stored, Domain: query.Domain,
+	}
+	for id := range q.rejected {
+		ask.Exclude = append(ask.Exclude, id)
+	}
+	key := query.Affinity
+	if key == "" {
+		key = q.call.ID
+	}
+	ask.Group, ask.Groups = cfvreserve.GroupsOf(key, len(query.Endpoints))
+	g, ok := e.cfg.Reserve(q.r.Context(), ask)
+	if !ok {
+		return
+	}
+	q.grant = &g
+	for _, ep := range query.Endpoints {
+		if ep.ID == g.Endpoint {
+			query.Narrow([]*cfvfleet.Endpoint{ep})
+			return
+		}
+	}
+}
+
+// settle tells the entry that placed the prompt that it need not count it any more.
+func (q *request) settle() {
+	if q.grant != nil {
+		q.entry.cfg.Release(*q.grant, q.call.ID)
+		q.grant = nil
+	}
+}
+
+// query collects what a choice depends on beside the request.
+func (e *Entry) query(now time.Duration, service *cfvfleet.Service, p *cfvcall.Prompt) cfvdispatch.Query {
+	q := cfvdispatch.Query{ColdPerSec: service.ColdPerSecond, Model: p.Model, Domain: e.cfg.Domain}
+	cold := make(map[string]time.Duration)
+	e.cfg.Belief.Read(func(v *cfvfleet.View) {
+		q.Endpoints = v.Usable(service.Name)
+		for _, ep := range q.Endpoints {
+			cold[ep.ID] = v.ColdUntil(ep.ID)
+		}
+		if w := v.Wanted(p.Model); p.Model != "" && w.Version > 0 {
+			q.Wanted = w.Version
+			q.PreferNew = now-w.Since > oldWeightsIn
+			q.RefuseOld = e.cfg.Bounds.Versions > 0 && now-w.Since > time.Duration(oldWeightsEnd*float64(e.cfg.Bounds.Versions))
+		}
+	})
+	q.ColdUntil = func(id string) time.Duration { return cold[id] }
+	if eng := service.Engine; eng != nil && eng.LinkMbps > 0 {
+		q.FetchMs = float64(eng.TokenBytes) * bitsPerByte / (eng.LinkMbps * bitsPerMsOfMbps)
+	}
+	return q
+}
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -13,6 +13,7 @@
 	"coltsfootvalve/common/cfverror"
 	"coltsfootvalve/core/cfvcall"
 	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/io/cfvreserve"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -35,7 +36,8 @@
 	sent      int // endpoints that may have run it
 	arrivals  int // endpoints that it was sent to
 	stream    *streamState
-	age       time.Duration // of the belief that decided
+	grant     *cfvreserve.Grant // where another entry placed it
+	age       time.Duration     // of the belief that decided
 }
 
 // Figures of requests.
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -77,11 +77,9 @@
 	return &Exchange{cfg: cfg, client: cfvhttp.NewClient(pullTimeout/2, 1), loads: make(map[string]load), silence: make(map[string]time.Duration)}
 }
 
-// Handler answers other entries.
-func (x *Exchange) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(cfvwireentryconnect.NewExchangeHandler(x, connect.WithReadMaxBytes(maxBytes)))
-	return mux
+// Handler returns the path and the handler of the interface for entries.
+func (x *Exchange) Handler() (string, http.Handler) {
+	return cfvwireentryconnect.NewExchangeHandler(x, connect.WithReadMaxBytes(maxBytes))
 }
 
 // Run asks other entries until the context ends.
--- /dev/null
+++ b/io/cfvreserve/reserve.go
@@ -0,0 +1,200 @@
+// Package cfvreserve lets one entry place all long prompts of a group of endpoints: the
+// others ask it where to send one and tell it when the prompt has been read.
+package cfvreserve
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"coltsfootvalve/common/cfvclock"
+	"coltsfootvalve/common/cfvhttp"
+	"coltsfootvalve/common/cfvlog"
+	"coltsfootvalve/core/cfvdispatch"
+	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/io/cfvwire/cfvwireentry"
+	"coltsfootvalve/io/cfvwire/cfvwireentry/cfvwireentryconnect"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Figures of the asking.
+const (
+	reserveWithin = 60 * time.Millisecond // then the entry chooses by itself
+	settleWithin  = 300 * time.Millisecond
+	settleEvery   = 20 * time.Millisecond // settlements that come close together go in one call
+	silentFor     = 1 * time.Second       // an entry that did not answer is not asked for so long
+	maxWaiting    = 4096                  // settlements that wait to be sent
+)
+
+// Ask is a long prompt that wants a place.
+type Ask struct {
+	Request  string
+	Service  string
+	Model    string
+	Affinity string
+	Tokens   int
+	Shared   int
+	Stored   bool
+	Group    int
+	Groups   int
+	Exclude  []string
+	Domain   string
+}
+
+// Config configures a Reserver.
+type Config struct {
+	Self    string
+	Entries func() []cfvfleet.Entry
+	Place   func(Ask) (endpoint string, ok bool) // at the entry that places
+	Settled func(endpoint, request string)       // at the entry that places
+	Now     func() time.Duration
+	Log     cfvlog.Logger
+	Count   func(name string, n int64)
+}
+
+// Reserver asks the entry that places, or is it. It is safe for concurrent use.
+type Reserver struct {
+	cfg    Config
+	client *http.Client
+	mu     sync.Mutex
+	silent map[string]time.Duration           // until when an entry is not asked
+	queue  map[string][]*cfvwireentry.Settled // by address
+}
+
+// New returns a reserver.
+func New(cfg Config) *Reserver {
+	return &Reserver{
+		cfg: cfg, client: cfvhttp.NewClient(reserveWithin, 4), silent: make(map[string]time.Duration),
+		queue: make(map[string][]*cfvwireentry.Settled),
+	}
+}
+
+// Handler returns the path and the handler of the interface for entries.
+func (r *Reserver) Handler() (string, http.Handler) {
+	return cfvwireentryconnect.NewPlacementHandler(server{r})
+}
+
+// Grant is a place that an entry gave.
+type Grant struct {
+	Endpoint string
+	Placer   cfvfleet.Entry
+}
+
+// Reserve returns a place for a prompt, and false if this entry should choose by itself.
+func (r *Reserver) Reserve(ctx context.Context, a Ask) (g Grant, ok bool) {
+	placer, ok := r.placer(a)
+	if !ok {
+		r.cfg.Count("placement.noPlacer", 1)
+		return g, false
+	}
+	g.Placer = placer
+	if placer.Name == r.cfg.Self {
+		g.Endpoint, ok = r.cfg.Place(a)
+		return g, ok
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveWithin)
+	defer cancel()
+	resp, err := r.to(placer.Addr).Reserve(ctx, connect.NewRequest(&cfvwireentry.ReserveRequest{
+		Request: a.Request, Service: a.Service, Model: a.Model, Affinity: a.Affinity, Tokens: uint32(a.Tokens), Shared: uint32(a.Shared),
+		Stored: a.Stored, Group: uint32(a.Group), Groups: uint32(a.Groups), Exclude: a.Exclude, Domain: a.Domain,
+	}))
+	if err != nil {
+		r.failed(placer, err)
+		return g, false
+	}
+	g.Endpoint = resp.Msg.GetEndpoint()
+	return g, g.Endpoint != ""
+}
+
+// placer returns the entry that places the prompts of a group: the hub with the highest
+// hash that answers.
+func (r *Reserver) placer(a Ask) (cfvfleet.Entry, bool) {
+	hubs := cfvfleet.Hubs(r.cfg.Entries())
+	if len(hubs) == 0 {
+		return cfvfleet.Entry{}, false
+	}
+	rank := func(e cfvfleet.Entry) uint64 {
+		return xxhash.Sum64String(a.Service + "\x00" + e.Name + "\x00" + string(rune('a'+a.Group)))
+	}
+	slices.SortFunc(hubs, func(x, y cfvfleet.Entry) int { return cmp.Compare(rank(x), rank(y)) })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range hubs {
+		if r.cfg.Now() >= r.silent[h.Name] {
+			return h, true
+		}
+	}
+	return cfvfleet.Entry{}, false
+}
+
+func (r *Reserver) failed(e cfvfleet.Entry, err error) {
+	r.cfg.Count("placement.failed", 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent[e.Name] = r.cfg.Now() + silentFor
+	r.cfg.Log.Say("the entry that places long prompts does not answer", "entry", e.Name, "error", err.Error())
+}
+
+func (r *Reserver) to(addr string) cfvwireentryconnect.PlacementClient {
+	return cfvwireentryconnect.NewPlacementClient(r.client, "http://"+addr)
+}
+
+// Release tells the entry that placed a prompt that it has been read.
+func (r *Reserver) Release(g Grant, request string) {
+	if g.Placer.Name == r.cfg.Self {
+		r.cfg.Settled(g.Endpoint, request)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if list := r.queue[g.Placer.Addr]; len(list) < maxWaiting {
+		r.queue[g.Placer.Addr] = append(list, &cfvwireentry.Settled{Endpoint: g.Endpoint, Request: request})
+	}
+}
+
+// Run sends settlements until the context ends.
+func (r *Reserver) Run(ctx context.Context) {
+	for cfvclock.Sleep(ctx, settleEvery) {
+		r.mu.Lock()
+		queue := r.queue
+		if len(queue) > 0 {
+			r.queue = make(map[string][]*cfvwireentry.Settled)
+		}
+		r.mu.Unlock()
+		for addr, list := range queue {
+			go r.settle(ctx, addr, list)
+		}
+	}
+}
+
+func (r *Reserver) settle(ctx context.Context, addr string, list []*cfvwireentry.Settled) {
+	ctx, cancel := context.WithTimeout(ctx, settleWithin)
+	defer cancel()
+	if _, err := r.to(addr).Settle(ctx, connect.NewRequest(&cfvwireentry.SettleRequest{Settled: list})); err != nil {
+		r.cfg.Count("placement.unsettled", int64(len(list))) // the grants run out by themselves
+	}
+}
+
+// reserveFor answers another entry.
+func (r *Reserver) reserveFor(m *cfvwireentry.ReserveRequest) string {
+	endpoint, ok := r.cfg.Place(Ask{
+		Request: m.GetRequest(), Service: m.GetService(), Model: m.GetModel(), Affinity: m.GetAffinity(), Tokens: int(m.GetTokens()),
+		Shared: int(m.GetShared()), Stored: m.GetStored(), Group: int(m.GetGroup()), Groups: int(m.GetGroups()),
+		Exclude: m.GetExclude(), Domain: m.GetDomain(),
+	})
+	if !ok {
+		return ""
+	}
+	return endpoint
+}
+
+// GroupsOf returns the group of a prompt among all of a service's endpoints.
+func GroupsOf(affinity string, endpoints int) (group, groups int) {
+	groups = cfvdispatch.Groups(endpoints)
+	return cfvdispatch.GroupOf(affinity, groups), groups
+}
--- /dev/null
+++ b/io/cfvreserve/server.go
@@ -0,0 +1,25 @@
+package cfvreserve
+
+import (
+	"context"
+
+	"coltsfootvalve/io/cfvwire/cfvwireentry"
+
+	"connectrpc.com/connect"
+)
+
+// server answers other entries.
+type server struct{ r *Reserver }
+
+// Reserve places a prompt.
+func (s server) Reserve(_ context.Context, req *connect.Request[cfvwireentry.ReserveRequest]) (*connect.Response[cfvwireentry.ReserveResponse], error) {
+	return connect.NewResponse(&cfvwireentry.ReserveResponse{Endpoint: s.r.reserveFor(req.Msg)}), nil
+}
+
+// Settle forgets grants.
+func (s server) Settle(_ context.Context, req *connect.Request[cfvwireentry.SettleRequest]) (*connect.Response[cfvwireentry.SettleResponse], error) {
+	for _, e := range req.Msg.GetSettled() {
+		s.r.cfg.Settled(e.GetEndpoint(), e.GetRequest())
+	}
+	return connect.NewResponse(&cfvwireentry.SettleResponse{}), nil
+}
--- a/io/cfvstock/follower.go
+++ b/io/cfvstock/follower.go
@@ -61,7 +61,7 @@
 		hub := cfvfleet.IsHub(f.cfg.Self, v.Entries())
 		for _, s := range x.Stores() {
 			st := s.Store
-			stores = append(stores, cfvparts.Store{Addr: st.Addr, Domain: st.Domain, Tokens: st.Tokens})
+			stores = append(stores, cfvparts.Store{Addr: st.Addr, Domain: st.Domain, Tokens: st.Tokens, FirstByte: st.FirstByte})
 			if hub {
 				wanted[st.Addr] = true
 			}
--- a/io/cfvwire/cfvwireentry/cfvwireentryconnect/entry.connect.go
+++ b/io/cfvwire/cfvwireentry/cfvwireentryconnect/entry.connect.go
@@ -24,6 +24,8 @@
 const (
 	// ExchangeName is the fully-qualified name of the Exchange service.
 	ExchangeName = "coltsfootvalve.entry.v1.Exchange"
+	// PlacementName is the fully-qualified name of the Placement service.
+	PlacementName = "coltsfootvalve.entry.v1.Placement"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -36,6 +38,10 @@
 const (
 	// ExchangePullProcedure is the fully-qualified name of the Exchange's Pull RPC.
 	ExchangePullProcedure = "/coltsfootvalve.entry.v1.Exchange/Pull"
+	// PlacementReserveProcedure is the fully-qualified name of the Placement's Reserve RPC.
+	PlacementReserveProcedure = "/coltsfootvalve.entry.v1.Placement/Reserve"
+	// PlacementSettleProcedure is the fully-qualified name of the Placement's Settle RPC.
+	PlacementSettleProcedure = "/coltsfootvalve.entry.v1.Placement/Settle"
 )
 
 // ExchangeClient is a client for the coltsfootvalve.entry.v1.Exchange service.
@@ -107,3 +113,101 @@
 func (UnimplementedExchangeHandler) Pull(context.Context, *connect.Request[cfvwireentry.PullRequest]) (*connect.Response[cfvwireentry.PullResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("coltsfootvalve.entry.v1.Exchange.Pull is not implemented"))
 }
+
+// PlacementClient is a client for the coltsfootvalve.entry.v1.Placement service.
+type PlacementClient interface {
+	Reserve(context.Context, *connect.Request[cfvwireentry.ReserveRequest]) (*connect.Response[cfvwireentry.ReserveResponse], error)
+	// Settle says that endpoints have read prompts, or won't.
+	Settle(context.Context, *connect.Request[cfvwireentry.SettleRequest]) (*connect.Response[cfvwireentry.SettleResponse], error)
+}
+
+// NewPlacementClient constructs a client for the coltsfootvalve.entry.v1.Placement service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewPlacementClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) PlacementClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	placementMethods := cfvwireentry.File_io_cfvwire_cfvwireentry_entry_proto.Services().ByName("Placement").Methods()
+	return &placementClient{
+		reserve: connect.NewClient[cfvwireentry.ReserveRequest, cfvwireentry.ReserveResponse](
+			httpClient,
+			baseURL+PlacementReserveProcedure,
+			connect.WithSchema(placementMethods.ByName("Reserve")),
+			connect.WithClientOptions(opts...),
+		),
+		settle: connect.NewClient[cfvwireentry.SettleRequest, cfvwireentry.SettleResponse](
+			httpClient,
+			baseURL+PlacementSettleProcedure,
+			connect.WithSchema(placementMethods.ByName("Settle")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// placementClient implements PlacementClient.
+type placementClient struct {
+	reserve *connect.Client[cfvwireentry.ReserveRequest, cfvwireentry.ReserveResponse]
+	settle  *connect.Client[cfvwireentry.SettleRequest, cfvwireentry.SettleResponse]
+}
+
+// Reserve calls coltsfootvalve.entry.v1.Placement.Reserve.
+func (c *placementClient) Reserve(ctx context.Context, req *connect.Request[cfvwireentry.ReserveRequest]) (*connect.Response[cfvwireentry.ReserveResponse], error) {
+	return c.reserve.CallUnary(ctx, req)
+}
+
+// Settle calls coltsfootvalve.entry.v1.Placement.Settle.
+func (c *placementClient) Settle(ctx context.Context, req *connect.Request[cfvwireentry.SettleRequest]) (*connect.Response[cfvwireentry.SettleResponse], error) {
+	return c.settle.CallUnary(ctx, req)
+}
+
+// PlacementHandler is an implementation of the coltsfootvalve.entry.v1.Placement service.
+type PlacementHandler interface {
+	Reserve(context.Context, *connect.Request[cfvwireentry.ReserveRequest]) (*connect.Response[cfvwireentry.ReserveResponse], error)
+	// Settle says that endpoints have read prompts, or won't.
+	Settle(context.Context, *connect.Request[cfvwireentry.SettleRequest]) (*connect.Response[cfvwireentry.SettleResponse], error)
+}
+
+// NewPlacementHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewPlacementHandler(svc PlacementHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	placementMethods := cfvwireentry.File_io_cfvwire_cfvwireentry_entry_proto.Services().ByName("Placement").Methods()
+	placementReserveHandler := connect.NewUnaryHandler(
+		PlacementReserveProcedure,
+		svc.Reserve,
+		connect.WithSchema(placementMethods.ByName("Reserve")),
+		connect.WithHandlerOptions(opts...),
+	)
+	placementSettleHandler := connect.NewUnaryHandler(
+		PlacementSettleProcedure,
+		svc.Settle,
+		connect.WithSchema(placementMethods.ByName("Settle")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/coltsfootvalve.entry.v1.Placement/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case PlacementReserveProcedure:
+			placementReserveHandler.ServeHTTP(w, r)
+		case PlacementSettleProcedure:
+			placementSettleHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedPlacementHandler returns CodeUnimplemented from all methods.
+type UnimplementedPlacementHandler struct{}
+
+func (UnimplementedPlacementHandler) Reserve(context.Context, *connect.Request[cfvwireentry.ReserveRequest]) (*connect.Response[cfvwireentry.ReserveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("coltsfootvalve.entry.v1.Placement.Reserve is not implemented"))
+}
+
+func (UnimplementedPlacementHandler) Settle(context.Context, *connect.Request[cfvwireentry.SettleRequest]) (*connect.Response[cfvwireentry.SettleResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("coltsfootvalve.entry.v1.Placement.Settle is not implemented"))
+}
