--- a/core/cfvdispatch/lanes.go
+++ b/core/cfvdispatch/lanes.go
@@ -17,11 +17,10 @@
 
 // Figures of the demand.
 const (
-	outputMs    = 0.6             // what one output token adds, shared with those that run beside
 	demandFor   = 8 * time.Second // how far back the demand is judged
 	demandLeast = 24.0            // requests before it is
 	borderSlack = 0.7             // endpoints by which the border must be off before it moves
-	shortExtra  = 1.15            // short prompts get some room beyond their part, since they wait least
+	shortPart   = 0.8             // short prompts share an endpoint better than long ones, which read alone
 )
 
 // Lanes answers a load of a few long prompts among many short ones: a short prompt that
@@ -32,20 +31,19 @@
 	last        time.Duration
 	short, long float64 // decaying work in milliseconds
 	count       float64
-	share       float64 // part of the endpoints that short prompts get; 0: no lanes
 	border      int
 	of          int
 }
 
 // Note counts a request.
-func (l *Lanes) Note(now time.Duration, tokens, output int) {
+func (l *Lanes) Note(now time.Duration, tokens int) {
 	if l.last > 0 && now > l.last {
 		keep := math.Exp(-float64(now-l.last) / float64(demandFor))
 		l.short, l.long, l.count = l.short*keep, l.long*keep, l.count*keep
 	}
 	l.last = now
 	l.count++
-	work := float64(tokens)/readTokensPerMs + float64(output)*outputMs
+	work := float64(tokens) / readTokensPerMs
 	if tokens >= LongPrompt {
 		l.long += work
 	} else {
@@ -58,7 +56,7 @@
 	if l.count < demandLeast || l.short <= 0 || l.long <= 0 || n < 2 {
 		return 0
 	}
-	want := float64(n) * l.short * shortExtra / (l.short*shortExtra + l.long)
+	want := float64(n) * l.short * shortPart / (l.short*shortPart + l.long)
 	if l.of != n || math.Abs(want-float64(l.border)) > borderSlack {
 		l.border, l.of = min(max(int(math.Round(want)), 1), n-1), n
 	}
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -226,9 +226,9 @@
 		e.lanes[q.service.Name] = l
 	}
 	if q.arrivals == 0 {
-		l.Note(now, q.call.Prompt.Tokens, q.call.Prompt.MaxOutput)
+		l.Note(now, q.call.Prompt.Tokens)
 	}
-	return 0 * l.Border(n)
+	return l.Border(n)
 }
 
 // stored reports whether stores hold all shared parts for the newest weights.
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -26,7 +26,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if l := e.lanes[a.Service]; l != nil {
-		q.Border = 0 * l.Border(len(q.Endpoints))
+		q.Border = l.Border(len(q.Endpoints))
 	}
 	q.Narrow(cfvdispatch.InGroup(q.Endpoints, a.Group, a.Groups))
 	q.Ledger = e.ledger
