--- a/commands/entry.go
+++ b/commands/entry.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -49,6 +52,11 @@
 	entry    *cfventry.Entry
 	exchange *cfvexchange.Exchange
 	reserver *cfvreserve.Reserver
+
+	listen    func(network, addr string) (net.Listener, error)
+	peers     *http.Server
+	stopDuty  func()
+	dutyEnded chan struct{}
 }
 
 // Execute runs an entry until SIGTERM.
@@ -68,7 +76,7 @@
 }
 
 func newHostedEntry(settings platform.Settings, log cfvlog.Logger, logSuccess int) *hostedEntry {
-	h := &hostedEntry{settings: settings, log: log, metrics: cfvmetric.New(), parts: cfventry.NewParts(cfvclock.Boot)}
+	h := &hostedEntry{settings: settings, log: log, metrics: cfvmetric.New(), parts: cfventry.NewParts(cfvclock.Boot), listen: net.Listen}
 	h.store = platform.NewStore(settings.Store, h.metrics.Count)
 	h.engines = platform.NewEngines(settings.Node)
 	h.belief = cfvbelief.New(cfvbelief.Config{Decode: platform.Decode, Now: cfvclock.Boot, Log: log.Part("belief")})
@@ -84,6 +92,7 @@
 			RetryWindow: b.RetryWindow, ShutdownTime: settings.ShutdownTime,
 		},
 		Belief: h.belief, Parts: h.parts, Now: cfvclock.Boot, Random: rand.Float64, Log: log.Part("entry"), Metrics: h.metrics,
+		Listen:    func(network, addr string) (net.Listener, error) { return h.listen(network, addr) },
 		PeerLoads: func() map[string]cfvdispatch.Load { return h.exchange.Loads() }, LogSuccess: logSuccess,
 		Reserve: func(ctx context.Context, a cfvreserve.Ask) (cfvreserve.Grant, bool) {
 			return h.reserver.Reserve(ctx, a)
@@ -108,36 +117,71 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if err := h.start(ctx); err != nil {
+		return err
+	}
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		h.reload()
+	}
+	return h.stop(ctx)
+}
+
+// start listens and begins all work, which goes on until the context ends.
+func (h *hostedEntry) start(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("start the entry: %w", err)
+		}
+	}()
 	mux := http.NewServeMux()
 	mux.Handle(h.exchange.Handler())
 	mux.Handle(h.reserver.Handler())
-	peers := &http.Server{Addr: h.settings.Peers, Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}
+	mux.HandleFunc("GET /metrics", h.serveMetrics)
+	listener, err := h.listen("tcp", h.settings.Peers)
+	if err != nil {
+		return err
+	}
+	h.peers = &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}
 	go func() {
-		if err := peers.ListenAndServe(); err != nil && err != http.ErrServerClosed {
+		if err := h.peers.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			h.log.Alarm("the interface for entries ended", "error", err.Error())
 		}
 	}()
-	if err := h.entry.Start(ctx); err != nil {
+	if err = h.entry.Start(ctx); err != nil {
 		return err
 	}
 	h.log.Say("the entry has started", "domain", h.settings.Domain, "callers", h.settings.Callers, "peers", h.settings.Peers)
 	working, stopWork := context.WithCancel(ctx)
-	done := make(chan struct{})
+	h.stopDuty = stopWork
 	h.startLoops(ctx)
+	h.dutyEnded = make(chan struct{})
 	go func() {
 		h.duty().Run(working)
-		close(done)
+		close(h.dutyEnded)
 	}()
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-		h.reload()
+	return nil
+}
+
+// stop gives the duty up, lets running requests end and closes the listeners.
+func (h *hostedEntry) stop(ctx context.Context) error {
+	h.stopDuty()
+	<-h.dutyEnded
+	return errors.Join(h.entry.Stop(ctx), h.peers.Close())
+}
+
+// serveMetrics writes the counters in the Prometheus text format.
+func (h *hostedEntry) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	if age, ok := h.belief.Age(); ok {
+		h.metrics.Gauge("belief.ageMillis", age.Milliseconds())
+	}
+	h.metrics.Gauge("belief.asOf", h.belief.AsOf())
+	w.Header().Set("Content-Type", cfvmetric.ContentType)
+	if err := h.metrics.WriteText(w); err != nil {
+		h.log.Alarm("the metrics could not be written", "error", err.Error())
 	}
-	stopWork()
-	<-done
-	err := h.entry.Stop(ctx)
-	return err
 }
 
 // peerHeaderTimeout bounds how long another entry may take to send a request's head.
--- /dev/null
+++ b/commands/hosted_serving_test.go
@@ -0,0 +1,234 @@
+package commands
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"coltsfootvalve/standins/cfvfakereplica"
+	"coltsfootvalve/standins/cfvfault"
+
+	"gotest.tools/v3/assert"
+)
+
+func plainFleet(t *testing.T, entries int) *fleet {
+	return newFleet(t, entries, cfvfakereplica.Config{}, cfvfakereplica.Config{Events: 4, Model: "m"})
+}
+
+func (f *fleet) setFaults(service string, fault cfvfault.Fault) {
+	for id, r := range f.replicas {
+		if strings.HasPrefix(id, service) {
+			r.SetFault(fault)
+		}
+	}
+}
+
+func TestHostedRequestReachesAnEndpointAsTheCallerSentIt(t *testing.T) {
+	t.Parallel()
+	f := plainFleet(t, 1)
+	g := f.send(0, http.MethodPost, "/book/17?x=1", shopKey, "three blocks", "X-Coltsfootvalve-Tenant", "forged", "X-Coltsfootvalve-Hold", "h")
+	assert.Equal(t, g.status, http.StatusOK)
+	assert.Equal(t, g.body, "the whole answer")
+	assert.Assert(t, strings.HasPrefix(g.header.Get("X-Coltsfootvalve-Server-Stamp"), "stamp."))
+	runs := f.runs(g.id)
+	assert.Equal(t, len(runs), 1)
+	assert.Equal(t, runs[0].Workspace, "of-"+shopKey)
+	assert.Equal(t, runs[0].Body, "three blocks")
+}
+
+func TestHostedRefusals(t *testing.T) {
+	t.Parallel()
+	f := plainFleet(t, 1)
+	tests := map[string]struct {
+		path, key, body string
+		headers         []string
+		status          int
+	}{
+		"no route":              {path: "/nowhere/", key: shopKey, status: http.StatusNotFound},
+		"a route's beginning":   {path: "/boo", key: shopKey, status: http.StatusNotFound},
+		"no key":                {path: "/book/", status: http.StatusUnauthorized},
+		"an unknown key":        {path: "/book/", key: "guess", status: http.StatusUnauthorized},
+		"a public route":        {path: "/open/", status: http.StatusOK},
+		"a body over the limit": {path: "/book/", key: shopKey, body: strings.Repeat("x", 1<<20+1), status: http.StatusRequestEntityTooLarge},
+		"a deadline in words":   {path: "/book/", key: shopKey, headers: []string{"X-Coltsfootvalve-Deadline-Ms", "soon"}, status: http.StatusBadRequest},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := f.send(0, http.MethodPost, tt.path, tt.key, tt.body, tt.headers...)
+			assert.Equal(t, g.status, tt.status)
+			if tt.status != http.StatusOK {
+				assert.Equal(t, len(f.runs(g.id)), 0)
+			}
+		})
+	}
+}
+
+func TestHostedFaultsOfEndpoints(t *testing.T) {
+	t.Parallel()
+	const all = 1 << 20
+	tests := map[string]struct {
+		fault  cfvfault.Fault
+		path   string
+		runs   int // at all endpoints; -1: any number
+		status int
+	}{
+		"an unsafe request that all reject has not run": {cfvfault.Fault{Mode: cfvfault.Refuse}, "/book/", 0, http.StatusServiceUnavailable},
+		"an unsafe request that one rejects runs once":  {cfvfault.Fault{Mode: cfvfault.Refuse, Count: 1}, "/book/", 1, http.StatusOK},
+		"an unsafe request whose answer is lost":        {cfvfault.Fault{Mode: cfvfault.LoseAnswers}, "/book/", 1, http.StatusBadGateway},
+		"an unsafe request on a connection that breaks": {cfvfault.Fault{Mode: cfvfault.Outage}, "/book/", 0, http.StatusBadGateway},
+		"an unsafe request whose answer is cut":         {cfvfault.Fault{Mode: cfvfault.Truncate}, "/book/", 1, http.StatusBadGateway},
+		"an unsafe request with a foreign answer":       {cfvfault.Fault{Mode: cfvfault.Cross}, "/book/", 1, http.StatusBadGateway},
+		"an unsafe request that fails":                  {cfvfault.Fault{Mode: cfvfault.Fail}, "/book/", 1, http.StatusInternalServerError},
+		"a safe request whose answer is lost once":      {cfvfault.Fault{Mode: cfvfault.LoseAnswers, Count: 1}, "/look/", 2, http.StatusOK},
+		"a safe request whose answer is cut once":       {cfvfault.Fault{Mode: cfvfault.Truncate, Count: 1}, "/look/", 2, http.StatusOK},
+		"a safe request with a foreign answer once":     {cfvfault.Fault{Mode: cfvfault.Cross, Count: 1}, "/look/", 2, http.StatusOK},
+		"a safe request keeps to its attempts":          {cfvfault.Fault{Mode: cfvfault.LoseAnswers, Count: all}, "/look/", 2, http.StatusBadGateway},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := plainFleet(t, 1)
+			if tt.fault.Count == 1 {
+				// Whichever endpoint comes first fails.
+				for _, r := range f.replicas {
+					r.SetFault(tt.fault)
+				}
+				g := f.send(0, http.MethodPost, tt.path, shopKey, "b")
+				n := len(f.runs(g.id))
+				// The second endpoint has the same fault left, so the request may meet it twice.
+				assert.Assert(t, n <= 2, "%d runs", n)
+				if tt.path == "/book/" {
+					assert.Assert(t, n <= 1, "%d runs", n)
+				}
+				return
+			}
+			f.setFaults("desk", tt.fault)
+			g := f.send(0, http.MethodPost, tt.path, shopKey, "b")
+			assert.Equal(t, g.status, tt.status)
+			assert.Equal(t, len(f.runs(g.id)), tt.runs)
+			if g.refused {
+				assert.Assert(t, g.header.Get("Retry-After") != "")
+			}
+		})
+	}
+}
+
+func TestHostedRequestGoesToTheOtherEndpoint(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		mode cfvfault.Mode
+		path string
+	}{
+		"after a rejection":            {cfvfault.Refuse, "/book/"},
+		"after a lost answer, if safe": {cfvfault.LoseAnswers, "/look/"},
+		"after a cut answer, if safe":  {cfvfault.Truncate, "/look/"},
+		"after a failure, if safe":     {cfvfault.Fail, "/look/"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := plainFleet(t, 1)
+			f.replicas["desk-0"].SetFault(cfvfault.Fault{Mode: tt.mode})
+			for range 6 {
+				g := f.send(0, http.MethodPost, tt.path, shopKey, "b")
+				assert.Equal(t, g.status, http.StatusOK)
+				assert.Assert(t, len(f.runs(g.id)) <= 2)
+			}
+		})
+	}
+}
+
+func TestHostedStream(t *testing.T) {
+	t.Parallel()
+	f := plainFleet(t, 1)
+	g := f.ask(0, "/ask/1", shopKey)
+	assert.Assert(t, g.whole)
+	assert.DeepEqual(t, events(g.body), []string{"0", "1", "2", "3"})
+}
+
+func TestHostedStreamThatBreaksOffLooksBroken(t *testing.T) {
+	t.Parallel()
+	f := plainFleet(t, 1)
+	f.setFaults("assistant", cfvfault.Fault{Mode: cfvfault.Truncate})
+	g := f.ask(0, "/ask/1", shopKey)
+	assert.Assert(t, !g.whole)
+	assert.Equal(t, len(f.runs(g.id)), 1)
+}
+
+func TestHostedStreamGoesOnAtAnotherEndpoint(t *testing.T) {
+	t.Parallel()
+	f := plainFleet(t, 1)
+	f.replicas["assistant-0"].SetFault(cfvfault.Fault{Mode: cfvfault.Truncate})
+	for range 4 {
+		g := f.ask(0, "/ask/again/1", shopKey)
+		assert.Assert(t, g.whole)
+		assert.DeepEqual(t, events(g.body), []string{"0", "1", "2", "3"})
+	}
+}
+
+func TestHostedWorkspacesShareCacheOnlyIfTheyMay(t *testing.T) {
+	t.Parallel()
+	f := plainFleet(t, 1)
+	shared, alone := f.runs(f.ask(0, "/ask/1", shopKey).id), f.runs(f.ask(0, "/ask/1", otherKey).id)
+	assert.Assert(t, shared[0].Salt != "" && alone[0].Salt != "" && shared[0].Salt != alone[0].Salt)
+	assert.Equal(t, shared[0].Weights, "1")
+}
+
+func TestHostedCallerThatLeavesCancelsItsRequest(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, cfvfakereplica.Config{}, cfvfakereplica.Config{Events: 100000, Gap: time.Millisecond, Model: "m"})
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.entries[0].settings.Callers+"/ask/1", strings.NewReader("p"))
+	assert.NilError(t, err)
+	req.Host = fleetHost
+	req.Header.Set("X-Coltsfootvalve-Request-Id", "leaves")
+	req.Header.Set("Authorization", "Token "+shopKey)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	_, err = resp.Body.Read(make([]byte, 8))
+	assert.NilError(t, err)
+	cancel()
+	f.eventually("the endpoint hears it", func() bool {
+		return f.replicas["assistant-0"].Cancelled("leaves") || f.replicas["assistant-1"].Cancelled("leaves")
+	})
+	_ = resp.Body.Close()
+}
+
+// A request whose body is in chunks and that also gives a length hides a second one behind
+// its end from parsers that go by the length.
+func TestHostedRequestInsideAnotherIsNotRun(t *testing.T) {
+	t.Parallel()
+	f := plainFleet(t, 1)
+	c, err := net.Dial("tcp", f.entries[0].settings.Callers)
+	assert.NilError(t, err)
+	defer c.Close()
+	head := func(id string) string {
+		return "Host: " + fleetHost + "\r\nAuthorization: Token " + shopKey + "\r\nX-Coltsfootvalve-Request-Id: " + id + "\r\n"
+	}
+	inner := "POST /book/2 HTTP/1.1\r\n" + head("inner") + "Content-Length: 0\r\n\r\n"
+	_, err = fmt.Fprintf(c, "POST /book/1 HTTP/1.1\r\n%sContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", head("outer"), 5+len(inner), inner)
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Assert(t, resp.Close, "the connection goes on behind a request with two lengths")
+	_ = resp.Body.Close()
+	assert.Equal(t, len(f.runs("inner")), 0)
+}
+
+func TestHostedCrashingRequestIsStopped(t *testing.T) {
+	t.Parallel()
+	f := plainFleet(t, 2)
+	f.setFaults("desk", cfvfault.Fault{Mode: cfvfault.LoseAnswers, Route: "/look/poison"})
+	f.send(0, http.MethodPost, "/look/poison", shopKey, "poison")
+	f.eventually("the other entry hears of it", func() bool {
+		g := f.send(1, http.MethodPost, "/look/poison", shopKey, "poison")
+		return g.refused && len(f.runs(g.id)) == 0
+	})
+	g := f.send(1, http.MethodPost, "/look/good", shopKey, "good")
+	assert.Equal(t, g.status, http.StatusOK)
+}
--- /dev/null
+++ b/commands/hosted_test.go
@@ -0,0 +1,273 @@
+package commands
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"coltsfootvalve/common/cfvlog"
+	"coltsfootvalve/platform"
+	"coltsfootvalve/standins/cfvfakeplatform"
+	"coltsfootvalve/standins/cfvfakereplica"
+
+	"gotest.tools/v3/assert"
+)
+
+// Names of a test fleet.
+const (
+	fleetHost = "callers.example"
+	shopKey   = "shop-key"
+	otherKey  = "other-key"
+)
+
+// fleet is a set of hosted entries on stand-ins, all in this process, over loopback.
+type fleet struct {
+	t        *testing.T
+	store    *cfvfakeplatform.Server
+	storeURL string
+	entries  []*hostedEntry
+	ends     []context.CancelFunc
+	replicas map[string]*cfvfakereplica.Replica
+	addrs    map[string]string
+	version  int64
+	logs     *lockedLog
+	bound    map[string]net.Listener
+	ids      atomic.Int64
+}
+
+type lockedLog struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedLog) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedLog) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// newFleet starts entries and two replicas a service: a desk of plain requests and an
+// assistant of streams.
+func newFleet(t *testing.T, entries int, desk, assistant cfvfakereplica.Config) *fleet {
+	f := &fleet{
+		t: t, store: cfvfakeplatform.New(), replicas: make(map[string]*cfvfakereplica.Replica), addrs: make(map[string]string), logs: &lockedLog{},
+		bound: make(map[string]net.Listener),
+	}
+	f.storeURL = f.serve(f.store.Handler())
+	for i := range 2 {
+		desk.ID, assistant.ID = fmt.Sprintf("desk-%d", i), fmt.Sprintf("assistant-%d", i)
+		f.addReplica("desk", desk)
+		f.addReplica("assistant", assistant)
+	}
+	f.configure(shopKey, otherKey)
+	for i := range entries {
+		f.startEntry(i, f.storeURL)
+	}
+	for i := range entries {
+		f.eventually("the entry is ready", func() bool { return f.ready(i) })
+	}
+	f.eventually("all entries know each other", func() bool {
+		for _, e := range f.entries {
+			if len(e.entries()) < entries {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *fleet) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	f.t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func (f *fleet) addReplica(service string, cfg cfvfakereplica.Config) {
+	r := cfvfakereplica.New(cfg)
+	f.replicas[cfg.ID], f.addrs[cfg.ID] = r, f.serve(r.Handler())
+	f.announce(service, cfg.ID, "ready", cfg.Model)
+}
+
+// announce writes a replica's own entry.
+func (f *fleet) announce(service, id, state, model string) {
+	item := map[string]any{"service": service, "addr": f.addrs[id], "zone": "north", "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1}
+	if model != "" {
+		item["models"] = []map[string]any{{"name": model, "version": 1}}
+	}
+	f.put("servers/"+id, item)
+}
+
+func (f *fleet) put(key string, item any) {
+	data, err := json.Marshal(item)
+	assert.NilError(f.t, err)
+	f.store.Put(key, data)
+}
+
+// configure writes the next configuration, with a workspace a key.
+func (f *fleet) configure(keys ...string) {
+	f.version += 3
+	var tenants []map[string]any
+	for _, k := range keys {
+		tenants = append(tenants, map[string]any{"name": "of-" + k, "apiKeys": []string{k}, "isolated": k == otherKey})
+	}
+	f.put("op/config", map[string]any{
+		"version": f.version,
+		"routes": []map[string]any{
+			{"name": "book", "host": fleetHost, "pathPrefix": "/book/", "kind": "unsafe", "timeoutMs": 20000, "sloMs": 5000, "service": "desk", "attempts": 1},
+			{"name": "look", "host": fleetHost, "pathPrefix": "/look/", "kind": "safe", "timeoutMs": 20000, "sloMs": 5000, "service": "desk", "attempts": 2},
+			{"name": "ask", "host": fleetHost, "pathPrefix": "/ask/", "kind": "streaming", "timeoutMs": 20000, "sloMs": 5000, "service": "assistant", "attempts": 1, "sticky": true},
+			{"name": "resume", "host": fleetHost, "pathPrefix": "/ask/again/", "kind": "streaming", "timeoutMs": 20000, "sloMs": 5000, "service": "assistant", "attempts": 2, "sticky": true, "resumable": true},
+			{"name": "open", "host": fleetHost, "pathPrefix": "/open/", "kind": "safe", "timeoutMs": 20000, "sloMs": 5000, "service": "desk", "attempts": 2, "public": true},
+		},
+		"services": []map[string]any{
+			{"name": "desk", "healthPath": "/healthz", "maxConns": 100},
+			{"name": "assistant", "healthPath": "/healthz", "maxConns": 100, "engine": map[string]any{"slots": 8, "kvTokenBytes": 1000, "linkMbps": 1000.0, "models": []map[string]string{{"name": "m"}}}},
+		},
+		"limits":  map[string]any{"headerBytes": 16384, "bodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": tenants,
+	})
+}
+
+// reserve opens a listener that an entry takes over when it starts, and returns its
+// address.
+func (f *fleet) reserve() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f.t, err)
+	f.bound[l.Addr().String()] = l
+	return l.Addr().String()
+}
+
+func (f *fleet) listen(_, addr string) (net.Listener, error) {
+	l, ok := f.bound[addr]
+	if !ok {
+		return nil, fmt.Errorf("%s was not reserved", addr)
+	}
+	return l, nil
+}
+
+func (f *fleet) startEntry(i int, store string) {
+	s := platform.Settings{
+		Node: fmt.Sprintf("entry-%d", i), Domain: "north", Callers: f.reserve(), Ready: f.reserve(), Peers: f.reserve(),
+		Store: store, MemoryMB: 128, ShutdownTime: 20 * time.Second,
+		Bounds: platform.Bounds{
+			Revoke: 5 * time.Second, Lease: 500 * time.Millisecond, Versions: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 1000,
+			RetryWindow: 10 * time.Second,
+		},
+	}
+	h := newHostedEntry(s, cfvlog.New(f.logs, s.Node), 1)
+	h.listen = f.listen
+	ctx, cancel := context.WithCancel(context.Background())
+	assert.NilError(f.t, h.start(ctx))
+	f.entries, f.ends = append(f.entries, h), append(f.ends, cancel)
+	f.t.Cleanup(func() {
+		cancel()
+		<-h.dutyEnded
+		_ = h.peers.Close() // a test may have stopped it
+	})
+}
+
+// eventually waits until the condition holds.
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for range 30_000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.t.Fatalf("never came true: %s", what)
+}
+
+func (f *fleet) ready(i int) bool {
+	resp, err := http.Get("http://" + f.entries[i].settings.Ready + "/-/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// got is what a caller got.
+type got struct {
+	id      string
+	status  int
+	header  http.Header
+	body    string
+	whole   bool
+	refused bool
+}
+
+// send sends a request to an entry; headers come in pairs of name and value.
+func (f *fleet) send(i int, method, path, key, body string, headers ...string) (g got) {
+	f.t.Helper()
+	g.id = fmt.Sprintf("%s-%d", strings.ReplaceAll(f.t.Name(), "/", "-"), f.ids.Add(1))
+	req, err := http.NewRequest(method, "http://"+f.entries[i].settings.Callers+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	req.Host = fleetHost
+	req.Header.Set("X-Coltsfootvalve-Request-Id", g.id)
+	req.Header.Set("X-Coltsfootvalve-Deadline-Ms", "20000")
+	if key != "" {
+		req.Header.Set("Authorization", "Token "+key)
+	}
+	for j := 0; j+1 < len(headers); j += 2 {
+		req.Header.Set(headers[j], headers[j+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return g
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	g.status, g.header, g.body, g.whole = resp.StatusCode, resp.Header, string(data), err == nil
+	g.refused = resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	return g
+}
+
+// ask sends a prompt.
+func (f *fleet) ask(i int, path, key string) got {
+	return f.send(i, http.MethodPost, path, key, "prompt", "X-Coltsfootvalve-Model", "m",
+		"X-Coltsfootvalve-Token-Count", "3000,8", "X-Coltsfootvalve-Prompt-Prefix", "aa:2000,bb:1000")
+}
+
+// runs returns the runs of a request at all replicas.
+func (f *fleet) runs(id string) (runs []cfvfakereplica.Run) {
+	for _, r := range f.replicas {
+		for _, run := range r.Runs() {
+			if run.ID == id {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
+// events returns the ids of the events in a stream's body.
+func events(body string) (ids []string) {
+	for s := bufio.NewScanner(strings.NewReader(body)); s.Scan(); {
+		if id, ok := strings.CutPrefix(s.Text(), "id: "); ok {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -63,6 +63,7 @@
 	Release    func(g cfvreserve.Grant, request string)
 	Now        func() time.Duration // a clock that also runs while the machine is suspended
 	Random     func() float64
+	Listen     func(network, addr string) (net.Listener, error)
 	Log        cfvlog.Logger
 	Metrics    *cfvmetric.Registry
 	LogSuccess int // one in so many served requests is logged; 0: none
@@ -129,7 +130,7 @@
 		server *http.Server
 		addr   string
 	}{{e.callers, e.cfg.Callers}, {e.ready, e.cfg.Ready}} {
-		l, err := net.Listen("tcp", s.addr)
+		l, err := e.cfg.Listen("tcp", s.addr)
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", s.addr, err)
 		}
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -117,6 +117,8 @@
 	var entries []cfvfleet.Entry
 	x.cfg.Belief.Read(func(v *cfvfleet.View) { entries = v.Entries() })
 	hubs := cfvfleet.HomeHubs(cfvfleet.Entry{Name: x.cfg.Self, Domain: x.cfg.Domain}, entries)
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	if len(hubs) == 0 {
 		if len(x.cfg.Seeds) == 0 {
 			return false, "", ""
@@ -124,8 +126,6 @@
 		a := x.cfg.Seeds[rand.IntN(len(x.cfg.Seeds))]
 		return false, a, a
 	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
 	x.turn++
 	if cfvfleet.IsHub(x.cfg.Self, entries) {
 		h := hubs[x.turn%len(hubs)]
@@ -313,3 +313,10 @@
 	}
 	return out
 }
+
+// SetSeeds says whom to ask while no other entry is known.
+func (x *Exchange) SetSeeds(addrs []string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cfg.Seeds = addrs
+}
--- /dev/null
+++ b/standins/cfvfakeplatform/server.go
@@ -0,0 +1,235 @@
+package cfvfakeplatform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"coltsfootvalve/common/cfvhttp"
+	"coltsfootvalve/standins/cfvfault"
+)
+
+// pageItems is how many items a page of a listing has: fewer than the platform's, so that
+// tests meet more than one page.
+const pageItems = 5
+
+// Server answers the platform's calls. It is safe for concurrent use.
+type Server struct {
+	*Store
+	fault cfvfault.Switch
+}
+
+// New returns a server on an empty store.
+func New() *Server { return &Server{Store: NewStore()} }
+
+// SetFault puts a fault in force: Outage, Slow, LoseAnswers, Silent, or Refuse, which
+// answers that there were too many calls.
+func (s *Server) SetFault(f cfvfault.Fault) { s.fault.Set(f) }
+
+// Handler returns the interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/kv-range", s.getRange)
+	mux.HandleFunc("GET /-/kv-watch", s.getWatch)
+	mux.HandleFunc("POST /-/kv-txn", s.postTxn)
+	mux.HandleFunc("POST /-/kv-lease", s.postLease)
+	mux.HandleFunc("POST /-/kv-keep/{id}", s.postKeep)
+	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.deleteLease)
+	mux.HandleFunc("POST /fault", s.fault.ServeHTTP)
+	mux.HandleFunc("POST /put/{key...}", s.operatorPut)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/-/") {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		f := s.fault.Take(r.URL.Path)
+		switch f.Mode {
+		case cfvfault.Outage:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case cfvfault.Refuse:
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		case cfvfault.Silent:
+			<-r.Context().Done()
+			cfvfault.DropConnection()
+		case cfvfault.Slow:
+			time.Sleep(f.Delay())
+		case cfvfault.LoseAnswers:
+			mux.ServeHTTP(discard{http.Header{}}, r)
+			cfvfault.DropConnection()
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// discard loses an answer.
+type discard struct{ h http.Header }
+
+func (d discard) Header() http.Header         { return d.h }
+func (d discard) Write(p []byte) (int, error) { return len(p), nil }
+func (d discard) WriteHeader(int)             {}
+
+// operatorPut writes an item as the operator would; it is not part of the platform's
+// interface.
+func (s *Server) operatorPut(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, cfvhttp.MaxReply))
+	if err != nil {
+		cfvhttp.WriteJSON(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
+		return
+	}
+	if r.URL.Query().Has("remove") {
+		s.Remove(r.PathValue("key"))
+	} else {
+		s.Put(r.PathValue("key"), value)
+	}
+	cfvhttp.WriteJSON(w, http.StatusOK, map[string]int64{"rev": s.Revision()})
+}
+
+func (s *Server) getRange(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	s.expire()
+	items, more := s.list(q.Get("pathPrefix"), q.Get("after"), pageItems)
+	asOf := s.rev
+	s.mu.Unlock()
+	cfvhttp.WriteJSON(w, http.StatusOK, map[string]any{"items": items, "morePages": more, "asOf": asOf})
+}
+
+func (s *Server) getWatch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err1 := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, err2 := strconv.Atoi(q.Get("waitMs"))
+	if err1 != nil || err2 != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timeout.Stop()
+	for waiting := true; ; {
+		s.mu.Lock()
+		s.expire()
+		events, ok := s.since(q.Get("pathPrefix"), after)
+		asOf, changed := s.rev, s.changed
+		s.mu.Unlock()
+		if !ok {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 || !waiting {
+			cfvhttp.WriteJSON(w, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			waiting = false
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+type txnWire struct {
+	Expected []struct {
+		Key string
+		Rev int64
+	}
+	Writes []struct {
+		Key   string
+		Value []byte
+		Lease int64
+	}
+	Remove []string
+}
+
+func (s *Server) postTxn(w http.ResponseWriter, r *http.Request) {
+	var t txnWire
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	status, rev := s.commit(t)
+	s.mu.Unlock()
+	if status != http.StatusOK {
+		w.WriteHeader(status)
+		return
+	}
+	cfvhttp.WriteJSON(w, status, map[string]int64{"rev": rev})
+}
+
+// commit makes a change if its conditions hold; the caller holds the lock.
+func (s *Server) commit(t txnWire) (status int, rev int64) {
+	s.expire()
+	for _, e := range t.Expected {
+		if s.items[e.Key].Rev != e.Rev {
+			return http.StatusPreconditionFailed, 0
+		}
+	}
+	for _, i := range t.Writes {
+		if strings.HasPrefix(i.Key, "op/") || strings.HasPrefix(i.Key, "servers/") {
+			return http.StatusForbidden, 0
+		}
+		if i.Lease != 0 && s.leases[i.Lease] == nil {
+			return http.StatusNotFound, 0
+		}
+	}
+	s.rev++
+	for _, i := range t.Writes {
+		s.write(Item{Key: i.Key, Value: i.Value, Lease: i.Lease})
+	}
+	for _, k := range t.Remove {
+		s.remove(k)
+	}
+	s.wake()
+	return http.StatusOK, s.rev
+}
+
+func (s *Server) postLease(w http.ResponseWriter, r *http.Request) {
+	var in struct{ TTLMs int64 }
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || in.TTLMs < 1000 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.nextID++
+	id, ttl := s.nextID, time.Duration(in.TTLMs)*time.Millisecond
+	s.leases[id] = &lease{ttl, s.now().Add(ttl)}
+	s.mu.Unlock()
+	cfvhttp.WriteJSON(w, http.StatusOK, map[string]int64{"lease": id, "ttlMs": in.TTLMs})
+}
+
+// leaseOf returns the id in the path.
+func leaseOf(r *http.Request) int64 {
+	id, err := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	if err != nil {
+		return 0 // no lease has it
+	}
+	return id
+}
+
+func (s *Server) postKeep(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.expire()
+	l := s.leases[leaseOf(r)]
+	if l != nil {
+		l.until = s.now().Add(l.ttl)
+	}
+	s.mu.Unlock()
+	if l == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	cfvhttp.WriteJSON(w, http.StatusOK, map[string]int64{"ttlMs": l.ttl.Milliseconds()})
+}
+
+func (s *Server) deleteLease(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.end(leaseOf(r))
+	s.mu.Unlock()
+	cfvhttp.WriteJSON(w, http.StatusOK, map[string]bool{})
+}
--- /dev/null
+++ b/standins/cfvfakereplica/replica.go
@@ -0,0 +1,255 @@
+// Package cfvfakereplica is a stand-in for an endpoint on the hosting platform: it runs
+// requests and streams, refuses what it did not run by name, takes orders for weights and
+// fails in the ways that the platform's endpoints do.
+package cfvfakereplica
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"coltsfootvalve/common/cfvhttp"
+	"coltsfootvalve/standins/cfvfault"
+)
+
+// Config configures a replica.
+type Config struct {
+	ID     string
+	Work   time.Duration // of a request
+	Events int           // of a stream; 0: answers are no streams
+	Gap    time.Duration // between events
+	Model  string        // whose weights it runs; empty: none
+}
+
+// Run is a request that began to work here.
+type Run struct {
+	ID        string
+	Workspace string
+	Path      string
+	Body      string
+	Salt      string
+	Weights   string
+	Resumed   string
+}
+
+// Replica is one endpoint. It is safe for concurrent use.
+type Replica struct {
+	cfg   Config
+	fault cfvfault.Switch
+
+	mu       sync.Mutex
+	runs     []Run
+	ended    map[string]bool // requests whose caller left first
+	rejected int
+	leaving  bool
+	orders   int64
+	fence    int64
+	version  int64
+	givers   []string
+}
+
+// New returns a replica with weights of version 1.
+func New(cfg Config) *Replica {
+	return &Replica{cfg: cfg, ended: make(map[string]bool), version: 1}
+}
+
+// SetFault puts a fault in force. Refuse rejects without running, Fail answers 500,
+// Outage breaks the connection, Silent never answers, Truncate ends answers early, Cross
+// names another request, LoseAnswers runs and breaks the connection.
+func (r *Replica) SetFault(f cfvfault.Fault) { r.fault.Set(f) }
+
+// Leave lets the health check fail.
+func (r *Replica) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+// Runs returns the requests that began to work here.
+func (r *Replica) Runs() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run(nil), r.runs...)
+}
+
+// Cancelled reports whether a request's caller left before its end.
+func (r *Replica) Cancelled(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended[id]
+}
+
+// Version returns the version of its weights, and who gave orders in turn.
+func (r *Replica) Version() (version int64, givers []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version, append([]string(nil), r.givers...)
+}
+
+// Handler returns the interface.
+func (r *Replica) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", r.health)
+	mux.HandleFunc("GET /-/report", r.report)
+	mux.HandleFunc("POST /-/order", r.order)
+	mux.HandleFunc("POST /fault", r.fault.ServeHTTP)
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { cfvhttp.WriteJSON(w, http.StatusOK, r.Runs()) })
+	mux.HandleFunc("/", r.serve)
+	return mux
+}
+
+func (r *Replica) health(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.Header().Set("X-Coltsfootvalve-Replica-Id", r.cfg.ID)
+	if r.leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (r *Replica) report(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cfvhttp.WriteJSON(w, http.StatusOK, map[string]any{
+		"busy": false, "seq": r.orders, "models": []map[string]any{{"name": r.cfg.Model, "version": r.version}},
+	})
+}
+
+func (r *Replica) order(w http.ResponseWriter, req *http.Request) {
+	var o struct {
+		Version  int64
+		Holder   string
+		Fence    int64
+		Expected int64
+	}
+	if err := json.NewDecoder(req.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case o.Fence < r.fence:
+		w.WriteHeader(http.StatusPreconditionFailed)
+	case o.Expected != r.orders:
+		w.WriteHeader(http.StatusConflict)
+	default:
+		r.fence, r.version = o.Fence, o.Version
+		r.orders++
+		r.givers = append(r.givers, o.Holder)
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+func reject(w http.ResponseWriter, status int) {
+	w.Header().Set("X-Coltsfootvalve-Not-Run", "1")
+	w.WriteHeader(status)
+}
+
+// serve runs a request.
+func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get("X-Coltsfootvalve-Request-Id")
+	if want := req.Header.Get("X-Coltsfootvalve-Expect-Replica"); want != "" && want != r.cfg.ID {
+		w.Header().Set("X-Coltsfootvalve-Replica-Id", r.cfg.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	f := r.fault.Take(req.URL.Path)
+	switch f.Mode {
+	case cfvfault.Refuse:
+		reject(w, http.StatusServiceUnavailable)
+		return
+	case cfvfault.Outage:
+		cfvfault.DropConnection()
+	}
+	run := Run{
+		ID: id, Workspace: req.Header.Get("X-Coltsfootvalve-Tenant"), Path: req.URL.Path, Body: string(body),
+		Salt: req.Header.Get("X-Coltsfootvalve-Cache-Salt"), Weights: req.Header.Get("X-Coltsfootvalve-Expect-Version"),
+		Resumed: req.Header.Get("Last-Event-Id"),
+	}
+	r.mu.Lock()
+	r.runs = append(r.runs, run)
+	r.mu.Unlock()
+	answered := make(chan struct{})
+	defer close(answered)
+	go func() {
+		select {
+		case <-answered:
+		case <-req.Context().Done():
+			r.mu.Lock()
+			r.ended[id] = true
+			r.mu.Unlock()
+		}
+	}()
+	switch f.Mode {
+	case cfvfault.Silent:
+		<-req.Context().Done()
+		return
+	case cfvfault.LoseAnswers:
+		cfvfault.DropConnection()
+	case cfvfault.Cross:
+		id = "of-another-request"
+	case cfvfault.Slow:
+		time.Sleep(f.Delay())
+	}
+	time.Sleep(r.cfg.Work)
+	w.Header().Set("X-Coltsfootvalve-Request-Id", id)
+	w.Header().Set("X-Coltsfootvalve-Server-Stamp", "stamp."+r.cfg.ID+"."+id)
+	if r.cfg.Events > 0 {
+		r.stream(w, req, run.Resumed, f)
+		return
+	}
+	r.answer(w, f)
+}
+
+func (r *Replica) answer(w http.ResponseWriter, f cfvfault.Fault) {
+	const body = "the whole answer"
+	switch f.Mode {
+	case cfvfault.Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case cfvfault.Truncate:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = io.WriteString(w, body[:len(body)/2]) // the caller sees the rest missing
+		cfvfault.DropConnection()
+	}
+	_, _ = io.WriteString(w, body) // a caller that left takes nothing
+}
+
+// stream sends events from the one after the last that the caller has.
+func (r *Replica) stream(w http.ResponseWriter, req *http.Request, after string, f cfvfault.Fault) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	from := 0
+	if after != "" {
+		n, err := strconv.Atoi(after)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		from = n + 1
+	}
+	for i := from; i < r.cfg.Events; i++ {
+		if f.Mode == cfvfault.Truncate && i == from+r.cfg.Events/2 {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", i) // an event that is not whole
+			w.(http.Flusher).Flush()
+			cfvfault.DropConnection()
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: token-%d\n\n", i, i); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		select {
+		case <-req.Context().Done():
+			return
+		case <-time.After(r.cfg.Gap):
+		}
+	}
+}
