--- a/io/cfvreserve/reserve.go
+++ b/io/cfvreserve/reserve.go
@@ -160,18 +160,21 @@
 // Run sends settlements until the context ends.
 func (r *Reserver) Run(ctx context.Context) {
 	for cfvclock.Sleep(ctx, settleEvery) {
-		r.mu.Lock()
-		queue := r.queue
-		if len(queue) > 0 {
-			r.queue = make(map[string][]*cfvwireentry.Settled)
-		}
-		r.mu.Unlock()
-		for addr, list := range queue {
+		for addr, list := range r.waiting() {
 			go r.settle(ctx, addr, list)
 		}
 	}
 }
 
+// waiting takes the settlements that wait to be sent.
+func (r *Reserver) waiting() map[string][]*cfvwireentry.Settled {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	queue := r.queue
+	r.queue = make(map[string][]*cfvwireentry.Settled)
+	return queue
+}
+
 func (r *Reserver) settle(ctx context.Context, addr string, list []*cfvwireentry.Settled) {
 	ctx, cancel := context.WithTimeout(ctx, settleWithin)
 	defer cancel()
--- a/standins/cfvfakereplica/replica.go
+++ b/standins/cfvfakereplica/replica.go
@@ -158,6 +158,16 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	r.mu.Lock()
+	weights := strconv.FormatInt(r.version, 10)
+	r.mu.Unlock()
+	if r.cfg.Model != "" {
+		w.Header().Set("X-Coltsfootvalve-Weight-Versions", weights)
+	}
+	if want := req.Header.Get("X-Coltsfootvalve-Expect-Version"); want != "" && want != weights {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return
