Keep removals that a mirror never saw, and spread plain requests evenly

Cause: a property test of mirrors that pull from each other found two faults. An old listing brought back items that had been removed since; and a peer that began with a listing could not tell others of removals before it. A test of failing endpoints showed that equal endpoints of a plain service got shares from 12 to 88 of 100, by the gaps between their hashes. Change: records that the mirror is complete beyond are ignored; a listing raises the revision below which only full listings are passed on; ties are broken by a hash of the random number.

--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -235,14 +235,13 @@
 	return best
 }
 
-// tie prefers the same endpoint for the same shared parts, and any for others, by less
-// than a millisecond.
+// tie prefers the same endpoint for the same shared parts, and a random one for others, by
+// less than a millisecond.
 func tie(affinity, id string, u float64) float64 {
-	h := xxhash.Sum64String(affinity + "\x00" + id)
 	if affinity == "" {
-		h += uint64(u * math.MaxUint64)
+		affinity = strconv.FormatFloat(u, 'g', -1, 64)
 	}
-	return 1 - float64(h>>11)/(1<<53)
+	return 1 - float64(xxhash.Sum64String(affinity+"\x00"+id)>>11)/(1<<53)
 }
 
 // score estimates the milliseconds until the endpoint answers.
--- /dev/null
+++ b/core/cfvdispatch/dispatcher_test.go
@@ -0,0 +1,128 @@
+package cfvdispatch
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"coltsfootvalve/common/cfvseed"
+	"coltsfootvalve/core/cfvfleet"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	cfvseed.Fix()
+	os.Exit(m.Run())
+}
+
+// A cold endpoint bears so many requests a second; no number of entries may pass it
+// together, also when their requests fall into one second as badly as they can.
+func TestEntriesTogetherStayWithinWhatAColdEndpointBears(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.IntRange(1, 120).Draw(t, "entries")
+		bears := rapid.IntRange(1, 60).Draw(t, "bears")
+		const excess, slack = 1.5, 5 // the platform's allowance
+		e := fleetOf(1)[0]
+		var names []string
+		for i := range entries {
+			names = append(names, fmt.Sprint("entry-", i))
+		}
+		total := 0
+		for _, name := range names {
+			d := New(name)
+			d.SetEntries(names)
+			for range 90 {
+				q := Query{Endpoints: []*cfvfleet.Endpoint{e}, ColdPerSec: float64(bears), ColdUntil: func(string) time.Duration { return time.Hour }}
+				if c, why := d.Choose(0, q, 0); why == Chosen {
+					d.Start(0, c.Endpoint, 0)
+					total++
+				}
+			}
+		}
+		assert.Assert(t, float64(total) <= float64(bears)*excess+slack, "%d requests in one second", total)
+		assert.Assert(t, total >= 1, "a cold endpoint gets some work")
+	})
+}
+
+func TestChoiceKeepsToWeights(t *testing.T) {
+	endpoints := fleetOf(3)
+	endpoints[1].Weights["m"] = 2
+	tests := map[string]struct {
+		q    Query
+		want string
+		why  Reason
+	}{
+		"old weights may still begin":       {q: Query{Wanted: 2}, why: Chosen},
+		"new weights go first":              {q: Query{Wanted: 2, PreferNew: true}, want: "i-01", why: Chosen},
+		"old weights may not begin":         {q: Query{Wanted: 2, RefuseOld: true}, want: "i-01", why: Chosen},
+		"nobody has the weights":            {q: Query{Wanted: 3, RefuseOld: true}, why: AllOld},
+		"the one that has them rejected it": {q: Query{Wanted: 2, RefuseOld: true, Exclude: map[string]bool{"i-01": true}}, why: AllOld},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := New("entry")
+			tt.q.Endpoints, tt.q.Model = endpoints, "m"
+			c, why := d.Choose(0, tt.q, 0.3)
+			assert.Equal(t, why, tt.why)
+			if tt.want != "" {
+				assert.Equal(t, c.Endpoint.ID, tt.want)
+			}
+		})
+	}
+}
+
+func TestEndpointWhoseConnectionBrokeIsSparedAndComesBack(t *testing.T) {
+	endpoints := fleetOf(2)
+	d := New("entry")
+	ask := d.Broken(0, endpoints[0])
+	assert.Equal(t, ask, firstPause)
+	for i := range 20 {
+		c, why := d.Choose(ask-1, Query{Endpoints: endpoints}, float64(i)/20)
+		assert.Equal(t, why, Chosen)
+		assert.Equal(t, c.Endpoint.ID, "i-01")
+	}
+	c, why := d.Choose(ask-1, Query{Endpoints: endpoints[:1]}, 0)
+	assert.Equal(t, why, Chosen, "better than none")
+	assert.Equal(t, c.Endpoint.ID, "i-00")
+	assert.Equal(t, d.Broken(ask, endpoints[0])-ask, 2*firstPause)
+	d.Healthy(ask, endpoints[0], true, 0)
+	assert.Assert(t, !d.Down(ask, "i-00"))
+}
+
+// Pattern: one endpoint fails part of its requests while its health is good, and a route
+// whose requests fail at every endpoint now and then.
+func TestEndpointThatFailsMoreThanOthersGetsLess(t *testing.T) {
+	endpoints := fleetOf(3)
+	d, usual := New("entry"), &Usual{}
+	count := make(map[string]int)
+	for i := range 3000 {
+		now := time.Duration(i) * 10 * time.Millisecond
+		c, why := d.Choose(now, Query{Endpoints: endpoints}, float64(i)/3000)
+		assert.Equal(t, why, Chosen)
+		count[c.Endpoint.ID]++
+		failed := i%7 == 0 || c.Endpoint.ID == "i-01" && i%2 == 0
+		d.Outcome(now, c.Endpoint, usual.Add(failed))
+	}
+	assert.Assert(t, count["i-01"] < 500, "%v", count)
+	assert.Assert(t, count["i-01"] > 10, "it is tried again: %v", count)
+	assert.Assert(t, count["i-00"] > 800 && count["i-02"] > 800, "%v", count)
+}
+
+func TestRestartUnderTheSameIDIsAnotherEndpoint(t *testing.T) {
+	e := fleetOf(1)[0]
+	d := New("entry")
+	d.Loaded(e, "m", 9)
+	d.Broken(0, e)
+	again := *e
+	again.Born = 2
+	assert.Equal(t, d.Version(&again, "m"), int64(1))
+	assert.Assert(t, !d.Down(1, e.ID))
+}
+
+func ExampleGroups() {
+	fmt.Println(Groups(12), Groups(18), Groups(48), Groups(71))
+	// Output: 1 1 3 4
+}
--- /dev/null
+++ b/core/cfvdispatch/load_test.go
@@ -0,0 +1,212 @@
+package cfvdispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"coltsfootvalve/core/cfvfleet"
+
+	"gotest.tools/v3/assert"
+)
+
+// A small model of engines: each reads its prompts one after the other, and an event of a
+// short stream comes once what was in front of it has been read.
+type engines struct {
+	free  map[string]time.Duration // when an engine has read everything
+	cache map[string]bool
+	rate  float64 // tokens a millisecond
+}
+
+func newEngines() *engines {
+	return &engines{free: make(map[string]time.Duration), cache: make(map[string]bool), rate: 64}
+}
+
+// read returns when a prompt that arrives now has been read.
+func (m *engines) read(now time.Duration, id string, tokens int) time.Duration {
+	begin := max(now, m.free[id])
+	end := begin + time.Duration(float64(tokens)/m.rate*float64(time.Millisecond))
+	m.free[id] = end
+	return end
+}
+
+type arrival struct {
+	at     time.Duration
+	entry  int
+	tokens int
+	shared string
+}
+
+// chamberLoad is the chamber's shape at a fifth above its usual rate: long reviews among
+// many lookups, at eight entries.
+func chamberLoad(seed uint64, seconds int) (out []arrival) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	add := func(perSecond float64, tokens func() (int, string)) {
+		for t := time.Duration(0); ; {
+			t += time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second))
+			if t > time.Duration(seconds)*time.Second {
+				return
+			}
+			n, shared := tokens()
+			out = append(out, arrival{t, rnd.IntN(8), n, shared})
+		}
+	}
+	add(28, func() (int, string) { return 6000 + rnd.IntN(22000), fmt.Sprint("norm-", rnd.IntN(190)) })
+	add(340, func() (int, string) { return 383, fmt.Sprint("grade-", rnd.IntN(2262)) })
+	sort.Slice(out, func(i, j int) bool { return out[i].at < out[j].at })
+	return out
+}
+
+func fleetOf(n int) []*cfvfleet.Endpoint {
+	var out []*cfvfleet.Endpoint
+	for i := range n {
+		out = append(out, &cfvfleet.Endpoint{
+			ID: fmt.Sprintf("i-%02d", i), Born: 1, Service: "a", Domain: []string{"north", "south", "west"}[i%3], Weights: map[string]int64{"m": 1},
+		})
+	}
+	return out
+}
+
+type result struct{ long, short []time.Duration }
+
+func (r *result) late(objective time.Duration, list []time.Duration) float64 {
+	n := 0
+	for _, d := range list {
+		if d > objective {
+			n++
+		}
+	}
+	return float64(n) / float64(len(list))
+}
+
+// play sends the load through eight dispatchers that see only their own requests. With a
+// ledger, one of them places the long prompts of all.
+func play(load []arrival, lanes, ledger bool) (r result) {
+	endpoints := fleetOf(18)
+	m := newEngines()
+	shared := NewLedger()
+	var ds []*Dispatcher
+	var ls []*Lanes
+	for i := range 8 {
+		ds, ls = append(ds, New(fmt.Sprint("entry-", i))), append(ls, &Lanes{})
+	}
+	rnd := rand.New(rand.NewPCG(7, 7))
+	type pending struct {
+		at     time.Duration
+		d      *Dispatcher
+		e      *cfvfleet.Endpoint
+		tokens int
+		id     string
+	}
+	var open []pending
+	for i, a := range load {
+		kept := open[:0]
+		for _, p := range open {
+			if p.at > a.at {
+				kept = append(kept, p)
+				continue
+			}
+			p.d.Answered(p.e, p.tokens)
+			p.d.Finish(p.e)
+			shared.Settle(p.e.ID, p.id)
+		}
+		open = kept
+		d := ds[a.entry]
+		q := Query{Endpoints: endpoints, Tokens: a.tokens, Shared: a.tokens * 3 / 4, Affinity: a.shared, Stored: true, FetchMs: 0.0024, Model: "m"}
+		if lanes {
+			ls[a.entry].Note(a.at, a.tokens)
+			q.Border = ls[a.entry].Border(len(endpoints))
+		}
+		id := fmt.Sprint(i)
+		if ledger && a.tokens >= LongPrompt {
+			q.Ledger = shared
+		}
+		c, why := d.Choose(a.at, q, rnd.Float64())
+		if why != Chosen {
+			panic("no endpoint")
+		}
+		if q.Ledger != nil {
+			q.Granted(a.at, id, c.Endpoint)
+		}
+		d.Start(a.at, c.Endpoint, a.tokens)
+		end := m.read(a.at, c.Endpoint.ID, a.tokens)
+		open = append(open, pending{end, d, c.Endpoint, a.tokens, id})
+		if a.tokens >= LongPrompt {
+			r.long = append(r.long, end-a.at)
+		} else {
+			r.short = append(r.short, end-a.at)
+		}
+	}
+	return r
+}
+
+// Pattern: few long prompts at many entries. Each entry sees an eighth of them, so that
+// without one place that places them two meet at one endpoint while others are idle.
+func TestLongPromptsAtManyEntriesMeetLessOften(t *testing.T) {
+	load := chamberLoad(1, 40)
+	alone, placed := play(load, false, false), play(load, false, true)
+	const objective = 800 * time.Millisecond
+	assert.Assert(t, placed.late(objective, placed.long) < alone.late(objective, alone.long)/2,
+		"placed %.3f, alone %.3f", placed.late(objective, placed.long), alone.late(objective, alone.long))
+}
+
+// Pattern: many short prompts among few long ones. A short prompt behind a long one waits
+// for hundreds of milliseconds.
+func TestShortPromptsStayOutOfTheWayOfLongOnes(t *testing.T) {
+	load := chamberLoad(2, 40)
+	mixed, apart := play(load, false, true), play(load, true, true)
+	const objective = 200 * time.Millisecond
+	assert.Assert(t, apart.late(objective, apart.short) < mixed.late(objective, mixed.short)/3,
+		"apart %.3f, mixed %.3f", apart.late(objective, apart.short), mixed.late(objective, mixed.short))
+}
+
+// Pattern: a burst of long prompts alone. Lanes must not keep them off idle endpoints.
+func TestLanesGiveWayToABurstOfLongPrompts(t *testing.T) {
+	endpoints := fleetOf(6)
+	d, l, lanes := New("entry"), NewLedger(), &Lanes{}
+	for i := range 100 {
+		lanes.Note(time.Duration(i)*10*time.Millisecond, 400)
+		lanes.Note(time.Duration(i)*10*time.Millisecond, 4000)
+	}
+	border := lanes.Border(len(endpoints))
+	assert.Assert(t, border >= 1 && border < len(endpoints))
+	used := make(map[string]bool)
+	for i := range 24 {
+		q := Query{Endpoints: endpoints, Tokens: 30000, Border: border, Ledger: l, Model: "m"}
+		c, why := d.Choose(0, q, 0.5)
+		assert.Equal(t, why, Chosen)
+		q.Granted(0, fmt.Sprint(i), c.Endpoint)
+		used[c.Endpoint.ID] = true
+	}
+	assert.Equal(t, len(used), len(endpoints))
+}
+
+func TestDemandMovesTheBorder(t *testing.T) {
+	tests := map[string]struct {
+		short, long int // a second
+		least, most int // endpoints of eighteen
+	}{
+		"only short prompts": {short: 100, least: 0, most: 0},
+		"only long prompts":  {long: 30, least: 0, most: 0},
+		"few long ones":      {short: 300, long: 1, least: 14, most: 17},
+		"the chamber's load": {short: 283, long: 24, least: 3, most: 6},
+		"mostly long ones":   {short: 30, long: 30, least: 1, most: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := &Lanes{}
+			for s := range 20 {
+				for i := range tt.short {
+					l.Note(time.Duration(s)*time.Second+time.Duration(i), 383)
+				}
+				for i := range tt.long {
+					l.Note(time.Duration(s)*time.Second+time.Duration(i), 17000)
+				}
+			}
+			got := l.Border(18)
+			assert.Assert(t, got >= tt.least && got <= tt.most, "border %d", got)
+		})
+	}
+}
--- /dev/null
+++ b/core/cfvfleet/view_test.go
@@ -0,0 +1,126 @@
+package cfvfleet
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"coltsfootvalve/common/cfvseed"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	cfvseed.Fix()
+	os.Exit(m.Run())
+}
+
+func ExampleIndex_Route() {
+	x := NewIndex(&Config{Routes: []Route{
+		{Name: "wide", Host: "a.example", PathPrefix: "/norms/"},
+		{Name: "narrow", Host: "a.example", PathPrefix: "/norms/foam/"},
+	}})
+	fmt.Println(x.Route("a.example", "/norms/foam/7").Name, x.Route("a.example", "/norms/wood/7").Name)
+	fmt.Println(x.Route("b.example", "/norms/foam/7") == nil, x.Route("a.example", "/norms") == nil)
+	// Output:
+	// narrow wide
+	// true true
+}
+
+func ExampleRoute_Pick() {
+	r := Route{Service: "whole", Split: []Share{{"old", 90}, {"new", 10}}}
+	fmt.Println(r.Pick(0), r.Pick(0.89), r.Pick(0.9), r.Pick(0.999))
+	// Output: old old new new
+}
+
+func announce(id string, born int64, leaving bool) Change {
+	return Change{Endpoint: &EndpointChange{ID: id, Endpoint: &Endpoint{ID: id, Born: born, Service: "s", Domain: "d", Leaving: leaving}}}
+}
+
+func gone(id string) Change { return Change{Endpoint: &EndpointChange{ID: id}} }
+
+func TestUsableEndpoints(t *testing.T) {
+	tests := map[string]struct {
+		changes []Change
+		usable  int
+	}{
+		"an endpoint that announced itself":      {[]Change{announce("a", 1, false)}, 1},
+		"one that leaves":                        {[]Change{announce("a", 1, true)}, 0},
+		"one that left does not come back":       {[]Change{announce("a", 1, true), announce("a", 1, false)}, 0},
+		"its next start does":                    {[]Change{announce("a", 1, true), announce("a", 2, false)}, 1},
+		"one whose item was removed":             {[]Change{announce("a", 1, false), gone("a")}, 0},
+		"one in a domain that is out":            {[]Change{announce("a", 1, false), {Domain: &DomainChange{"d", true}}}, 0},
+		"one in a domain that was taken back in": {[]Change{{Domain: &DomainChange{"d", true}}, {Domain: &DomainChange{"d", false}}, announce("a", 1, false)}, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := NewView()
+			for _, c := range tt.changes {
+				v.Apply(0, c)
+			}
+			assert.Equal(t, len(v.Usable("s")), tt.usable)
+		})
+	}
+}
+
+// Items lapse while the store is away, and living endpoints write them again after it.
+func TestRemovalsRightAfterAnOutageWait(t *testing.T) {
+	v := NewView()
+	v.Apply(0, announce("lives", 1, false))
+	v.Apply(0, announce("died", 1, false))
+	v.Apply(0, announce("left", 1, true))
+	v.StoreReturned(10 * time.Second)
+	for _, id := range []string{"lives", "died", "left"} {
+		v.Apply(10*time.Second+time.Millisecond, gone(id))
+	}
+	assert.Equal(t, len(v.Usable("s")), 2)
+	assert.Equal(t, len(v.All()), 2, "a leaving endpoint's removal does not wait")
+	v.Apply(11*time.Second, announce("lives", 1, false))
+	v.Expire(10*time.Second + RemovalGrace + 2*time.Millisecond)
+	assert.Equal(t, len(v.Usable("s")), 1)
+	v.Apply(20*time.Second, gone("lives"))
+	assert.Equal(t, len(v.Usable("s")), 0)
+}
+
+func TestOlderConfigurationsAndWeightsChangeNothing(t *testing.T) {
+	v := NewView()
+	assert.Assert(t, v.Apply(0, Change{Config: &Config{Version: 7}}))
+	assert.Assert(t, !v.Apply(0, Change{Config: &Config{Version: 6}}))
+	assert.Assert(t, !v.Apply(0, Change{Config: &Config{Version: 7}}))
+	assert.Assert(t, v.Apply(5, Change{Weights: &NamedWeights{"m", 2}}))
+	assert.Assert(t, !v.Apply(9, Change{Weights: &NamedWeights{"m", 1}}))
+	assert.Equal(t, v.Wanted("m"), Wanted{2, 5})
+	assert.Equal(t, v.Index().Config().Version, int64(7))
+}
+
+func TestHubs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 120).Draw(t, "entries")
+		domains := rapid.IntRange(1, 6).Draw(t, "domains")
+		var entries []Entry
+		for i := range n {
+			entries = append(entries, Entry{Name: fmt.Sprint("e", i), Addr: fmt.Sprint("a", i), Domain: fmt.Sprint("d", i%domains)})
+		}
+		hubs := Hubs(entries)
+		assert.Assert(t, len(hubs) == min(n, max(leastHubs, min(n/entriesPerHub, mostHubs))))
+		assert.DeepEqual(t, Hubs(rapid.Permutation(entries).Draw(t, "order")), hubs)
+		seen := make(map[string]int)
+		for _, h := range hubs {
+			seen[h.Domain]++
+		}
+		if n >= domains*mostHubs {
+			for _, k := range seen {
+				assert.Assert(t, k <= (len(hubs)+domains-1)/domains, "hubs are spread: %v", seen)
+			}
+		}
+		for _, e := range entries {
+			home := HomeHubs(e, entries)
+			assert.Assert(t, len(home) >= len(hubs)-1)
+			if len(home) > 0 && seen[e.Domain] > 1 {
+				assert.Equal(t, home[0].Domain, e.Domain)
+			}
+		}
+	})
+}
--- a/core/cfvmirror/mirror.go
+++ b/core/cfvmirror/mirror.go
@@ -50,11 +50,12 @@
 }
 
 // Merge takes records that make the mirror complete up to asOf, and returns those that
-// were news.
+// were news. Records that the mirror is complete beyond are known, or were replaced or
+// removed since.
 func (m *Mirror) Merge(records []Record, asOf int64) []Record {
 	var news []Record
 	for _, r := range records {
-		if have, ok := m.records[r.Key]; ok && have.Revision >= r.Revision {
+		if have, ok := m.records[r.Key]; r.Revision <= m.asOf || ok && have.Revision >= r.Revision {
 			continue
 		}
 		m.records[r.Key] = r
@@ -72,6 +73,10 @@
 	for _, r := range listing {
 		listed[r.Key] = true
 	}
+	if asOf <= m.asOf {
+		return m.Merge(listing, asOf)
+	}
+	m.floor = asOf // what was removed before is known to others only
 	news := m.Merge(listing, asOf)
 	for key, have := range m.records {
 		if !listed[key] && !have.Deleted && have.Revision <= asOf {
--- /dev/null
+++ b/core/cfvmirror/mirror_test.go
@@ -0,0 +1,123 @@
+package cfvmirror
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"coltsfootvalve/common/cfvseed"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	cfvseed.Fix()
+	os.Exit(m.Run())
+}
+
+// history draws changes of a few keys, in the order of their revisions.
+func history(t *rapid.T) (all []Record) {
+	n := rapid.IntRange(1, 60).Draw(t, "changes")
+	for i := range n {
+		r := Record{Key: fmt.Sprint("k", rapid.IntRange(0, 6).Draw(t, "key")), Revision: int64(i + 1)}
+		if r.Deleted = rapid.Bool().Draw(t, "deleted"); !r.Deleted {
+			r.Value = []byte(fmt.Sprint("v", i))
+		}
+		all = append(all, r)
+	}
+	return all
+}
+
+func state(m *Mirror) map[string]string {
+	out := make(map[string]string)
+	for k, r := range m.records {
+		if !r.Deleted {
+			out[k] = string(r.Value)
+		}
+	}
+	return out
+}
+
+// Mirrors that pull from each other and from the store in any order hold what the store
+// held at their revision, and never go back.
+func TestMirrorsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := history(t)
+		truth := func(asOf int64) map[string]string {
+			out := make(map[string]string)
+			for _, r := range all {
+				if r.Revision > asOf {
+					break
+				}
+				if delete(out, r.Key); !r.Deleted {
+					out[r.Key] = string(r.Value)
+				}
+			}
+			return out
+		}
+		mirrors := []*Mirror{New(), New(), New()}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			m := mirrors[rapid.IntRange(0, 2).Draw(t, "mirror")]
+			before := m.AsOf()
+			switch rapid.SampledFrom([]string{"watch", "list", "pull"}).Draw(t, "by") {
+			case "watch":
+				to := rapid.Int64Range(before, int64(len(all))).Draw(t, "to")
+				m.Merge(all[before:to], to)
+			case "list":
+				asOf := rapid.Int64Range(0, int64(len(all))).Draw(t, "asOf")
+				var listing []Record
+				for k, v := range truth(asOf) {
+					for _, r := range all[:asOf] {
+						if r.Key == k && string(r.Value) == v {
+							listing = append(listing, r)
+						}
+					}
+				}
+				m.Replace(listing, asOf)
+			case "pull":
+				peer := mirrors[rapid.IntRange(0, 2).Draw(t, "peer")]
+				if peer.AsOf() > m.AsOf() {
+					records, full := peer.Delta(m.AsOf())
+					if full {
+						m.Replace(records, peer.AsOf())
+					} else {
+						m.Merge(records, peer.AsOf())
+					}
+				}
+			}
+			assert.Assert(t, m.AsOf() >= before)
+			assert.DeepEqual(t, state(m), truth(m.AsOf()))
+		}
+	})
+}
+
+func TestAgeIsThatOfTheLastConfirmation(t *testing.T) {
+	m := New()
+	_, ok := m.Age(5)
+	assert.Assert(t, !ok)
+	m.Merge(nil, 10)
+	m.Confirm(10, 4*time.Second)
+	m.Confirm(9, 3*time.Second)  // older news
+	m.Confirm(11, 9*time.Second) // of a state that the mirror lacks
+	age, ok := m.Age(6 * time.Second)
+	assert.Assert(t, ok)
+	assert.Equal(t, age, 2*time.Second)
+}
+
+func TestPeerThatLagsBehindForgottenRemovalsGetsAListing(t *testing.T) {
+	m := New()
+	rev := int64(0)
+	for i := range maxTombstones + 10 {
+		key := fmt.Sprint("k", i)
+		m.Merge([]Record{{Key: key, Revision: rev + 1}, {Key: key, Revision: rev + 2, Deleted: true}}, rev+2)
+		rev += 2
+	}
+	m.Merge([]Record{{Key: "alive", Revision: rev + 1}}, rev+1)
+	records, full := m.Delta(1)
+	assert.Assert(t, full)
+	assert.Equal(t, len(records), 1)
+	_, full = m.Delta(rev)
+	assert.Assert(t, !full)
+}
