--- /dev/null
+++ b/core/cfvparts/catalog_test.go
@@ -0,0 +1,155 @@
+package cfvparts
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"coltsfootvalve/common/cfvseed"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	cfvseed.Fix()
+	os.Exit(m.Run())
+}
+
+func stores() []Store {
+	return []Store{{Addr: "fast", Domain: "north", Tokens: 1000, FirstByte: 1}, {Addr: "large", Domain: "south", Tokens: 100000, FirstByte: 6}}
+}
+
+func known(addr string, events ...Event) *Catalog {
+	c := NewCatalog()
+	c.SetStores(stores())
+	for _, s := range stores() {
+		b := Batch{Epoch: 1, Next: 1, Full: true}
+		if s.Addr == addr {
+			b.Events = events
+			b.Next = int64(len(events)) + 1
+		}
+		c.Apply(0, s.Addr, b)
+	}
+	return c
+}
+
+func TestFind(t *testing.T) {
+	key := Key{"m.1.all", "p"}
+	held := Event{Number: 1, Salt: "m.1.all", Part: "p", Tokens: 500}
+	tests := map[string]struct {
+		change func(c *Catalog)
+		now    time.Duration
+		tokens int
+		want   string
+	}{
+		"a part that is held":                {tokens: 500, want: "fast"},
+		"a part that is held in part":        {tokens: 501},
+		"a store that was not heard of late": {tokens: 500, now: staleAfter + 1},
+		"a store that does not answer":       {tokens: 500, change: func(c *Catalog) { c.Forget("fast") }},
+		"a store that restarted":             {tokens: 500, change: func(c *Catalog) { c.Apply(0, "fast", Batch{Epoch: 2, Next: 1}) }},
+		"a part that was removed": {tokens: 500, change: func(c *Catalog) {
+			c.Apply(0, "fast", Batch{Epoch: 1, Next: 3, Events: []Event{{Number: 2, Salt: "m.1.all", Part: "p", Removed: true}}})
+		}},
+		"a part that is about to be freed": {tokens: 500, change: func(c *Catalog) {
+			c.Outdated(0, "fast", 10, func(salt string) bool { return strings.HasPrefix(salt, "m.1.") })
+		}},
+		"a store that the configuration dropped": {tokens: 500, change: func(c *Catalog) { c.SetStores(stores()[1:]) }},
+		"an event that comes late": {tokens: 500, want: "fast", change: func(c *Catalog) {
+			c.Apply(0, "fast", Batch{Epoch: 1, Next: 2, Events: []Event{{Number: 0, Salt: "m.1.all", Part: "p", Removed: true}}})
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := known("fast", held)
+			if tt.change != nil {
+				tt.change(c)
+			}
+			assert.Equal(t, c.Find(tt.now, key, tt.tokens, "north"), tt.want)
+		})
+	}
+}
+
+// Pattern: long transfers and short ones at the same store. Small parts go to the stores
+// whose first byte comes sooner, large ones to the others.
+func TestSmallPartsDoNotQueueBehindLargeOnes(t *testing.T) {
+	c := known("")
+	assert.Equal(t, c.Target(0, Key{"m.1.all", "small"}, 300), "fast")
+	assert.Equal(t, c.Target(0, Key{"m.1.all", "large"}, 12800), "large")
+}
+
+// A managed store drops nothing, so what is being saved counts as well as what is held.
+func TestStoresAreNeverFilledBeyondTheirCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := known("")
+		saved := make(map[string]int)
+		now := time.Duration(0)
+		for i := range rapid.IntRange(1, 200).Draw(t, "parts") {
+			tokens := rapid.IntRange(1, 8000).Draw(t, "tokens")
+			if addr := c.Target(now, Key{"m.1.all", fmt.Sprint(i)}, tokens); addr != "" {
+				saved[addr] += tokens
+			}
+			now += time.Millisecond
+		}
+		for _, s := range stores() {
+			assert.Assert(t, saved[s.Addr] <= s.Tokens, "%s got %d of %d", s.Addr, saved[s.Addr], s.Tokens)
+		}
+	})
+}
+
+func TestPartIsSavedOnceAtATime(t *testing.T) {
+	c := known("")
+	k := Key{"m.1.all", "p"}
+	assert.Equal(t, c.Target(0, k, 300), "fast")
+	assert.Equal(t, c.Target(saveTime-1, k, 300), "")
+	assert.Equal(t, c.Target(saveTime, k, 300), "fast", "a save that was lost is made again")
+	c.Apply(saveTime, "fast", Batch{Epoch: 1, Next: 2, Events: []Event{{Number: 1, Salt: k.Salt, Part: k.Part, Tokens: 300}}})
+	assert.Equal(t, c.Target(3*saveTime, k, 300), "")
+}
+
+// Entries that relay what they know never find a part that the one that follows the store
+// does not know as well, and find all of them in the end.
+func TestRelayedKnowledge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hub, leaf := known(""), NewCatalog()
+		leaf.SetStores(stores())
+		number, epoch := int64(1), int64(1)
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 300).Draw(t, "millis")) * time.Millisecond
+			switch rapid.SampledFrom([]string{"event", "event", "relay", "restart"}).Draw(t, "what") {
+			case "event":
+				e := Event{Number: number, Salt: "m.1.all", Part: fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "part")), Tokens: 10}
+				e.Removed = rapid.Bool().Draw(t, "removed")
+				number++
+				hub.Apply(now, "fast", Batch{Epoch: epoch, Next: number, Events: []Event{e}})
+			case "restart":
+				epoch++
+				number = 1
+				hub.Apply(now, "fast", Batch{Epoch: epoch, Next: 1, Full: true})
+			case "relay":
+				for _, n := range hub.Since(now, leaf.Positions()) {
+					leaf.Merge(now, n)
+				}
+				for i := range 6 {
+					k := Key{"m.1.all", fmt.Sprint(i)}
+					assert.Equal(t, leaf.Find(now, k, 10, ""), hub.Find(now, k, 10, ""))
+				}
+			}
+		}
+	})
+}
+
+func TestFreedPartsAreThoseOfOldWeights(t *testing.T) {
+	c := known("large", Event{Number: 1, Salt: "m.1.all", Part: "a", Tokens: 10}, Event{Number: 2, Salt: "m.2.all", Part: "a", Tokens: 10},
+		Event{Number: 3, Salt: "m.1.only.x", Part: "b", Tokens: 10})
+	old := func(salt string) bool { return strings.HasPrefix(salt, "m.1.") }
+	keys, epoch := c.Outdated(0, "large", 10, old)
+	assert.Equal(t, epoch, int64(1))
+	assert.Equal(t, len(keys), 2)
+	for _, k := range keys {
+		assert.Assert(t, old(k.Salt))
+	}
+}
--- /dev/null
+++ b/core/cfvweights/plan_test.go
@@ -0,0 +1,85 @@
+package cfvweights
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"coltsfootvalve/common/cfvseed"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	cfvseed.Fix()
+	os.Exit(m.Run())
+}
+
+// Whatever orders are lost, refused or slow, no more than the bound load at once by the
+// plan, and all endpoints get the weights once orders go through.
+func TestPlan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, most := rapid.IntRange(1, 30).Draw(t, "endpoints"), rapid.IntRange(1, 6).Draw(t, "most")
+		trouble := time.Duration(rapid.IntRange(0, 5000).Draw(t, "troubleMillis")) * time.Millisecond
+		p := NewPlan(most)
+		version := make([]int64, n)
+		for i := range version {
+			version[i] = 1
+		}
+		loading := make(map[int]time.Duration) // until when
+		for now := time.Duration(0); now < 60*time.Second; now += 100 * time.Millisecond {
+			var targets []Target
+			for i := range n {
+				if until, ok := loading[i]; ok && now >= until {
+					version[i] = 2
+					delete(loading, i)
+				}
+				targets = append(targets, Target{ID: fmt.Sprint(i), Born: 1, Version: version[i]})
+			}
+			due := p.Next(now, 2, targets)
+			assert.Assert(t, len(due) <= most)
+			for _, target := range due {
+				var i int
+				_, err := fmt.Sscan(target.ID, &i)
+				assert.NilError(t, err)
+				r := Started
+				if now < trouble {
+					r = rapid.SampledFrom([]Result{Started, Unknown, Busy, Refused}).Draw(t, "result")
+				}
+				p.Ended(now, target.ID, r)
+				if r == Started {
+					loading[i] = now + 450*time.Millisecond
+				}
+			}
+			assert.Assert(t, len(loading) <= most, "%d load at once", len(loading))
+		}
+		for i, v := range version {
+			assert.Equal(t, v, int64(2), "endpoint %d", i)
+		}
+	})
+}
+
+func TestPlanLeavesOutEndpoints(t *testing.T) {
+	tests := map[string]struct {
+		target Target
+		due    int
+	}{
+		"with old weights":       {Target{ID: "a", Version: 1}, 1},
+		"with the weights":       {Target{ID: "a", Version: 2}, 0},
+		"with newer weights":     {Target{ID: "a", Version: 3}, 0},
+		"that leave":             {Target{ID: "a", Version: 1, Leaving: true}, 0},
+		"that have just started": {Target{ID: "a", Born: 9}, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, len(NewPlan(3).Next(0, 2, []Target{tt.target})), tt.due)
+		})
+	}
+}
+
+func ExampleResult_String() {
+	fmt.Println(Unknown, Started, Done, Busy, Fenced, Refused)
+	// Output: unknown started done busy fenced refused
+}
