--- a/common/cfvarch/layout_test.go
+++ b/common/cfvarch/layout_test.go
@@ -14,7 +14,8 @@
 
 // layers maps each folder to those that its packages may import.
 var layers = map[string][]string{
-	"commands": {"io", "core", "common"},
+	"commands": {"platform", "io", "core", "common"},
+	"platform": {"core", "common"},
 	"io":       {"io", "core", "common"},
 	"core":     {"core", "common"},
 	"common":   {"common"},
@@ -109,3 +110,24 @@
 		assert.Check(t, !strings.Contains(string(data), root+"/"), "%s names a path of this machine", file)
 	}
 }
+
+// platformNames are words of the hosting platform that only its adapter, the stand-ins and
+// tests may use.
+var platformNames = []string{
+	"X-Coltsfootvalve", "/-/", "op/config", "servers/", "coldLeftMs", "kvStoreAddr", "pathPrefix", "Kv-From", "COLTSFOOTVALVE_CONFIG",
+}
+
+func TestOnlyTheAdapterKnowsThePlatform(t *testing.T) {
+	for _, layer := range []string{"commands", "io", "core", "common"} {
+		for _, file := range goFiles(t, filepath.Join("..", "..", layer)) {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			data, err := os.ReadFile(file)
+			assert.NilError(t, err)
+			for _, name := range platformNames {
+				assert.Check(t, !strings.Contains(string(data), name), "%s names %s", file, name)
+			}
+		}
+	}
+}
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -7,14 +7,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"coltsfootvalve/common/cfverror"
 	"coltsfootvalve/core/cfvcall"
 	"coltsfootvalve/core/cfvdispatch"
 	"coltsfootvalve/core/cfvfleet"
-	"coltsfootvalve/core/cfvparts"
 )
 
 // Figures of attempts.
@@ -134,157 +132,12 @@
 	panic(http.ErrAbortHandler)
 }
 
-// choose picks the endpoint and says what it is told.
-func (q *request) choose() (c cfvdispatch.Choice, d cfvcall.Directions, refusal *statusError) {
-	e := q.entry
-	now := e.cfg.Now()
-	query := q.query(now)
-	narrow := query
-	q.reserve(&narrow)
-	now = e.cfg.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	c, why := e.dispatcher.Choose(now, narrow, e.cfg.Random())
-	if why != cfvdispatch.Chosen && q.grant != nil {
-		c, why = e.dispatcher.Choose(now, query, e.cfg.Random())
-	}
-	if why != cfvdispatch.Chosen {
-		return c, d, q.noEndpoint(why, len(query.Endpoints))
-	}
-	d = q.directions(now, query, c)
-	e.dispatcher.Start(now, c.Endpoint, q.load())
-	q.placed(c, d, query)
-	return c, d, nil
-}
-
-// placed logs where the request goes, and what decided it.
-func (q *request) placed(c cfvdispatch.Choice, d cfvcall.Directions, query cfvdispatch.Query) {
-	e := q.entry
-	if !e.cfg.Log.Detailed() {
-		return
-	}
-	primary := ""
-	if c.Primary != nil {
-		primary = c.Primary.ID
-	}
-	load := e.dispatcher.Running(c.Endpoint.ID)
-	e.cfg.Log.Detail("a request was placed", q.facts("endpoint", c.Endpoint.ID, "primary", primary, "candidates", len(query.Endpoints),
-		"running", load.Running, "tokens", query.Tokens, "sharedTokens", query.Shared, "stored", query.Stored,
-		"fetch", strings.Join(d.Fetch, ","), "save", strings.Join(d.Save, ","), "weights", d.WeightVersion, "affinity", query.Affinity)...)
-}
-
-// load is what the request adds to the prompt tokens that an endpoint has to read.
-func (q *request) load() int { return q.call.Prompt.Tokens }
-
-func (q *request) noEndpoint(why cfvdispatch.Reason, known int) *statusError {
-	reason, after := cfverror.ReasonNoEndpoint, comeBack
-	switch why {
-	case cfvdispatch.AllCold:
-		reason = cfverror.ReasonEndpointsCold
-	case cfvdispatch.AllFull:
-		reason = cfverror.ReasonEndpointsFull
-	case cfvdispatch.AllOld:
-		reason = cfverror.ReasonVersionMissing
-	}
-	if q.stream.begun() {
-		q.cut("no endpoint to go on at: " + string(reason))
-	}
-	if q.sent > 0 {
-		return &statusError{status: http.StatusBadGateway, refusal: cfverror.Unknown(reason, "none of %d endpoints can take the request", known)}
-	}
-	return q.later(after, reason, "none of %d endpoints can take the request", known)
-}
-
-// query collects what the choice depends on.
-func (q *request) query(now time.Duration) cfvdispatch.Query {
-	e := q.entry
-	q.serviceName()
-	p := &q.call.Prompt
-	query := e.query(now, q.service, p)
-	query.Tokens, query.Shared, query.Affinity, query.Exclude = p.Tokens, p.SharedTokens(), p.Affinity(), q.rejected
-	if q.service.Engine != nil && p.Tokens > 0 {
-		query.Border = e.border(now, q, len(query.Endpoints))
-	}
-	query.Stored = q.stored(now, query.Wanted)
-	return query
-}
-
 // Units of link rates.
 const (
 	bitsPerByte     = 8
 	bitsPerMsOfMbps = 1000 // bits a millisecond of one Mbit/s
 )
 
-// border counts the request once in the demand, and returns how many of n endpoints are
-// for short prompts.
-func (e *Entry) border(now time.Duration, q *request, n int) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	l := e.lanes[q.service.Name]
-	if l == nil {
-		l = &cfvdispatch.Lanes{}
-		e.lanes[q.service.Name] = l
-	}
-	if q.arrivals == 0 {
-		l.Note(now, q.call.Prompt.Tokens)
-	}
-	return l.Border(n)
-}
-
-// stored reports whether stores hold all shared parts for the newest weights.
-func (q *request) stored(now time.Duration, version int64) bool {
-	shared := q.call.Prompt.Shared()
-	if len(shared) == 0 || q.entry.cfg.Parts == nil {
-		return false
-	}
-	salt := cfvcall.Salt(q.workspace, q.call.Prompt.Model, max(version, 1))
-	all := true
-	q.entry.cfg.Parts.Do(func(c *cfvparts.Catalog) {
-		for _, part := range shared {
-			all = all && c.Find(now, cfvparts.Key{Salt: salt, Part: part.ID}, part.Tokens, "") != ""
-		}
-	})
-	return all
-}
-
-// directions says what the endpoint is told. The caller holds the entry's lock.
-func (q *request) directions(now time.Duration, query cfvdispatch.Query, c cfvdispatch.Choice) cfvcall.Directions {
-	e := q.entry
-	d := cfvcall.Directions{Endpoint: c.Endpoint.ID, Left: q.left(), ResumeAfter: q.resumeAfter()}
-	if q.call.Deadline == 0 && q.route.Timeout == 0 {
-		d.Left = 0
-	}
-	if q.workspace != nil {
-		d.Workspace = q.workspace.Name
-	}
-	p := &q.call.Prompt
-	if p.Model == "" {
-		return d
-	}
-	d.Priority, d.HasPriority = q.priority(), true
-	version := max(e.dispatcher.Version(c.Endpoint, p.Model), 1)
-	d.WeightVersion = version
-	d.Salt = cfvcall.Salt(q.workspace, p.Model, version)
-	if len(p.Shared()) == 0 || e.cfg.Parts == nil || version < query.Wanted {
-		return d
-	}
-	d.Fetch, d.Save = make([]string, len(p.Parts)), make([]string, len(p.Parts))
-	e.cfg.Parts.Do(func(cat *cfvparts.Catalog) {
-		for i, part := range p.Shared() {
-			k := cfvparts.Key{Salt: d.Salt, Part: part.ID}
-			d.Fetch[i] = cat.Find(now, k, part.Tokens, c.Endpoint.Domain)
-			if d.Fetch[i] == "" {
-				d.Save[i] = cat.Target(now, k, part.Tokens)
-				continue
-			}
-			if clock := cat.Clock(now, d.Fetch[i]); clock > 0 {
-				d.FetchUntil = clock + fetchTime.Milliseconds()
-			}
-		}
-	})
-	return d
-}
-
 // attempt sends the request to one endpoint.
 func (q *request) attempt(c cfvdispatch.Choice, d cfvcall.Directions) outcome {
 	e, ep := q.entry, c.Endpoint
@@ -467,87 +320,3 @@
 	defer q.entry.mu.Unlock()
 	q.entry.quarantine.Crashed(time.Now(), q.print, fmt.Sprintf("%s/%d", ep.ID, ep.Born))
 }
-
-// deliver reads a whole answer and passes it on.
-func (q *request) deliver(ep *cfvfleet.Endpoint, resp *http.Response, h *hedge) outcome {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
-	if err != nil {
-		q.note(ep, "an answer was not complete", "status", resp.StatusCode, "error", err.Error())
-		switch {
-		case q.gone():
-			return left
-		case h.fired():
-		case errors.Is(err, context.DeadlineExceeded):
-			q.failed(ep)
-			return expired
-		}
-		q.rejected[ep.ID] = true
-		q.failed(ep)
-		return broken
-	}
-	bad := resp.StatusCode >= http.StatusInternalServerError
-	q.count(ep, bad)
-	if bad && q.mayTryElsewhere(ep) {
-		return broken
-	}
-	h.stop()
-	q.head(resp)
-	if len(body) > maxBuffered {
-		return q.passOn(ep, resp, body)
-	}
-	q.w.Header().Set("Content-Length", fmt.Sprint(len(body)))
-	q.w.WriteHeader(resp.StatusCode)
-	if _, err := q.w.Write(body); err != nil {
-		q.note(ep, "the caller did not take its answer", "error", err.Error())
-	}
-	q.done(ep, resp.StatusCode)
-	return answered
-}
-
-// mayTryElsewhere reports whether a failure of the endpoint's own is worth another try.
-func (q *request) mayTryElsewhere(ep *cfvfleet.Endpoint) bool {
-	if !q.route.Repeatable() || q.sent >= q.route.Attempts || q.left() < q.route.Objective/4 {
-		return false
-	}
-	q.rejected[ep.ID] = true
-	others := 0
-	q.entry.cfg.Belief.Read(func(v *cfvfleet.View) {
-		for _, other := range v.Usable(q.service.Name) {
-			if !q.rejected[other.ID] {
-				others++
-			}
-		}
-	})
-	return others > 0 && q.entry.roomToRepeat(q.service.Name)
-}
-
-// passOn copies a long answer as it arrives.
-func (q *request) passOn(ep *cfvfleet.Endpoint, resp *http.Response, start []byte) outcome {
-	q.w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(q.w, io.MultiReader(bytes.NewReader(start), resp.Body)); err != nil {
-		q.note(ep, "a long answer was not complete", "error", err.Error())
-		panic(http.ErrAbortHandler)
-	}
-	q.done(ep, resp.StatusCode)
-	return answered
-}
-
-// head copies the headers of an answer.
-func (q *request) head(resp *http.Response) {
-	for name, values := range resp.Header {
-		if q.entry.cfg.Wire.Returned(name) {
-			q.w.Header()[name] = values
-		}
-	}
-}
-
-// done logs a served request, or one in so many.
-func (q *request) done(ep *cfvfleet.Endpoint, status int) {
-	e := q.entry
-	e.cfg.Metrics.Count("served."+q.service.Name, 1)
-	n := e.served.Add(1)
-	if status < http.StatusInternalServerError && (e.cfg.LogSuccess <= 0 || n%int64(e.cfg.LogSuccess) != 0) {
-		return
-	}
-	q.note(ep, "a request was answered", "status", status)
-}
