Place long prompts where memory is left

The ledger forgot a prompt once it was read, though its memory stays in use. Change: a grant stays until its request is over; an endpoint whose memory would be used beyond seven tenths counts as later by what it lacks.

--- a/commands/entry.go
+++ b/commands/entry.go
@@ -97,7 +97,7 @@
 		Reserve: func(ctx context.Context, a cfvreserve.Ask) (cfvreserve.Grant, bool) {
 			return h.reserver.Reserve(ctx, a)
 		},
-		Release: func(g cfvreserve.Grant, request string) { h.reserver.Release(g, request) },
+		Release: func(g cfvreserve.Grant, request string, over bool) { h.reserver.Release(g, request, over) },
 	})
 	h.reserver = cfvreserve.New(cfvreserve.Config{
 		Self: settings.Node, Entries: h.entries, Place: h.entry.Place, Settled: h.entry.Settled, Now: cfvclock.Boot,
--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -24,6 +24,7 @@
 	domainMs        = 1.0   // another failure domain
 	shortAwayMs     = 150.0 // a short prompt among long ones waits for the rest of one
 	longAwayMs      = 350.0 // a long prompt among short ones delays many of them
+	memoryShare     = 0.7   // of an engine's memory for long prompts; a request that finds none is preempted and read again
 	fetchSpare      = 1.5   // fetches queue for the link
 	fetchStartMs    = 6.0   // until a store's first byte
 )
@@ -47,6 +48,7 @@
 	FetchMs     float64         // time to fetch a token of a shared part in milliseconds
 	Border      int             // endpoints for short prompts; 0: no lanes
 
+	Memory int     // tokens that an engine holds; 0: not known
 	Ledger *Ledger // what was granted, for the entry that places long prompts; nil elsewhere
 
 	lane map[string]bool // endpoints of the lane for short prompts
@@ -247,10 +249,15 @@
 // score estimates the milliseconds until the endpoint answers.
 func (d *Dispatcher) score(now time.Duration, e *cfvfleet.Endpoint, s *state, q Query, primary *cfvfleet.Endpoint) float64 {
 	load := Load{s.running + s.peers.Running, s.tokens + s.peers.Tokens}
+	crowded := 0.0
 	if q.Ledger != nil {
-		load = q.Ledger.Load(now, e.ID)
+		var memory int
+		load, memory = q.Ledger.Load(now, e.ID)
+		if q.Memory > 0 {
+			crowded = max(0, float64(memory+q.Tokens)-memoryShare*float64(q.Memory))
+		}
 	}
-	ms := float64(load.Tokens)/readTokensPerMs + float64(load.Running)*runningMs
+	ms := float64(load.Tokens)/readTokensPerMs + float64(load.Running)*runningMs + crowded/readTokensPerMs
 	if q.Affinity != "" && primary != nil && e.ID != primary.ID {
 		if q.Stored {
 			ms += float64(q.Shared)*q.FetchMs*fetchSpare + fetchStartMs
--- a/core/cfvdispatch/ledger.go
+++ b/core/cfvdispatch/ledger.go
@@ -34,6 +34,7 @@
 type grant struct {
 	tokens int
 	at     time.Duration
+	read   bool // the prompt has been read; its memory is still in use
 }
 
 // NewLedger returns an empty ledger.
@@ -48,7 +49,7 @@
 		m = make(map[string]grant)
 		l.grants[endpoint] = m
 	}
-	m[request] = grant{tokens, now}
+	m[request] = grant{tokens: tokens, at: now}
 }
 
 // Read notes where shared parts are read.
@@ -78,7 +79,15 @@
 	return h.endpoint
 }
 
-// Settle notes that the endpoint has read a prompt, or won't.
+// Answered notes that the endpoint has read a prompt.
+func (l *Ledger) Answered(endpoint, request string) {
+	if g, ok := l.grants[endpoint][request]; ok {
+		g.read = true
+		l.grants[endpoint][request] = g
+	}
+}
+
+// Settle notes that a request is over.
 func (l *Ledger) Settle(endpoint, request string) {
 	delete(l.grants[endpoint], request)
 	if len(l.grants[endpoint]) == 0 {
@@ -86,18 +95,20 @@
 	}
 }
 
-// Load returns what an endpoint still has to read.
-func (l *Ledger) Load(now time.Duration, endpoint string) Load {
-	var sum Load
+// Load returns what an endpoint still has to read, and the tokens of memory in use.
+func (l *Ledger) Load(now time.Duration, endpoint string) (unread Load, memory int) {
 	for id, g := range l.grants[endpoint] {
 		if now-g.at > grantLife {
 			delete(l.grants[endpoint], id)
 			continue
 		}
-		sum.Running++
-		sum.Tokens += g.tokens
+		memory += g.tokens
+		if !g.read {
+			unread.Running++
+			unread.Tokens += g.tokens
+		}
 	}
-	return sum
+	return unread, memory
 }
 
 // Groups returns into how many groups n endpoints are cut.
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -144,8 +144,8 @@
 	q.arrivals++
 	pending := q.load()
 	settle := func() {
-		q.settle()
 		if pending > 0 {
+			q.settle(false)
 			e.mu.Lock()
 			e.dispatcher.Answered(ep, pending)
 			e.mu.Unlock()
@@ -154,6 +154,7 @@
 	}
 	defer func() {
 		settle()
+		q.settle(true)
 		e.mu.Lock()
 		e.dispatcher.Finish(ep)
 		e.mu.Unlock()
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -60,7 +60,7 @@
 	Parts      *Parts
 	PeerLoads  func() map[string]cfvdispatch.Load
 	Reserve    func(context.Context, cfvreserve.Ask) (cfvreserve.Grant, bool) // places a long prompt; nil: none do
-	Release    func(g cfvreserve.Grant, request string)
+	Release    func(g cfvreserve.Grant, request string, over bool)
 	Now        func() time.Duration // a clock that also runs while the machine is suspended
 	Random     func() float64
 	Listen     func(network, addr string) (net.Listener, error)
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -30,6 +30,9 @@
 	}
 	q.Narrow(cfvdispatch.InGroup(q.Endpoints, a.Group, a.Groups))
 	q.Ledger = e.ledger
+	if eng := x.Service(a.Service).Engine; eng != nil {
+		q.Memory = eng.CacheTokens
+	}
 	c, why := e.dispatcher.Choose(now, q, e.cfg.Random())
 	if why != cfvdispatch.Chosen {
 		return "", false
@@ -38,11 +41,16 @@
 	return c.Endpoint.ID, true
 }
 
-// Settled notes that a prompt that was placed here has been read.
-func (e *Entry) Settled(endpoint, request string) {
+// Settled notes that a prompt that was placed here has been read, or that its request is
+// over.
+func (e *Entry) Settled(endpoint, request string, over bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.ledger.Settle(endpoint, request)
+	if over {
+		e.ledger.Settle(endpoint, request)
+		return
+	}
+	e.ledger.Answered(endpoint, request)
 }
 
 // reserve asks for the endpoint of a long prompt, and narrows the choice to it.
@@ -76,10 +84,14 @@
 	}
 }
 
-// settle tells the entry that placed the prompt that it need not count it any more.
-func (q *request) settle() {
-	if q.grant != nil {
-		q.entry.cfg.Release(*q.grant, q.call.ID)
+// settle tells the entry that placed the prompt that it has been read, or that the request
+// is over.
+func (q *request) settle(over bool) {
+	if q.grant == nil {
+		return
+	}
+	q.entry.cfg.Release(*q.grant, q.call.ID, over)
+	if over {
 		q.grant = nil
 	}
 }
--- a/io/cfvfollow/follower_test.go
+++ b/io/cfvfollow/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,42 +21,65 @@
 
 // store is the platform's store as the follower sees it, on virtual time.
 type store struct {
+	mu      sync.Mutex
 	records []cfvmirror.Record
 	floor   int64
 	down    bool
 	silent  bool
-	lists   int
 	calls   int
 }
 
 func (s *store) write(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.records = append(s.records, cfvmirror.Record{Key: key, Value: []byte("v"), Revision: int64(len(s.records) + 1)})
 }
 
-func (s *store) asOf() int64 { return int64(len(s.records)) }
+func (s *store) asOf() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(len(s.records))
+}
+
+// set changes how the store behaves.
+func (s *store) set(f func(s *store)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+func (s *store) counted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
 
 func (s *store) answer(ctx context.Context) error {
-	s.calls++
 	time.Sleep(4 * time.Millisecond)
-	if s.silent {
+	s.mu.Lock()
+	s.calls++
+	silent, down := s.silent, s.down
+	s.mu.Unlock()
+	if silent {
 		select {
 		case <-ctx.Done():
 		case <-time.After(1500 * time.Millisecond):
 		}
 		return errors.New("no answer")
 	}
-	if s.down {
+	if down {
 		return errors.New("down")
 	}
 	return nil
 }
 
 func (s *store) list(ctx context.Context) ([]cfvmirror.Record, int64, error) {
-	s.lists++
 	if err := s.answer(ctx); err != nil {
 		return nil, 0, err
 	}
-	return s.records, s.asOf(), nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]cfvmirror.Record(nil), s.records...), int64(len(s.records)), nil
 }
 
 func (s *store) watch(ctx context.Context, after int64, wait time.Duration) ([]cfvmirror.Record, int64, error) {
@@ -63,11 +87,15 @@
 		if err := s.answer(ctx); err != nil {
 			return nil, 0, err
 		}
-		if after < s.floor {
+		s.mu.Lock()
+		gone, asOf := after < s.floor, int64(len(s.records))
+		events := append([]cfvmirror.Record(nil), s.records[min(after, asOf):]...)
+		s.mu.Unlock()
+		if gone {
 			return nil, 0, errGone
 		}
-		if s.asOf() > after || !time.Now().Before(end) {
-			return s.records[after:], s.asOf(), nil
+		if asOf > after || !time.Now().Before(end) {
+			return events, asOf, nil
 		}
 	}
 }
@@ -103,10 +131,18 @@
 		disturb func(s *store)
 		within  time.Duration // from the change or the end of the disturbance
 	}{
-		"in calm":                     {func(*store) {}, 200 * time.Millisecond},
-		"after an outage":             {func(s *store) { s.down = true; time.Sleep(4 * time.Second); s.down = false }, time.Second},
-		"after a silence":             {func(s *store) { s.silent = true; time.Sleep(4 * time.Second); s.silent = false }, 2 * time.Second},
-		"though the history was lost": {func(s *store) { s.floor = s.asOf() + 1 }, time.Second},
+		"in calm": {func(*store) {}, 200 * time.Millisecond},
+		"after an outage": {func(s *store) {
+			s.set(func(s *store) { s.down = true })
+			time.Sleep(4 * time.Second)
+			s.set(func(s *store) { s.down = false })
+		}, time.Second},
+		"after a silence": {func(s *store) {
+			s.set(func(s *store) { s.silent = true })
+			time.Sleep(4 * time.Second)
+			s.set(func(s *store) { s.silent = false })
+		}, 2 * time.Second},
+		"though the history was lost": {func(s *store) { s.set(func(s *store) { s.floor = int64(len(s.records)) + 1 }) }, time.Second},
 		"though changes come in a rush": {func(s *store) {
 			for i := range 50 {
 				s.write(fmt.Sprint("r", i))
@@ -138,7 +174,7 @@
 			assert.Assert(t, age < hush+2*watchWait+100*time.Millisecond, "age %v", age)
 			time.Sleep(13 * time.Millisecond)
 		}
-		s.silent = true
+		s.set(func(s *store) { s.silent = true })
 		time.Sleep(5 * time.Second)
 		age, _ := b.Age()
 		assert.Assert(t, age >= 5*time.Second, "age %v in a silence", age)
@@ -148,12 +184,12 @@
 func TestEntryThatHearsFromHubsDoesNotAskTheStore(t *testing.T) {
 	run(t, false, func(s *store, b *cfvbelief.Belief, now func() time.Duration) {
 		time.Sleep(time.Second)
-		before := s.calls
+		before := s.counted()
 		for range 100 {
 			b.Confirm(b.AsOf(), now()-time.Second)
 			time.Sleep(200 * time.Millisecond)
 		}
-		assert.Equal(t, s.calls, before)
+		assert.Equal(t, s.counted(), before)
 		s.write("new")
 		time.Sleep(leafAge + time.Second)
 		assert.Equal(t, b.AsOf(), s.asOf(), "without hubs it asks by itself")
@@ -163,10 +199,9 @@
 func TestSilentStoreCostsFewCalls(t *testing.T) {
 	run(t, true, func(s *store, _ *cfvbelief.Belief, _ func() time.Duration) {
 		time.Sleep(time.Second)
-		s.down = true
-		before := s.calls
+		s.set(func(s *store) { s.down = true })
+		before := s.counted()
 		time.Sleep(20 * time.Second)
-		assert.Assert(t, s.calls-before <= 50, "%d calls", s.calls-before)
-		s.down = false
+		assert.Assert(t, s.counted()-before <= 50, "%d calls", s.counted()-before)
 	})
 }
--- a/io/cfvreserve/reserve.go
+++ b/io/cfvreserve/reserve.go
@@ -50,8 +50,8 @@
 type Config struct {
 	Self    string
 	Entries func() []cfvfleet.Entry
-	Place   func(Ask) (endpoint string, ok bool) // at the entry that places
-	Settled func(endpoint, request string)       // at the entry that places
+	Place   func(Ask) (endpoint string, ok bool)      // at the entry that places
+	Settled func(endpoint, request string, over bool) // at the entry that places
 	Now     func() time.Duration
 	Log     cfvlog.Logger
 	Count   func(name string, n int64)
@@ -144,16 +144,17 @@
 	return cfvwireentryconnect.NewPlacementClient(r.client, "http://"+addr)
 }
 
-// Release tells the entry that placed a prompt that it has been read.
-func (r *Reserver) Release(g Grant, request string) {
+// Release tells the entry that placed a prompt that it has been read, or that its request
+// is over.
+func (r *Reserver) Release(g Grant, request string, over bool) {
 	if g.Placer.Name == r.cfg.Self {
-		r.cfg.Settled(g.Endpoint, request)
+		r.cfg.Settled(g.Endpoint, request, over)
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if list := r.queue[g.Placer.Addr]; len(list) < maxWaiting {
-		r.queue[g.Placer.Addr] = append(list, &cfvwireentry.Settled{Endpoint: g.Endpoint, Request: request})
+		r.queue[g.Placer.Addr] = append(list, &cfvwireentry.Settled{Endpoint: g.Endpoint, Request: request, Over: over})
 	}
 }
 
--- a/io/cfvreserve/server.go
+++ b/io/cfvreserve/server.go
@@ -16,10 +16,10 @@
 	return connect.NewResponse(&cfvwireentry.ReserveResponse{Endpoint: s.r.reserveFor(req.Msg)}), nil
 }
 
-// Settle forgets grants.
+// Settle notes which prompts have been read and which requests are over.
 func (s server) Settle(_ context.Context, req *connect.Request[cfvwireentry.SettleRequest]) (*connect.Response[cfvwireentry.SettleResponse], error) {
 	for _, e := range req.Msg.GetSettled() {
-		s.r.cfg.Settled(e.GetEndpoint(), e.GetRequest())
+		s.r.cfg.Settled(e.GetEndpoint(), e.GetRequest(), e.GetOver())
 	}
 	return connect.NewResponse(&cfvwireentry.SettleResponse{}), nil
 }
--- a/io/cfvwire/cfvwireentry/cfvwireentryconnect/entry.connect.go
+++ b/io/cfvwire/cfvwireentry/cfvwireentryconnect/entry.connect.go
@@ -117,7 +117,7 @@
 // PlacementClient is a client for the coltsfootvalve.entry.v1.Placement service.
 type PlacementClient interface {
 	Reserve(context.Context, *connect.Request[cfvwireentry.ReserveRequest]) (*connect.Response[cfvwireentry.ReserveResponse], error)
-	// Settle says that endpoints have read prompts, or won't.
+	// Settle says that endpoints have read prompts, or that requests are over.
 	Settle(context.Context, *connect.Request[cfvwireentry.SettleRequest]) (*connect.Response[cfvwireentry.SettleResponse], error)
 }
 
@@ -166,7 +166,7 @@
 // PlacementHandler is an implementation of the coltsfootvalve.entry.v1.Placement service.
 type PlacementHandler interface {
 	Reserve(context.Context, *connect.Request[cfvwireentry.ReserveRequest]) (*connect.Response[cfvwireentry.ReserveResponse], error)
-	// Settle says that endpoints have read prompts, or won't.
+	// Settle says that endpoints have read prompts, or that requests are over.
 	Settle(context.Context, *connect.Request[cfvwireentry.SettleRequest]) (*connect.Response[cfvwireentry.SettleResponse], error)
 }
 
