--- /dev/null
+++ b/soak/fleet_test.go
@@ -0,0 +1,269 @@
+package cfvsoak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"coltsfootvalve/standins/cfvfakeplatform"
+	"coltsfootvalve/standins/cfvfakereplica"
+
+	"gotest.tools/v3/assert"
+)
+
+// Sizes and bounds of a run.
+const (
+	entryCount   = 4
+	host         = "callers.example"
+	revokeBound  = 5 * time.Second // a removed key is not served later than this
+	graceSeconds = 8
+)
+
+// process is one entry and the file with its settings.
+type process struct {
+	name   string
+	front  string
+	ready  string
+	file   string
+	store  *proxy
+	log    *os.File
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	paused bool
+	down   bool
+}
+
+// fleet is the entries as processes of their own, and what stands around them.
+type fleet struct {
+	t        *testing.T
+	bin      string
+	dir      string
+	store    *cfvfakeplatform.Server
+	entries  []*process
+	replicas []*cfvfakereplica.Replica
+	links    []*proxy // one before each replica
+
+	mu      sync.Mutex
+	version int64
+	keys    []string             // in force
+	removed map[string]time.Time // when the removal was acknowledged
+}
+
+// build compiles the program once for all runs.
+func build(t *testing.T) string {
+	bin := filepath.Join(t.TempDir(), "coltsfootvalve")
+	out, err := exec.Command("go", "build", "-o", bin, "..").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	return bin
+}
+
+func newFleet(t *testing.T, bin string) *fleet {
+	f := &fleet{t: t, bin: bin, dir: t.TempDir(), store: cfvfakeplatform.New(), removed: make(map[string]time.Time)}
+	storeAddr := f.serve(f.store.Handler())
+	for i := range 3 {
+		f.addReplica("desk", fmt.Sprint("desk-", i), cfvfakereplica.Config{Work: 3 * time.Millisecond})
+		f.addReplica("assistant", fmt.Sprint("assistant-", i), cfvfakereplica.Config{Events: 5, Gap: 2 * time.Millisecond, Model: "m"})
+	}
+	f.configure("key-0", "key-1")
+	f.put("op/version/m", map[string]any{"model": "m", "version": 1})
+	for i := range entryCount {
+		f.addEntry(i, storeAddr)
+	}
+	for _, p := range f.entries {
+		f.start(p)
+	}
+	f.allReady("at the start")
+	return f
+}
+
+func (f *fleet) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	f.t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func (f *fleet) addReplica(service, id string, cfg cfvfakereplica.Config) {
+	cfg.ID = id
+	r := cfvfakereplica.New(cfg)
+	link := newProxy(f.t, f.serve(r.Handler()))
+	f.replicas, f.links = append(f.replicas, r), append(f.links, link)
+	item := map[string]any{"service": service, "addr": link.addr(), "zone": "north", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1}
+	if cfg.Model != "" {
+		item["models"] = []map[string]any{{"name": cfg.Model, "version": 1}}
+	}
+	f.put("servers/"+id, item)
+}
+
+func (f *fleet) put(key string, item any) {
+	data, err := json.Marshal(item)
+	if err != nil {
+		panic(err) // only values of this file
+	}
+	f.store.Put(key, data)
+}
+
+// configure writes a configuration with a workspace a key. A key that is dropped counts as
+// removed from the acknowledgement on.
+func (f *fleet) configure(keys ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	var tenants []map[string]any
+	kept := make(map[string]bool)
+	for _, k := range keys {
+		tenants = append(tenants, map[string]any{"name": "of-" + k, "apiKeys": []string{k}})
+		kept[k] = true
+	}
+	route := func(name, prefix, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "pathPrefix": prefix, "kind": kind, "timeoutMs": 3000, "sloMs": 300, "service": service,
+			"attempts": attempts, "resumable": resumable, "sticky": service == "assistant",
+		}
+	}
+	f.put("op/config", map[string]any{
+		"version": f.version, "tenants": tenants,
+		"routes": []map[string]any{
+			route("book", "/book/", "unsafe", "desk", 1, false), route("look", "/look/", "safe", "desk", 2, false),
+			route("ask", "/ask/", "streaming", "assistant", 1, false), route("again", "/again/", "streaming", "assistant", 2, true),
+		},
+		"services": []map[string]any{
+			{"name": "desk", "healthPath": "/healthz", "maxConns": 100},
+			{"name": "assistant", "healthPath": "/healthz", "maxConns": 100, "engine": map[string]any{"slots": 8, "kvTokenBytes": 1000, "linkMbps": 1000.0, "models": []map[string]string{{"name": "m"}}}},
+		},
+		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	now := time.Now()
+	for _, k := range f.keys {
+		if !kept[k] {
+			f.removed[k] = now
+		}
+	}
+	f.keys = keys
+}
+
+// key returns a key for a request: one in force, or at times one that was removed.
+func (f *fleet) key(rnd *rand.Rand) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.removed) > 0 && rnd.IntN(12) == 0 {
+		for k := range f.removed {
+			return k
+		}
+	}
+	return f.keys[rnd.IntN(len(f.keys))]
+}
+
+// removedBefore reports whether a key had been removed for longer than the bound.
+func (f *fleet) removedBefore(key string, sent time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, ok := f.removed[key]
+	return ok && sent.Sub(at) > revokeBound
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *fleet) addEntry(i int, storeAddr string) {
+	p := &process{name: fmt.Sprint("entry-", i), front: freeAddr(f.t), ready: freeAddr(f.t), store: newProxy(f.t, storeAddr)}
+	settings := map[string]any{
+		"node": p.name, "zone": "north", "ip": "127.0.0.1", "listen": map[string]string{"front": p.front, "ready": p.ready, "control": freeAddr(f.t)},
+		"limits": map[string]any{"memoryMb": 256}, "provider": map[string]any{"addr": p.store.addr(), "form": "kv"},
+		"bounds": map[string]any{
+			"graceS": graceSeconds, "revokeMs": revokeBound.Milliseconds(), "leaseMs": 1000, "versionMs": 8000, "retryRatio": 0.2, "retrySlack": 1000, "retryWindowS": 10,
+		},
+	}
+	data, err := json.Marshal(settings)
+	assert.NilError(f.t, err)
+	p.file = filepath.Join(f.dir, p.name+".json")
+	assert.NilError(f.t, os.WriteFile(p.file, data, 0o600))
+	p.log, err = os.Create(filepath.Join(f.dir, p.name+".log"))
+	assert.NilError(f.t, err)
+	f.entries = append(f.entries, p)
+	f.t.Cleanup(func() {
+		p.signal(syscall.SIGKILL)
+		p.wait()
+		_ = p.log.Close()
+	})
+}
+
+// start starts an entry's process.
+func (f *fleet) start(p *process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = exec.Command(f.bin, "entry", "--log-success", "0")
+	p.cmd.Env = append(os.Environ(), "COLTSFOOTVALVE_CONFIG="+p.file)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		f.t.Errorf("start %s: %v", p.name, err)
+	}
+	p.down, p.paused = false, false
+}
+
+// signal sends a signal to the process that this run started, and to no other.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil || p.cmd.Process == nil || p.cmd.ProcessState != nil {
+		return
+	}
+	if err := p.cmd.Process.Signal(s); err == nil {
+		p.paused = s == syscall.SIGSTOP
+	}
+}
+
+func (p *process) wait() error {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd == nil || cmd.ProcessState != nil {
+		return nil
+	}
+	return cmd.Wait()
+}
+
+func (f *fleet) isReady(p *process) bool {
+	c := http.Client{Timeout: 500 * time.Millisecond}
+	resp, err := c.Get("http://" + p.ready + "/-/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// allReady waits until all entries are ready.
+func (f *fleet) allReady(when string) {
+	f.t.Helper()
+	for range 3000 {
+		n := 0
+		for _, p := range f.entries {
+			if f.isReady(p) {
+				n++
+			}
+		}
+		if n == len(f.entries) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatalf("not all entries are ready %s", when)
+}
