Tell a request's story from logs, and serve histograms

Cause: with logs alone an engineer had to search for a request's id and for what its entry learned meanwhile; times had whole seconds; there were no latency histograms, and no address for metrics on the platform. A test fills the log buffer with its reader stopped.

--- a/commands/entry.go
+++ b/commands/entry.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -33,6 +34,7 @@
 type entryCommand struct {
 	con        *console
 	LogLevel   string `long:"log-level" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info" description:"least level that is logged"`
+	Metrics    int    `long:"metrics-port" value-name:"PORT" default:"0" description:"port at which counters and histograms are served under /metrics; 0: only at the address for entries"`
 	LogSuccess int    `long:"log-success" value-name:"N" default:"50" description:"log one in N served requests; 0: none"`
 }
 
@@ -53,10 +55,12 @@
 	exchange *cfvexchange.Exchange
 	reserver *cfvreserve.Reserver
 
-	listen    func(network, addr string) (net.Listener, error)
-	peers     *http.Server
-	stopDuty  func()
-	dutyEnded chan struct{}
+	listen func(network, addr string) (net.Listener, error)
+	peers  *http.Server
+
+	metricsAddr string // empty: no listener of its own
+	stopDuty    func()
+	dutyEnded   chan struct{}
 }
 
 // Execute runs an entry until SIGTERM.
@@ -72,6 +76,9 @@
 	defer out.Close()
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * (1 << 20)))
 	h := newHostedEntry(settings, cfvlog.New(out, settings.Node), c.LogSuccess)
+	if c.Metrics > 0 {
+		h.metricsAddr = net.JoinHostPort(settings.IP, strconv.Itoa(c.Metrics))
+	}
 	return h.run()
 }
 
@@ -150,6 +157,9 @@
 			h.log.Alarm("the interface for entries ended", "error", err.Error())
 		}
 	}()
+	if err = h.startMetrics(); err != nil {
+		return err
+	}
 	if err = h.entry.Start(ctx); err != nil {
 		return err
 	}
@@ -172,6 +182,26 @@
 	return errors.Join(h.entry.Stop(ctx), h.peers.Close())
 }
 
+// startMetrics listens for those who read the metrics.
+func (h *hostedEntry) startMetrics() error {
+	if h.metricsAddr == "" {
+		return nil
+	}
+	l, err := h.listen("tcp", h.metricsAddr)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", h.serveMetrics)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: peerHeaderTimeout}
+	go func() {
+		if err := server.Serve(l); err != nil {
+			h.log.Alarm("the interface for metrics ended", "error", err.Error())
+		}
+	}()
+	return nil
+}
+
 // serveMetrics writes the counters in the Prometheus text format.
 func (h *hostedEntry) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	if age, ok := h.belief.Age(); ok {
--- a/common/cfvlog/logger.go
+++ b/common/cfvlog/logger.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/rs/zerolog"
 )
@@ -13,6 +14,9 @@
 	prefix string
 }
 
+// Lines of several entries are put in order by their times.
+func init() { zerolog.TimeFieldFormat = time.RFC3339Nano }
+
 // New returns a logger that writes JSON lines to w and names its node.
 func New(w io.Writer, node string) Logger {
 	return Logger{inner: zerolog.New(w).With().Timestamp().Str("node", node).Logger()}
--- /dev/null
+++ b/common/cfvlog/story_test.go
@@ -0,0 +1,55 @@
+package cfvlog
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const log = `  1.2 front-1 {"level":"info","node":"front-1","endpoint":"i-1","time":"2026-01-02T03:04:04Z","message":"belief: an endpoint is gone"}
+{"level":"info","node":"front-1","requestId":"r1","endpoint":"i-1","time":"2026-01-02T03:04:05Z","message":"entry: an endpoint did not answer"}
+not a line of a log
+{"broken":
+{"level":"info","node":"front-1","requestId":"r2","time":"2026-01-02T03:04:05Z","message":"entry: a request was answered"}
+{"level":"info","node":"front-1","requestId":"r1","reason":"endpointFailed","status":502,"time":"2026-01-02T03:04:06Z","message":"entry: a request was refused"}
+{"level":"info","node":"front-2","endpoint":"i-1","time":"2026-01-02T03:04:06Z","message":"belief: an endpoint is gone"}
+`
+
+func TestStoryOfARequest(t *testing.T) {
+	lines, unread, err := Read(strings.NewReader(log))
+	assert.NilError(t, err)
+	assert.Equal(t, len(lines), 5)
+	assert.Equal(t, unread, 1)
+	story := Story(lines, "r1", 5*time.Second)
+	var told []string
+	for _, l := range story {
+		told = append(told, l.Part+"|"+l.Message)
+	}
+	assert.DeepEqual(t, told, []string{"belief|an endpoint is gone", "entry|an endpoint did not answer", "entry|a request was refused"})
+	cause, ok := Cause(story, "r1")
+	assert.Assert(t, ok)
+	assert.Equal(t, cause.Values["reason"], "endpointFailed")
+	assert.Equal(t, len(Story(lines, "r3", time.Second)), 0)
+}
+
+// A reader of the output that stops reading must not stop the process.
+func TestBufferNeverBlocks(t *testing.T) {
+	r, w := io.Pipe()
+	defer r.Close()
+	b := Buffer(w)
+	l := New(b, "front-1")
+	done := make(chan struct{})
+	go func() {
+		for range 3 * bufferedLines {
+			l.Say("a request was answered")
+		}
+		close(done)
+	}()
+	<-done
+	var got bytes.Buffer
+	go func() { _, _ = io.Copy(&got, r) }() // ends with the pipe
+}
--- a/common/cfvmetric/registry.go
+++ b/common/cfvmetric/registry.go
@@ -3,6 +3,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"coltsfootvalve/common/cfverror"
 
@@ -39,6 +40,22 @@
 	metrics.GetOrRegisterGauge(name, r.inner).Update(n)
 }
 
+// Sizes of the samples behind histograms: recent values weigh most, as the library advises.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Observe adds a duration to the named histogram.
+func (r *Registry) Observe(name string, d time.Duration) {
+	h := r.inner.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	})
+	if h, ok := h.(metrics.Histogram); ok {
+		h.Update(d.Microseconds())
+	}
+}
+
 // Sample is one counter or gauge reading.
 type Sample struct {
 	Name  string
@@ -54,8 +71,22 @@
 			out = append(out, Sample{name, v.Count()})
 		case metrics.Gauge:
 			out = append(out, Sample{name, v.Value()})
+		case metrics.Histogram:
+			out = append(out, histogram(name, v.Snapshot())...)
 		}
 	})
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
 	return out
 }
+
+// histogram returns the count of a histogram and its quantiles in microseconds.
+func histogram(name string, h metrics.Histogram) []Sample {
+	out := []Sample{{name + ".count", h.Count()}}
+	for _, q := range []struct {
+		name  string
+		share float64
+	}{{"p50Micros", 0.5}, {"p95Micros", 0.95}, {"p99Micros", 0.99}} {
+		out = append(out, Sample{name + "." + q.name, int64(h.Percentile(q.share))})
+	}
+	return append(out, Sample{name + ".maxMicros", h.Max()})
+}
--- a/common/cfvmetric/registry_test.go
+++ b/common/cfvmetric/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"testing"
+	"time"
 
 	"coltsfootvalve/common/cfverror"
 
@@ -24,6 +25,20 @@
 	// coltsfootvalve_refused{reason="queueFull"} 2
 }
 
+func TestHistogramsTellQuantiles(t *testing.T) {
+	r := New()
+	for i := range 100 {
+		r.Observe("answer", time.Duration(i+1)*time.Millisecond)
+	}
+	got := make(map[string]int64)
+	for _, s := range r.Samples() {
+		got[s.Name] = s.Value
+	}
+	assert.Equal(t, got["answer.count"], int64(100))
+	assert.Equal(t, got["answer.maxMicros"], int64(100_000))
+	assert.Assert(t, got["answer.p50Micros"] >= 50_000 && got["answer.p50Micros"] <= 51_000)
+}
+
 func TestSamplesAreSorted(t *testing.T) {
 	r := New()
 	r.Count("b", 2)
--- a/io/cfventry/answer.go
+++ b/io/cfventry/answer.go
@@ -88,6 +88,7 @@
 func (q *request) done(ep *cfvfleet.Endpoint, status int) {
 	e := q.entry
 	e.cfg.Metrics.Count("served."+q.service.Name, 1)
+	e.cfg.Metrics.Observe("answer."+q.route.Name, e.cfg.Now()-q.begun)
 	n := e.served.Add(1)
 	if status < http.StatusInternalServerError && (e.cfg.LogSuccess <= 0 || n%int64(e.cfg.LogSuccess) != 0) {
 		return
--- a/io/cfventry/stream.go
+++ b/io/cfventry/stream.go
@@ -115,8 +115,9 @@
 	}
 }
 
-// began logs the first event.
+// began counts and logs the first event.
 func (q *request) began(ep *cfvfleet.Endpoint) {
+	q.entry.cfg.Metrics.Observe("firstEvent."+q.route.Name, q.entry.cfg.Now()-q.begun)
 	if q.entry.cfg.Log.Detailed() {
 		q.entry.cfg.Log.Detail("a stream began", q.facts("endpoint", ep.ID, "tokens", q.call.Prompt.Tokens)...)
 	}
