Take over the duty sooner, and learn weights from rejections

Entries that had not heard of a load were rejected by each endpoint in turn, as the answer does not name the weights, and gave up after four. Change: orders end one second after the last renewal that succeeded, and the successor waits only for what the lease has not covered of the pause; a holder that stops right after orders lets the lease run out. A rejection for other weights means the newest, if older ones were expected. Also: the stand-in of the store reads a body before it falls silent, else it never heard the end of the connection and a soak did not end. Ruled out: ending the lease at a stop at once (two givers within the pause).

--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -306,6 +306,9 @@
 	s.loadingTo = 0
 }
 
+// Disowned notes that an endpoint does not run the weights that it was believed to run.
+func (d *Dispatcher) Disowned(e *cfvfleet.Endpoint, model string) { delete(d.of(e).weights, model) }
+
 // Loading notes that an endpoint refuses requests while it loads weights.
 func (d *Dispatcher) Loading(e *cfvfleet.Endpoint, until time.Duration) { d.of(e).loadingTo = until }
 
--- a/io/cfvduty/duty.go
+++ b/io/cfvduty/duty.go
@@ -23,8 +23,8 @@
 const (
 	step        = 100 * time.Millisecond
 	leaseTime   = 2500 * time.Millisecond
-	renewEvery  = 800 * time.Millisecond
-	leaseMargin = 600 * time.Millisecond  // no order is given this long before the lease ends
+	renewEvery  = 500 * time.Millisecond
+	orderWithin = 1 * time.Second         // orders are given only so long after a renewal was sent that succeeded
 	contention  = 500 * time.Millisecond  // hubs wait up to this long before they take a free duty
 	leafDelay   = 1 * time.Second         // other entries wait this much longer
 	freeAfter   = 7 * time.Second         // no fetch of a replaced part can be under way any more, whoever began it
@@ -76,6 +76,7 @@
 	renewed   time.Duration
 	mayGive   time.Duration // orders of the holder before may still be under way until then
 	freeSince time.Duration
+	ordered   time.Duration // when the last order was given; 0: none was
 	delay     time.Duration
 	recorded  map[string]int64 // versions for which a record was written under this fence
 	plans     map[string]*cfvweights.Plan
@@ -104,6 +105,10 @@
 	if d.fence == 0 {
 		return
 	}
+	if d.ordered > 0 && d.cfg.Now()-d.ordered < d.cfg.Pause {
+		d.cfg.Log.Say("the duty runs out, since orders were given just now", "fence", d.fence)
+		return
+	}
 	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
 	if err := d.cfg.Store.End(end, d.lease); err != nil {
@@ -127,8 +132,12 @@
 	d.freeParts(ctx)
 }
 
-// holds reports whether the lease surely holds for the time of an order.
-func (d *Duty) holds() bool { return d.fence != 0 && d.cfg.Now() < d.until-leaseMargin }
+// holds reports whether orders may be given.
+func (d *Duty) holds() bool { return d.fence != 0 && d.cfg.Now() < d.ordersUntil() }
+
+// ordersUntil returns when orders end unless the lease is renewed. The next holder counts on
+// it: it takes the duty when the lease has run out, and waits for the rest of the pause.
+func (d *Duty) ordersUntil() time.Duration { return d.until - leaseTime + orderWithin }
 
 // tryTake takes the duty if nobody holds it.
 func (d *Duty) tryTake(ctx context.Context) {
@@ -182,7 +191,7 @@
 	var r record
 	if err := json.Unmarshal(item.Value, &r); err != nil {
 		d.cfg.Log.Alarm("the last giver's item can't be read", "error", err.Error())
-		return d.cfg.Pause
+		return max(d.cfg.Pause-(leaseTime-orderWithin), 0)
 	}
 	if r.Giver == d.cfg.Self {
 		return 0
@@ -200,7 +209,7 @@
 		}
 	})
 	if unfinished {
-		return d.cfg.Pause
+		return max(d.cfg.Pause-(leaseTime-orderWithin), 0)
 	}
 	return 0
 }
--- a/io/cfvduty/orders.go
+++ b/io/cfvduty/orders.go
@@ -59,8 +59,9 @@
 		if !d.announce(ctx, j.model, j.version) {
 			return
 		}
+		d.ordered = now
 		for _, t := range due {
-			go d.order(ctx, j.byID[t.ID], d.until-leaseMargin, cfvweights.Order{Model: j.model, Version: j.version, Mode: cfvweights.Retain, Fence: d.fence})
+			go d.order(ctx, j.byID[t.ID], d.ordersUntil(), cfvweights.Order{Model: j.model, Version: j.version, Mode: cfvweights.Retain, Fence: d.fence})
 		}
 	}
 }
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -265,11 +265,10 @@
 	switch {
 	case v.Misdirected && v.EndpointID != "" && v.EndpointID != ep.ID:
 		e.suspect(ep, q.service)
+	case v.Misdirected && v.WeightVersion > 0:
+		delete(q.rejected, ep.ID) // other weights than expected, which are known now
 	case v.Misdirected:
-		delete(q.rejected, ep.ID) // other weights; learned from the answer where it names them
-		if v.WeightVersion == 0 {
-			q.rejected[ep.ID] = true
-		}
+		q.otherWeights(ep)
 	case q.call.Prompt.Model != "":
 		e.mu.Lock()
 		e.dispatcher.Loading(ep, now+loadingTime)
@@ -278,6 +277,22 @@
 	return again
 }
 
+// otherWeights notes that an endpoint runs other weights than it was told to expect, and
+// does not say which. Where they were older than the newest, it runs the newest by now.
+func (q *request) otherWeights(ep *cfvfleet.Endpoint) {
+	e, model := q.entry, q.call.Prompt.Model
+	var wanted int64
+	e.cfg.Belief.Read(func(v *cfvfleet.View) { wanted = v.Wanted(model).Version })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dispatcher.Version(ep, model) < wanted {
+		e.dispatcher.Loaded(ep, model, wanted)
+		delete(q.rejected, ep.ID)
+		return
+	}
+	e.dispatcher.Disowned(ep, model)
+}
+
 // learn takes what an answer says of its endpoint.
 func (q *request) learn(ep *cfvfleet.Endpoint, v cfvcall.Verdict) {
 	e := q.entry
--- a/standins/cfvfakeplatform/server.go
+++ b/standins/cfvfakeplatform/server.go
@@ -54,6 +54,10 @@
 			w.WriteHeader(http.StatusTooManyRequests)
 			return
 		case cfvfault.Silent:
+			// The end of the connection is only heard once the body has been read.
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				cfvfault.DropConnection()
+			}
 			<-r.Context().Done()
 			cfvfault.DropConnection()
 		case cfvfault.Slow:
--- a/standins/cfvfakereplica/replica.go
+++ b/standins/cfvfakereplica/replica.go
@@ -161,13 +161,14 @@
 	r.mu.Lock()
 	weights := strconv.FormatInt(r.version, 10)
 	r.mu.Unlock()
-	if r.cfg.Model != "" {
-		w.Header().Set("X-Coltsfootvalve-Weight-Versions", weights)
-	}
 	if want := req.Header.Get("X-Coltsfootvalve-Expect-Version"); want != "" && want != weights {
+		w.Header().Set("X-Coltsfootvalve-Replica-Id", r.cfg.ID) // which weights it has, it does not say
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.cfg.Model != "" {
+		w.Header().Set("X-Coltsfootvalve-Weight-Versions", weights)
+	}
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return
