Let all entries judge the lanes by the demand of all

Cause: at 88 entries one sees a long prompt a second, so that the border between lanes was chance, and differed from entry to entry. Change: entries tell their recent work with their load; hubs add it up.

--- a/commands/hosted.go
+++ b/commands/hosted.go
@@ -62,8 +62,8 @@
 			RetryWindow: b.RetryWindow, ShutdownTime: settings.ShutdownTime,
 		},
 		Belief: h.belief, Parts: h.parts, Now: cfvclock.Boot, Random: rand.Float64, Log: log.Part("entry"), Metrics: h.metrics,
-		Listen:    func(network, addr string) (net.Listener, error) { return h.listen(network, addr) },
-		PeerLoads: func() map[string]cfvdispatch.Load { return h.exchange.Loads() }, LogSuccess: logSuccess,
+		Listen: func(network, addr string) (net.Listener, error) { return h.listen(network, addr) },
+		Others: func() (map[string]cfvdispatch.Load, map[string]cfvdispatch.Demand) { return h.exchange.Others() }, LogSuccess: logSuccess,
 		Reserve: func(ctx context.Context, a cfvreserve.Ask) (cfvreserve.Grant, bool) {
 			return h.reserver.Reserve(ctx, a)
 		},
@@ -74,7 +74,7 @@
 		Log: log.Part("reserve"), Count: h.metrics.Count,
 	})
 	h.exchange = cfvexchange.New(cfvexchange.Config{
-		Self: settings.Node, Domain: settings.Domain, Seeds: settings.Seeds, Belief: h.belief, Now: cfvclock.Boot, Loads: h.entry.Loads, Parts: h.parts.Do,
+		Self: settings.Node, Domain: settings.Domain, Seeds: settings.Seeds, Belief: h.belief, Now: cfvclock.Boot, Loads: h.entry.Loads, Demands: h.entry.Demands, Parts: h.parts.Do,
 		Suspicions: h.entry.Suspicions, Suspected: h.entry.Suspected, Log: log.Part("exchange"), Count: h.metrics.Count,
 		StartMillis: time.Now().UnixMilli(),
 	})
--- a/core/cfvdispatch/lanes.go
+++ b/core/cfvdispatch/lanes.go
@@ -28,35 +28,59 @@
 // service's endpoints whose border follows the demand of the last seconds. It is not safe
 // for concurrent use.
 type Lanes struct {
-	last        time.Duration
-	short, long float64 // decaying work in milliseconds
-	count       float64
-	border      int
-	of          int
+	last   time.Duration
+	own    Demand
+	others Demand
+	border int
+	of     int
 }
 
+// Demand is recent work, in milliseconds of reading; older work counts less.
+type Demand struct {
+	Short, Long float64
+	Count       float64 // requests
+}
+
+// Add returns the sum of two demands.
+func (d Demand) Add(o Demand) Demand {
+	return Demand{d.Short + o.Short, d.Long + o.Long, d.Count + o.Count}
+}
+
+// scaled returns a part of a demand.
+func (d Demand) scaled(x float64) Demand { return Demand{d.Short * x, d.Long * x, d.Count * x} }
+
 // Note counts a request.
 func (l *Lanes) Note(now time.Duration, tokens int) {
-	if l.last > 0 && now > l.last {
-		keep := math.Exp(-float64(now-l.last) / float64(demandFor))
-		l.short, l.long, l.count = l.short*keep, l.long*keep, l.count*keep
-	}
+	l.own = l.Own(now)
 	l.last = now
-	l.count++
+	l.own.Count++
 	work := float64(tokens) / readTokensPerMs
 	if tokens >= LongPrompt {
-		l.long += work
+		l.own.Long += work
 	} else {
-		l.short += work
+		l.own.Short += work
 	}
 }
 
+// Own returns the demand at this entry.
+func (l *Lanes) Own(now time.Duration) Demand {
+	if l.last == 0 || now <= l.last {
+		return l.own
+	}
+	return l.own.scaled(math.Exp(-float64(now-l.last) / float64(demandFor)))
+}
+
+// SetOthers says what the demand is at all other entries: one entry alone sees too few long
+// prompts to tell their share.
+func (l *Lanes) SetOthers(d Demand) { l.others = d }
+
 // Border returns how many of n endpoints are for short prompts; 0: there are no lanes.
 func (l *Lanes) Border(n int) int {
-	if l.count < demandLeast || l.short <= 0 || l.long <= 0 || n < 2 {
+	d := l.own.Add(l.others)
+	if d.Count < demandLeast || d.Short <= 0 || d.Long <= 0 || n < 2 {
 		return 0
 	}
-	want := float64(n) * l.short * shortPart / (l.short*shortPart + l.long)
+	want := float64(n) * d.Short * shortPart / (d.Short*shortPart + d.Long)
 	if l.of != n || math.Abs(want-float64(l.border)) > borderSlack {
 		l.border, l.of = min(max(int(math.Round(want)), 1), n-1), n
 	}
--- a/core/cfvdispatch/load_test.go
+++ b/core/cfvdispatch/load_test.go
@@ -183,6 +183,37 @@
 	assert.Equal(t, len(used), len(endpoints))
 }
 
+// Pattern: few long prompts at very many entries. What one entry sees of them is chance, so
+// the border must follow the demand at all of them.
+func TestBorderOfManyEntriesIsTheSame(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(3, 3))
+	all := make([]*Lanes, 88)
+	for i := range all {
+		all[i] = &Lanes{}
+	}
+	now := time.Duration(0)
+	for range 10_000 {
+		now += time.Second / 1060
+		tokens := 383
+		if rnd.IntN(11) == 0 {
+			tokens = 17000
+		}
+		all[rnd.IntN(len(all))].Note(now, tokens)
+	}
+	var sum Demand
+	for _, l := range all {
+		sum = sum.Add(l.Own(now))
+	}
+	least, most := 71, 0
+	for _, l := range all {
+		own := l.Own(now)
+		l.SetOthers(Demand{sum.Short - own.Short, sum.Long - own.Long, sum.Count - own.Count})
+		l.Note(now, 383)
+		least, most = min(least, l.Border(71)), max(most, l.Border(71))
+	}
+	assert.Assert(t, most-least <= 1, "borders from %d to %d", least, most)
+}
+
 func TestDemandMovesTheBorder(t *testing.T) {
 	tests := map[string]struct {
 		short, long int // a second
--- a/io/cfventry/choice.go
+++ b/io/cfventry/choice.go
@@ -91,11 +91,7 @@
 func (e *Entry) border(now time.Duration, q *request, n int) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	l := e.lanes[q.service.Name]
-	if l == nil {
-		l = &cfvdispatch.Lanes{}
-		e.lanes[q.service.Name] = l
-	}
+	l := e.lanesOf(q.service.Name)
 	if q.arrivals == 0 {
 		l.Note(now, q.call.Prompt.Tokens)
 	}
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -58,8 +58,8 @@
 	Bounds     Bounds
 	Belief     *cfvbelief.Belief
 	Parts      *Parts
-	PeerLoads  func() map[string]cfvdispatch.Load
-	Reserve    func(context.Context, cfvreserve.Ask) (cfvreserve.Grant, bool) // places a long prompt; nil: none do
+	Others     func() (map[string]cfvdispatch.Load, map[string]cfvdispatch.Demand) // what other entries have under way
+	Reserve    func(context.Context, cfvreserve.Ask) (cfvreserve.Grant, bool)      // places a long prompt; nil: none do
 	Release    func(g cfvreserve.Grant, request string, over bool)
 	Now        func() time.Duration // a clock that also runs while the machine is suspended
 	Random     func() float64
@@ -215,10 +215,34 @@
 func (e *Entry) slack() float64 { return e.cfg.Bounds.RetrySlack / float64(e.entries+1) }
 
 func (e *Entry) takePeerLoads() {
-	loads := e.cfg.PeerLoads()
+	loads, demands := e.cfg.Others()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.dispatcher.SetPeers(loads)
+	for service, d := range demands {
+		e.lanesOf(service).SetOthers(d)
+	}
+}
+
+// lanesOf returns the lanes of a service. The caller holds the lock.
+func (e *Entry) lanesOf(service string) *cfvdispatch.Lanes {
+	l := e.lanes[service]
+	if l == nil {
+		l = &cfvdispatch.Lanes{}
+		e.lanes[service] = l
+	}
+	return l
+}
+
+// Demands returns the recent work of this entry's callers by service.
+func (e *Entry) Demands() map[string]cfvdispatch.Demand {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make(map[string]cfvdispatch.Demand)
+	for service, l := range e.lanes {
+		out[service] = l.Own(e.cfg.Now())
+	}
+	return out
 }
 
 // Loads returns what this entry has at the endpoints.
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -25,9 +25,7 @@
 	q.ColdPerSec = 0 // the entry that sends keeps to its share
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if l := e.lanes[a.Service]; l != nil {
-		q.Border = l.Border(len(q.Endpoints))
-	}
+	q.Border = e.lanesOf(a.Service).Border(len(q.Endpoints))
 	q.Narrow(cfvdispatch.InGroup(q.Endpoints, a.Group, a.Groups))
 	q.Ledger = e.ledger
 	if eng := x.Service(a.Service).Engine; eng != nil {
--- a/io/cfvexchange/codec.go
+++ b/io/cfvexchange/codec.go
@@ -41,6 +41,22 @@
 	return out
 }
 
+func demandsToWire(demands map[string]cfvdispatch.Demand) []*cfvwireentry.Demand {
+	out := make([]*cfvwireentry.Demand, 0, len(demands))
+	for service, d := range demands {
+		out = append(out, &cfvwireentry.Demand{Service: service, Short: d.Short, Long: d.Long, Count: d.Count})
+	}
+	return out
+}
+
+func demandsFromWire(list []*cfvwireentry.Demand) map[string]cfvdispatch.Demand {
+	out := make(map[string]cfvdispatch.Demand, len(list))
+	for _, d := range list {
+		out[d.GetService()] = cfvdispatch.Demand{Short: d.GetShort(), Long: d.GetLong(), Count: d.GetCount()}
+	}
+	return out
+}
+
 func positionToWire(p cfvparts.Position) *cfvwireentry.StorePosition {
 	return &cfvwireentry.StorePosition{Addr: p.Addr, Epoch: p.Epoch, Next: p.Next}
 }
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -42,6 +42,7 @@
 	Belief      *cfvbelief.Belief
 	Now         func() time.Duration
 	Loads       func() map[string]cfvdispatch.Load
+	Demands     func() map[string]cfvdispatch.Demand // by service
 	Parts       func(func(c *cfvparts.Catalog))
 	Suspicions  func() []cfvlimit.Suspicion
 	Suspected   func(cfvlimit.Suspicion)
@@ -70,6 +71,7 @@
 	sequence  int64
 	at        time.Duration // when it was learned
 	endpoints map[string]cfvdispatch.Load
+	demands   map[string]cfvdispatch.Demand
 }
 
 // New returns an exchange.
@@ -239,6 +241,7 @@
 	out := &cfvwireentry.Load{Entry: x.cfg.Self, Started: x.cfg.StartMillis, Sequence: x.seq}
 	x.mu.Unlock()
 	out.Endpoints = endpointsToWire(x.cfg.Loads())
+	out.Demands = demandsToWire(x.cfg.Demands())
 	return out
 }
 
@@ -251,7 +254,7 @@
 	for _, h := range cfvfleet.Hubs(entries) {
 		hubs[h.Name] = true
 	}
-	sum := x.cfg.Loads()
+	sum, demands := x.cfg.Loads(), x.cfg.Demands()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.seq++
@@ -264,8 +267,9 @@
 			continue
 		}
 		add(sum, l.endpoints)
+		addDemands(demands, l.demands)
 	}
-	out.Endpoints = endpointsToWire(sum)
+	out.Endpoints, out.Demands = endpointsToWire(sum), demandsToWire(demands)
 	return out
 }
 
@@ -277,6 +281,13 @@
 	}
 }
 
+// addDemands adds demands to a sum.
+func addDemands(sum, demands map[string]cfvdispatch.Demand) {
+	for service, d := range demands {
+		sum[service] = sum[service].Add(d)
+	}
+}
+
 // take keeps the load of another entry, or of all, if it is newer than the one known.
 func (x *Exchange) take(w *cfvwireentry.Load) {
 	if w.GetEntry() == x.cfg.Self {
@@ -291,27 +302,31 @@
 	}
 	x.loads[w.GetEntry()] = load{
 		started: w.GetStarted(), sequence: w.GetSequence(), at: x.cfg.Now(), endpoints: endpointsFromWire(w.GetEndpoints()),
+		demands: demandsFromWire(w.GetDemands()),
 	}
 }
 
-// Loads returns what all other entries have at the endpoints, as far as it is fresh.
-func (x *Exchange) Loads() map[string]cfvdispatch.Load {
+// Others returns what all other entries have at the endpoints and the demand there, as far
+// as it is fresh.
+func (x *Exchange) Others() (loads map[string]cfvdispatch.Load, demands map[string]cfvdispatch.Demand) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	out := make(map[string]cfvdispatch.Load)
+	loads, demands = make(map[string]cfvdispatch.Load), make(map[string]cfvdispatch.Demand)
 	for name, l := range x.loads {
 		if x.cfg.Now()-l.at > loadMemory {
 			delete(x.loads, name)
 		}
 	}
 	if all, ok := x.loads[everyone]; ok {
-		add(out, all.endpoints)
-		return out
+		add(loads, all.endpoints)
+		addDemands(demands, all.demands)
+		return loads, demands
 	}
 	for _, l := range x.loads {
-		add(out, l.endpoints)
+		add(loads, l.endpoints)
+		addDemands(demands, l.demands)
 	}
-	return out
+	return loads, demands
 }
 
 // SetSeeds says whom to ask while no other entry is known.
