Size the lane for short prompts by slots too

Cause: on the grown site twelve of 71 endpoints had all lookups; they had no long prompt in front in 2,375 of 2,695 late cases: the endpoints' slots were full. A lookup takes a slot for its fetch and its steps, not only for reading. Change: the demand of a request has its part of a slot; an endpoint with most slots taken counts as later for each request beyond.

--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -17,6 +17,8 @@
 const (
 	readTokensPerMs = 60.0  // prompt tokens read in a millisecond; the platform's engines read 64 and 93
 	runningMs       = 6.0   // what one running request adds to the others
+	slotsShare      = 0.75  // of an endpoint's slots from which requests wait, as its load is heard late
+	queuedMs        = 15.0  // what a request beyond that waits for each before it
 	missFactor      = 4.0   // reading a shared part again also takes time from all other requests there
 	oldWeightsMs    = 250.0 // answers on replaced weights lose a share of their worth
 	failingMs       = 400.0 // an endpoint that fails while its health is good
@@ -193,6 +195,9 @@
 		}
 	}
 	ms := float64(load.Tokens)/readTokensPerMs + float64(load.Running)*runningMs + crowded/readTokensPerMs
+	if over := float64(load.Running) - slotsShare*float64(e.Slots); over > 0 && q.Ledger == nil {
+		ms += over * queuedMs
+	}
 	if q.Affinity != "" && primary != nil && e.ID != primary.ID {
 		if q.Stored {
 			ms += float64(q.Shared)*q.FetchMs*fetchSpare + fetchStartMs
--- a/core/cfvdispatch/lanes.go
+++ b/core/cfvdispatch/lanes.go
@@ -17,6 +17,7 @@
 
 // Figures of the demand.
 const (
+	slotMs      = 160.0           // what a request takes of a slot beside reading: fetches one after the other, and steps with others
 	demandFor   = 8 * time.Second // how far back the demand is judged
 	demandLeast = 24.0            // requests before it is
 	borderSlack = 0.7             // endpoints by which the border must be off before it moves
@@ -49,12 +50,12 @@
 // scaled returns a part of a demand.
 func (d Demand) scaled(x float64) Demand { return Demand{d.Short * x, d.Long * x, d.Count * x} }
 
-// Note counts a request.
-func (l *Lanes) Note(now time.Duration, tokens int) {
+// Note counts a request to endpoints with so many slots.
+func (l *Lanes) Note(now time.Duration, tokens, slots int) {
 	l.own = l.Own(now)
 	l.last = now
 	l.own.Count++
-	work := float64(tokens) / readTokensPerMs
+	work := slotMs/float64(max(slots, 1)) + float64(tokens)/readTokensPerMs
 	if tokens >= LongPrompt {
 		l.own.Long += work
 	} else {
--- a/core/cfvdispatch/load_test.go
+++ b/core/cfvdispatch/load_test.go
@@ -116,7 +116,7 @@
 		d := ds[a.entry]
 		q := Query{Endpoints: endpoints, Tokens: a.tokens, Shared: a.tokens * 3 / 4, Affinity: a.shared, Stored: true, FetchMs: 0.0024, Model: "m"}
 		if lanes {
-			ls[a.entry].Note(a.at, a.tokens)
+			ls[a.entry].Note(a.at, a.tokens, 16)
 			q.Border = ls[a.entry].Border(len(endpoints))
 		}
 		id := fmt.Sprint(i)
@@ -167,8 +167,8 @@
 	endpoints := fleetOf(6)
 	d, l, lanes := New("entry"), NewLedger(), &Lanes{}
 	for i := range 100 {
-		lanes.Note(time.Duration(i)*10*time.Millisecond, 400)
-		lanes.Note(time.Duration(i)*10*time.Millisecond, 4000)
+		lanes.Note(time.Duration(i)*10*time.Millisecond, 400, 16)
+		lanes.Note(time.Duration(i)*10*time.Millisecond, 4000, 16)
 	}
 	border := lanes.Border(len(endpoints))
 	assert.Assert(t, border >= 1 && border < len(endpoints))
@@ -198,7 +198,7 @@
 		if rnd.IntN(11) == 0 {
 			tokens = 17000
 		}
-		all[rnd.IntN(len(all))].Note(now, tokens)
+		all[rnd.IntN(len(all))].Note(now, tokens, 16)
 	}
 	var sum Demand
 	for _, l := range all {
@@ -208,7 +208,7 @@
 	for _, l := range all {
 		own := l.Own(now)
 		l.SetOthers(Demand{sum.Short - own.Short, sum.Long - own.Long, sum.Count - own.Count})
-		l.Note(now, 383)
+		l.Note(now, 383, 16)
 		least, most = min(least, l.Border(71)), max(most, l.Border(71))
 	}
 	assert.Assert(t, most-least <= 1, "borders from %d to %d", least, most)
@@ -230,10 +230,10 @@
 			l := &Lanes{}
 			for s := range 20 {
 				for i := range tt.short {
-					l.Note(time.Duration(s)*time.Second+time.Duration(i), 383)
+					l.Note(time.Duration(s)*time.Second+time.Duration(i), 383, 16)
 				}
 				for i := range tt.long {
-					l.Note(time.Duration(s)*time.Second+time.Duration(i), 17000)
+					l.Note(time.Duration(s)*time.Second+time.Duration(i), 17000, 16)
 				}
 			}
 			got := l.Border(18)
--- a/io/cfventry/choice.go
+++ b/io/cfventry/choice.go
@@ -93,7 +93,7 @@
 	defer e.mu.Unlock()
 	l := e.lanesOf(q.service.Name)
 	if q.arrivals == 0 {
-		l.Note(now, q.call.Prompt.Tokens)
+		l.Note(now, q.call.Prompt.Tokens, q.service.Engine.Slots)
 	}
 	return l.Border(n)
 }
