Choose hubs by their links, and quarantine with more evidence

Cause: on the grown site hubs could stand on VMs with a tenth of the others' links, and send what they know to ten entries each. Change: entries announce their link, and hubs are those with the widest of their failure domain; on the platform three crashes within a minute count, and an answer clears the suspicion.

--- a/commands/hosted_serving_test.go
+++ b/commands/hosted_serving_test.go
@@ -223,6 +223,9 @@
 func TestHostedCrashingRequestIsStopped(t *testing.T) {
 	t.Parallel()
 	f := plainFleet(t, 2)
+	for i := 2; i < 4; i++ {
+		f.addReplica("desk", cfvfakereplica.Config{ID: fmt.Sprint("desk-", i)})
+	}
 	f.setFaults("desk", cfvfault.Fault{Mode: cfvfault.LoseAnswers, Route: "/look/poison"})
 	f.send(0, http.MethodPost, "/look/poison", shopKey, "poison")
 	f.eventually("the other entry hears of it", func() bool {
--- a/commands/hostedloops.go
+++ b/commands/hostedloops.go
@@ -36,7 +36,7 @@
 
 // announce writes the entry's address into the store, so that others find it.
 func (h *hostedEntry) announce(ctx context.Context) {
-	w, err := platform.EntryWrite(cfvfleet.Entry{Name: h.settings.Node, Addr: h.settings.Peers, Domain: h.settings.Domain}, 0)
+	w, err := platform.EntryWrite(cfvfleet.Entry{Name: h.settings.Node, Addr: h.settings.Peers, Domain: h.settings.Domain, LinkMbps: h.settings.LinkMbps}, 0)
 	if err != nil {
 		h.log.Alarm("the entry can't be announced", "error", err.Error())
 		return
--- a/core/cfvfleet/hubs.go
+++ b/core/cfvfleet/hubs.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,7 +22,7 @@
 	most := min(max(len(entries)/entriesPerHub, leastHubs), mostHubs, len(entries))
 	ranked := slices.Clone(entries)
 	slices.SortFunc(ranked, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.linkClass(), a.linkClass()), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
 	// Within a failure domain the rank decides; domains take turns.
 	turn := make(map[string]int)
@@ -34,6 +35,10 @@
 	return ranked[:most]
 }
 
+// linkClass tells links apart that differ by a factor of two or more: a hub sends what it
+// knows to many.
+func (e Entry) linkClass() int { return bits.Len(uint(max(e.LinkMbps, 0))) }
+
 // IsHub reports whether the named entry is a hub. An entry that knows no others is one.
 func IsHub(name string, entries []Entry) bool {
 	known := slices.ContainsFunc(entries, func(e Entry) bool { return e.Name == name })
--- a/core/cfvfleet/view.go
+++ b/core/cfvfleet/view.go
@@ -58,16 +58,18 @@
 
 // EntryChange announces an entry, or its end where Addr is empty.
 type EntryChange struct {
-	Name   string
-	Addr   string // of its interface for peers
-	Domain string
+	Name     string
+	Addr     string // of its interface for peers
+	Domain   string
+	LinkMbps int
 }
 
 // Entry is a process of the system.
 type Entry struct {
-	Name   string
-	Addr   string
-	Domain string
+	Name     string
+	Addr     string
+	Domain   string
+	LinkMbps int // of its VM; 0: not said
 }
 
 // Wanted is the newest version of a model's weights and when this process learned of it.
--- a/core/cfvfleet/view_test.go
+++ b/core/cfvfleet/view_test.go
@@ -95,6 +95,17 @@
 	assert.Equal(t, v.Index().Config().Version, int64(7))
 }
 
+// Pattern: entries on VMs with narrow and with wide links.
+func TestHubsHaveWideLinks(t *testing.T) {
+	var entries []Entry
+	for i := range 88 {
+		entries = append(entries, Entry{Name: fmt.Sprint("e", i), Addr: "a", Domain: fmt.Sprint("d", i%3), LinkMbps: []int{10, 50, 200}[i%7%3]})
+	}
+	for _, h := range Hubs(entries) {
+		assert.Equal(t, h.LinkMbps, 200)
+	}
+}
+
 func TestHubs(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 120).Draw(t, "entries")
--- a/core/cfvlimit/quarantine.go
+++ b/core/cfvlimit/quarantine.go
@@ -23,24 +23,41 @@
 // Quarantine remembers requests that crashed endpoints. It is not safe for concurrent
 // use.
 type Quarantine struct {
+	crashes int
+	length  time.Duration
 	byPrint map[string]*suspect
 }
 
+// QuarantineConfig configures a Quarantine.
+type QuarantineConfig struct {
+	Crashes int           // endpoints that a request takes down before it is refused
+	Length  time.Duration // how long a suspicion lasts
+}
+
 type suspect struct {
 	endpoints map[string]bool
 	until     time.Time
 	sent      int
 }
 
-// NewQuarantine returns an empty quarantine.
+// NewQuarantine returns an empty quarantine of two crashes and half an hour.
 func NewQuarantine() *Quarantine {
-	return &Quarantine{byPrint: make(map[string]*suspect)}
+	return NewQuarantineWith(QuarantineConfig{Crashes: crashesToQuarantine, Length: suspicionLength})
 }
 
+// NewQuarantineWith returns an empty quarantine.
+func NewQuarantineWith(cfg QuarantineConfig) *Quarantine {
+	return &Quarantine{crashes: cfg.Crashes, length: cfg.Length, byPrint: make(map[string]*suspect)}
+}
+
+// Served notes that an endpoint answered the request, so that the crashes that it met were
+// not its own.
+func (q *Quarantine) Served(fingerprint string) { delete(q.byPrint, fingerprint) }
+
 // Crashed notes that an endpoint at one boot went down while it ran the request, and
 // returns what is suspected of the request by now.
 func (q *Quarantine) Crashed(now time.Time, fingerprint, endpointBoot string) Suspicion {
-	q.Merge(now, Suspicion{fingerprint, []string{endpointBoot}, now.Add(suspicionLength)})
+	q.Merge(now, Suspicion{fingerprint, []string{endpointBoot}, now.Add(q.length)})
 	s := q.byPrint[fingerprint]
 	return Suspicion{fingerprint, s.names(), s.until}
 }
@@ -90,7 +107,7 @@
 // Blocked reports whether the request is quarantined.
 func (q *Quarantine) Blocked(now time.Time, fingerprint string) bool {
 	s, ok := q.byPrint[fingerprint]
-	return ok && now.Before(s.until) && len(s.endpoints) >= crashesToQuarantine
+	return ok && now.Before(s.until) && len(s.endpoints) >= q.crashes
 }
 
 // Updates returns up to n suspicions to send to a peer, those sent least often first and
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -327,6 +327,7 @@
 	e.dispatcher.Outcome(e.cfg.Now(), ep, u.Add(failed))
 	if !failed {
 		e.dispatcher.Served(ep)
+		e.quarantine.Served(q.print)
 	}
 }
 
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -94,7 +94,7 @@
 // New returns an entry that does not listen yet.
 func New(cfg Config) *Entry {
 	e := &Entry{
-		cfg: cfg, dispatcher: cfvdispatch.New(cfg.Name), quarantine: cfvlimit.NewQuarantine(),
+		cfg: cfg, dispatcher: cfvdispatch.New(cfg.Name), quarantine: cfvlimit.NewQuarantineWith(cfvlimit.QuarantineConfig{Crashes: crashesBorne, Length: suspectedFor}),
 		budgets: make(map[string]*cfvlimit.RepeatWindow), usual: make(map[string]*cfvdispatch.Usual),
 		keep: make(map[string]time.Duration), lanes: make(map[string]*cfvdispatch.Lanes), entries: 1, ledger: cfvdispatch.NewLedger(),
 	}
@@ -259,8 +259,11 @@
 	return e.quarantine.Updates(suspicionsAtOnce, suspicionsTimes)
 }
 
-// Bounds on how suspicions spread.
+// Bounds on suspicions. Requests are named by path, key and body, so that an innocent one
+// that comes often may meet two crashes by chance.
 const (
+	crashesBorne     = 3 // the platform bears three
+	suspectedFor     = time.Minute
 	suspicionsAtOnce = 16
 	suspicionsTimes  = 24
 )
