Leave no load behind given-up requests, serve public routes without the store

Cause: reading the change: a request whose budget was spent had been placed before, and counted as running at its endpoint for ever; a public route was refused when the belief was too old for keys, though it needs none; six tries were meant where four were written. Change: the budget is asked before the choice; a grant ends with its request; only keyed requests need a young belief. Dead fields are gone.

--- a/commands/hosted_serving_test.go
+++ b/commands/hosted_serving_test.go
@@ -143,6 +143,29 @@
 	}
 }
 
+// A request that is given up must not count as running for ever.
+func TestHostedGivenUpRequestsLeaveNoLoad(t *testing.T) {
+	t.Parallel()
+	f := plainFleet(t, 1)
+	f.slack = 0
+	f.startEntry(1, f.storeURL)
+	f.eventually("the entry is ready", func() bool { return f.ready(1) })
+	f.setFaults("", cfvfault.Fault{Mode: cfvfault.Refuse})
+	for range 5 {
+		assert.Assert(t, f.send(1, http.MethodPost, "/look/", shopKey, "b").refused)
+		assert.Assert(t, f.ask(1, "/ask/again/1", shopKey).refused)
+	}
+	f.eventually("nothing runs", func() bool { return len(f.entries[1].entry.Loads()) == 0 })
+}
+
+func TestHostedPublicRouteIsServedWithAnOldConfiguration(t *testing.T) {
+	t.Parallel()
+	f := plainFleet(t, 1)
+	f.store.SetFault(cfvfault.Fault{Mode: cfvfault.Outage})
+	f.eventually("keys are refused", func() bool { return f.send(0, http.MethodPost, "/book/", shopKey, "").refused })
+	assert.Equal(t, f.send(0, http.MethodPost, "/open/", "", "").status, http.StatusOK)
+}
+
 func TestHostedStream(t *testing.T) {
 	t.Parallel()
 	f := plainFleet(t, 1)
--- a/commands/hosted_test.go
+++ b/commands/hosted_test.go
@@ -43,6 +43,7 @@
 	version  int64
 	logs     *lockedLog
 	bound    map[string]net.Listener
+	slack    float64 // repeats that entries started from now on may send
 	ids      atomic.Int64
 }
 
@@ -68,7 +69,7 @@
 func newFleet(t *testing.T, entries int, desk, assistant cfvfakereplica.Config) *fleet {
 	f := &fleet{
 		t: t, store: cfvfakeplatform.New(), replicas: make(map[string]*cfvfakereplica.Replica), addrs: make(map[string]string), logs: &lockedLog{},
-		bound: make(map[string]net.Listener),
+		bound: make(map[string]net.Listener), slack: 1000,
 	}
 	f.storeURL = f.serve(f.store.Handler())
 	for i := range 2 {
@@ -171,7 +172,7 @@
 		Node: fmt.Sprintf("entry-%d", i), Domain: "north", Callers: f.reserve(), Ready: f.reserve(), Peers: f.reserve(),
 		Store: store, MemoryMB: 128, ShutdownTime: 20 * time.Second,
 		Bounds: platform.Bounds{
-			Revoke: 5 * time.Second, Lease: 500 * time.Millisecond, Versions: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 1000,
+			Revoke: 5 * time.Second, Lease: 500 * time.Millisecond, Versions: 8 * time.Second, RetryRatio: 0.2, RetrySlack: f.slack,
 			RetryWindow: 10 * time.Second,
 		},
 	}
--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -39,7 +39,6 @@
 	peers     Load
 	down      time.Duration // not used before, unless nothing else is left
 	backoff   time.Duration
-	probing   bool
 	coldTo    time.Duration
 	coldSends []time.Duration
 	loadingTo time.Duration // weights are being loaded
--- a/io/cfvduty/duty_test.go
+++ b/io/cfvduty/duty_test.go
@@ -39,7 +39,6 @@
 	fence  int64
 	lease  int64
 	until  time.Time
-	giver  []byte
 	cut    map[string]bool // entries that do not reach the store
 	deaf   bool            // endpoints do not answer
 	orders []order
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -17,10 +17,9 @@
 
 // Figures of attempts.
 const (
-	maxArrivals   = 4       // endpoints that one request is offered to
-	maxBuffered   = 1 << 20 // a longer answer is passed on as it arrives
-	hedgeFactor   = 3       // a repeatable request is sent elsewhere after so many objectives
-	rejectedPause = 15 * time.Millisecond
+	maxArrivals   = 6                       // endpoints that one request is offered to
+	maxBuffered   = 1 << 20                 // a longer answer is passed on as it arrives
+	hedgeFactor   = 3                       // a repeatable request is sent elsewhere after so many objectives
 	loadingTime   = 500 * time.Millisecond  // an endpoint that rejects while it has room loads weights
 	oldWeightsIn  = 1200 * time.Millisecond // from then on older weights cost worth
 	oldWeightsEnd = 0.7                     // share of the bound from which older weights begin nothing
@@ -42,23 +41,25 @@
 // run sends the request to endpoints until one answers.
 func (q *request) run() {
 	e := q.entry
+	defer q.settle(true)
+	q.pickService()
 	e.mu.Lock()
-	e.budget(q.serviceName()).Request(e.cfg.Now())
+	e.budget(q.service.Name).Request(e.cfg.Now())
 	e.mu.Unlock()
 	for {
 		if q.left() < leastLeft {
 			q.expire()
 			return
 		}
+		if q.arrivals > 0 && !e.mayRepeat(q.service.Name, q.repeatReason()) {
+			q.giveUp(cfverror.ReasonRetryBudget, "the budget of repeats is spent")
+			return
+		}
 		choice, d, refusal := q.choose()
 		if refusal != nil {
 			q.refuse(refusal)
 			return
 		}
-		if q.arrivals > 0 && !e.mayRepeat(q.service.Name, q.repeatReason()) {
-			q.giveUp(cfverror.ReasonRetryBudget, "the budget of repeats is spent")
-			return
-		}
 		switch q.attempt(choice, d) {
 		case answered:
 			return
@@ -89,14 +90,12 @@
 	return cfverror.ReasonEndpointsFull
 }
 
-func (q *request) serviceName() string {
-	if q.service == nil {
-		q.service = q.index.Service(q.route.Pick(q.entry.cfg.Random()))
-		if q.service == nil {
-			q.service = &cfvfleet.Service{Name: q.route.Service}
-		}
+// pickService draws the service of a split route once for all attempts.
+func (q *request) pickService() {
+	name := q.route.Pick(q.entry.cfg.Random())
+	if q.service = q.index.Service(name); q.service == nil {
+		q.service = &cfvfleet.Service{Name: name}
 	}
-	return q.service.Name
 }
 
 // expire answers a request whose time is over.
--- a/io/cfventry/choice.go
+++ b/io/cfventry/choice.go
@@ -75,7 +75,6 @@
 // query collects what the choice depends on.
 func (q *request) query(now time.Duration) cfvdispatch.Query {
 	e := q.entry
-	q.serviceName()
 	p := &q.call.Prompt
 	query := e.query(now, q.service, p)
 	query.Tokens, query.Shared, query.Affinity, query.Exclude = p.Tokens, p.SharedTokens(), p.Affinity(), q.rejected
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -91,8 +91,8 @@
 	q.index = e.index()
 	age, fresh := e.fresh()
 	q.age = age
-	if q.index == nil || !fresh {
-		return q.later(elsewhere, cfverror.ReasonSettings, "no configuration, or one that may have been replaced %s ago", age)
+	if q.index == nil {
+		return q.later(elsewhere, cfverror.ReasonSettings, "there is no configuration yet")
 	}
 	if err != nil {
 		return q.deny(http.StatusBadRequest, cfverror.ReasonBadRequest, "%v", err)
@@ -102,6 +102,9 @@
 		return q.unknown(http.StatusNotFound, cfverror.ReasonUnknownService, "no route for %s%s", q.r.Host, q.r.URL.Path)
 	}
 	if q.index.HasWorkspaces() && !q.route.Public {
+		if !fresh {
+			return q.later(elsewhere, cfverror.ReasonSettings, "the configuration is %s old, and the key may have been removed", age)
+		}
 		if q.workspace = q.index.Workspace(call.Key); q.workspace == nil {
 			return q.unknown(http.StatusUnauthorized, cfverror.ReasonUnauthorized, "the key belongs to no workspace")
 		}
--- a/standins/cfvfakereplica/replica.go
+++ b/standins/cfvfakereplica/replica.go
@@ -41,15 +41,14 @@
 	cfg   Config
 	fault cfvfault.Switch
 
-	mu       sync.Mutex
-	runs     []Run
-	ended    map[string]bool // requests whose caller left first
-	rejected int
-	leaving  bool
-	orders   int64
-	fence    int64
-	version  int64
-	givers   []string
+	mu      sync.Mutex
+	runs    []Run
+	ended   map[string]bool // requests whose caller left first
+	leaving bool
+	orders  int64
+	fence   int64
+	version int64
+	givers  []string
 }
 
 // New returns a replica with weights of version 1.
