Keep removals only while the store may be their cause

An entry had lost the store at 2.5 s and heard from hubs since; when it asked the store itself much later, it took the store for just returned, kept a removal that followed for 2.5 s of its own, and, as nothing else changed, until the next change. Change: an entry that hears from hubs forgets its own trouble; a kept removal ends with the grace after the store's return, also when nothing else changes. Measured: three tests fail on the code before and pass now.

--- a/core/cfvfleet/view.go
+++ b/core/cfvfleet/view.go
@@ -83,8 +83,7 @@
 	endpoint *Endpoint
 	coldTo   time.Duration
 	seen     time.Duration
-	gone     bool          // removed, but kept for a while
-	goneAt   time.Duration // when the removal was learned
+	gone     bool // removed, but kept until the grace ends
 }
 
 // View is the belief of one entry. Times are durations on a clock that also runs while the
@@ -95,11 +94,12 @@
 	weights   map[string]Wanted
 	out       map[string]bool
 	entries   map[string]Entry
-	uncertain time.Duration // removals learned before this time may be the store's fault
+	uncertain time.Duration // until then removals may be the store's fault
+	kept      bool          // some removed endpoints are kept until then
 }
 
-// RemovalGrace is how long a removed endpoint stays usable when the store was away shortly
-// before: living endpoints announce themselves again within two seconds of its return.
+// RemovalGrace is how long after the store's return a removed endpoint stays usable: living
+// endpoints announce themselves again within two seconds.
 const RemovalGrace = 2500 * time.Millisecond
 
 // NewView returns an empty belief.
@@ -146,7 +146,7 @@
 			return false
 		}
 		if now < v.uncertain && !have.endpoint.Leaving {
-			have.gone, have.goneAt = true, now
+			have.gone, v.kept = true, true
 			return true
 		}
 		delete(v.endpoints, c.ID)
@@ -167,10 +167,14 @@
 // concern living endpoints.
 func (v *View) StoreReturned(now time.Duration) { v.uncertain = now + RemovalGrace }
 
-// Expire drops endpoints whose removal has outlived its grace.
+// Expire drops removed endpoints once the grace has ended.
 func (v *View) Expire(now time.Duration) {
+	if !v.kept || now < v.uncertain {
+		return
+	}
+	v.kept = false
 	for id, k := range v.endpoints {
-		if k.gone && now-k.goneAt > RemovalGrace {
+		if k.gone {
 			delete(v.endpoints, id)
 		}
 	}
--- a/core/cfvfleet/view_test.go
+++ b/core/cfvfleet/view_test.go
@@ -78,12 +78,25 @@
 	assert.Equal(t, len(v.Usable("s")), 2)
 	assert.Equal(t, len(v.All()), 2, "a leaving endpoint's removal does not wait")
 	v.Apply(11*time.Second, announce("lives", 1, false))
-	v.Expire(10*time.Second + RemovalGrace + 2*time.Millisecond)
+	v.Expire(10*time.Second + RemovalGrace - 1)
+	assert.Equal(t, len(v.Usable("s")), 2)
+	v.Expire(10*time.Second + RemovalGrace)
 	assert.Equal(t, len(v.Usable("s")), 1)
 	v.Apply(20*time.Second, gone("lives"))
 	assert.Equal(t, len(v.Usable("s")), 0)
 }
 
+// A removal at the end of the grace must not be kept for a grace of its own: seed
+// 669983450223 of a hunt (DRAIN).
+func TestRemovalAtTheEndOfTheGraceIsInForceAtItsEnd(t *testing.T) {
+	v := NewView()
+	v.Apply(0, announce("left", 1, false))
+	v.StoreReturned(10 * time.Second)
+	v.Apply(10*time.Second+RemovalGrace-10*time.Millisecond, gone("left"))
+	v.Expire(10*time.Second + RemovalGrace)
+	assert.Equal(t, len(v.Usable("s")), 0)
+}
+
 func TestOlderConfigurationsAndWeightsChangeNothing(t *testing.T) {
 	v := NewView()
 	assert.Assert(t, v.Apply(0, Change{Config: &Config{Version: 7}}))
--- a/io/cfvbelief/belief.go
+++ b/io/cfvbelief/belief.go
@@ -130,6 +130,7 @@
 func (b *Belief) Read(f func(v *cfvfleet.View)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.view.Expire(b.cfg.Now())
 	f(b.view)
 }
 
--- a/io/cfvfollow/follower.go
+++ b/io/cfvfollow/follower.go
@@ -51,6 +51,7 @@
 	wait := firstWait
 	for ctx.Err() == nil {
 		if !f.due() {
+			f.failing = 0 // hubs reach the store, so that it is not away
 			cfvclock.Sleep(ctx, leafCheck)
 			continue
 		}
--- a/io/cfvfollow/follower_test.go
+++ b/io/cfvfollow/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -100,6 +101,20 @@
 	}
 }
 
+// decode reads items that begin with e as endpoints, and those that begin with x as the end
+// of one.
+func decode(r cfvmirror.Record) (c cfvfleet.Change, err error) {
+	id, live := strings.CutPrefix(r.Key, "e")
+	if !live {
+		if id, live = strings.CutPrefix(r.Key, "x"); live {
+			c.Endpoint = &cfvfleet.EndpointChange{ID: id}
+		}
+		return c, nil
+	}
+	c.Endpoint = &cfvfleet.EndpointChange{ID: id, Endpoint: &cfvfleet.Endpoint{ID: id, Service: "s"}}
+	return c, nil
+}
+
 // run follows the store on virtual time, and calls f beside it.
 func run(t *testing.T, hub bool, f func(s *store, b *cfvbelief.Belief, now func() time.Duration)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -108,7 +123,7 @@
 		s := &store{}
 		s.write("a")
 		b := cfvbelief.New(cfvbelief.Config{
-			Decode: func(cfvmirror.Record) (cfvfleet.Change, error) { return cfvfleet.Change{}, nil }, Now: now, Log: cfvlog.Discard(),
+			Decode: decode, Now: now, Log: cfvlog.Discard(),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -196,6 +211,29 @@
 	})
 }
 
+// An entry that lost the store and heard from hubs since must not take a removal much later
+// for a sign of that outage: seed 669983450223 of a hunt (DRAIN).
+func TestRemovalLongAfterAnEntrysOwnTroubleIsInForce(t *testing.T) {
+	run(t, false, func(s *store, b *cfvbelief.Belief, now func() time.Duration) {
+		s.write("e1")
+		s.write("e2")
+		time.Sleep(4 * time.Second)
+		s.set(func(s *store) { s.down = true })
+		time.Sleep(4 * time.Second)
+		for range 50 { // it loses the store, and hubs tell it everything
+			b.Confirm(b.AsOf(), now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.set(func(s *store) { s.down = false })
+		time.Sleep(leafAge + 200*time.Millisecond) // they fall silent, and it asks again
+		s.write("x1")
+		time.Sleep(watchWait + 200*time.Millisecond)
+		usable := 0
+		b.Read(func(v *cfvfleet.View) { usable = len(v.Usable("s")) })
+		assert.Equal(t, usable, 1)
+	})
+}
+
 func TestSilentStoreCostsFewCalls(t *testing.T) {
 	run(t, true, func(s *store, _ *cfvbelief.Belief, _ func() time.Duration) {
 		time.Sleep(time.Second)
