--- a/io/cfvnode/cluster_test.go
+++ b/io/cfvnode/cluster_test.go
@@ -155,6 +155,7 @@
 	cfg.ListEvery = 200 * time.Millisecond
 	cfg.DrainGrace = 100 * time.Millisecond
 	cfg.StoreLookup = time.Minute // a lookup that is given up leaves nothing to wait for
+	cfg.AdmitWithin = time.Minute // a keeper that is busy is not one that can't be reached
 	if config != nil {
 		config(&cfg)
 	}
--- a/io/cfvnode/config.go
+++ b/io/cfvnode/config.go
@@ -34,6 +34,7 @@
 	ListEvery         time.Duration
 	MovePeriod        time.Duration // of reports and decisions on version moves
 	Lease             time.Duration // how long an entry recognises one owner of a group
+	AdmitWithin       time.Duration // how long the keeper of a workspace's limits may take to answer
 	StoreLookup       time.Duration // how long a store VM may take to say which blocks it holds
 	Certificate       string        // file names; empty for plain connections
 	Key               string
@@ -55,6 +56,7 @@
 		SuspectFor:  1500 * time.Millisecond,
 		ListEvery:   time.Second,
 		Lease:       3 * time.Second,
+		AdmitWithin: 300 * time.Millisecond,
 		StoreLookup: 50 * time.Millisecond,
 		MovePeriod:  time.Second,
 	}
@@ -77,6 +79,7 @@
 	SuspectForMillis  *int64   `json:"suspectForMillis"`
 	ListEveryMillis   *int64   `json:"listEveryMillis"`
 	LeaseMillis       *int64   `json:"leaseMillis"`
+	AdmitMillis       *int64   `json:"admitMillis"`
 	StoreLookupMillis *int64   `json:"storeLookupMillis"`
 	Certificate       string   `json:"certificate"`
 	Key               string   `json:"key"`
@@ -123,6 +126,7 @@
 	setMillis(&cfg.SuspectFor, j.SuspectForMillis)
 	setMillis(&cfg.ListEvery, j.ListEveryMillis)
 	setMillis(&cfg.Lease, j.LeaseMillis)
+	setMillis(&cfg.AdmitWithin, j.AdmitMillis)
 	setMillis(&cfg.StoreLookup, j.StoreLookupMillis)
 	return cfg, cfg.validate()
 }
@@ -177,6 +181,7 @@
 		value time.Duration
 	}{
 		{"probeEveryMillis", c.ProbeEvery}, {"suspectForMillis", c.SuspectFor}, {"listEveryMillis", c.ListEvery}, {"storeLookupMillis", c.StoreLookup},
+		{"admitMillis", c.AdmitWithin},
 	} {
 		if f.value <= 0 {
 			return fmt.Errorf("%s: want more than 0, got %d", f.name, f.value.Milliseconds())
--- a/io/cfvnode/limits.go
+++ b/io/cfvnode/limits.go
@@ -11,9 +11,6 @@
 	"coltsfootvalve/io/cfvpeer"
 )
 
-// admitWithin bounds the question to the keeper of a workspace's limits.
-const admitWithin = 300 * time.Millisecond
-
 // limits keeps the limits of the workspaces that fall to this node, and asks the keepers
 // of the others.
 type limits struct {
@@ -54,7 +51,7 @@
 	if keeper == l.node.cfg.Name {
 		return cfverror.Reason(l.handleAdmit(a))
 	}
-	ctx, cancel := context.WithTimeout(ctx, admitWithin)
+	ctx, cancel := context.WithTimeout(ctx, l.node.cfg.AdmitWithin)
 	defer cancel()
 	reason, err := l.node.peers.Admit(ctx, l.node.members.Address(keeper), a)
 	if err == nil {
@@ -88,7 +85,7 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), admitWithin)
+		ctx, cancel := context.WithTimeout(context.Background(), l.node.cfg.AdmitWithin)
 		defer cancel()
 		_ = l.node.peers.Dismiss(ctx, l.node.members.Address(keeper), cfvpeer.Dismiss{Workspace: workspace, RequestIDs: []string{requestID}})
 	}()
