Wait for the next owner of a group instead of refusing

Cause: while an entry leaves, others ask it for slots until its leave has reached them, and a new owner's grants can't be used while the promise to the owner before holds. Each group was asked once, so a request met notOwner in all of them and was refused although it could be served. Change: an entry searches again until a lease has passed.

--- a/io/cfvplace/entry.go
+++ b/io/cfvplace/entry.go
@@ -28,6 +28,7 @@
 	releaseBatch = 2 * time.Millisecond // how long releases wait for others
 	expireEvery  = time.Second
 	releaseAgain = 500 * time.Millisecond
+	ownerRetry   = 25 * time.Millisecond // between searches while a group changes its owner
 	levelsKept   = 4096
 )
 
@@ -117,14 +118,26 @@
 }
 
 // Acquire returns a slot for the request, or a refusal of a request that was not run.
-// Endpoints are excluded only while there are others.
+// Endpoints are excluded only while there are others. While groups change their owners it
+// searches again: an entry recognises the owner before for a lease at most.
 func (e *Entry) Acquire(ctx context.Context, a Ask) (*Slot, *cfverror.Refusal) {
-	slot, refusal := e.search(ctx, a)
-	if refusal != nil && refusal.Reason == cfverror.ReasonNoEndpoint && len(a.Exclude) > 0 {
-		a.Exclude = nil
-		return e.search(ctx, a)
+	until := time.Now().Add(e.cfg.Lease)
+	for {
+		slot, refusal := e.search(ctx, a)
+		if refusal != nil && refusal.Reason == cfverror.ReasonNoEndpoint && len(a.Exclude) > 0 {
+			a.Exclude = nil
+			continue
+		}
+		if refusal == nil || refusal.Reason != cfverror.ReasonNotOwner || !time.Now().Before(until) {
+			return slot, refusal
+		}
+		e.cfg.Metrics.Retried(refusal.Reason)
+		select {
+		case <-ctx.Done():
+			return nil, refusal
+		case <-time.After(ownerRetry):
+		}
 	}
-	return slot, refusal
 }
 
 func (e *Entry) search(ctx context.Context, a Ask) (*Slot, *cfverror.Refusal) {
--- /dev/null
+++ b/io/cfvplace/entry_test.go
@@ -0,0 +1,122 @@
+package cfvplace
+
+import (
+	"context"
+	"io"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"coltsfootvalve/common/cfverror"
+	"coltsfootvalve/common/cfvlog"
+	"coltsfootvalve/common/cfvmetric"
+	"coltsfootvalve/common/cfvseed"
+	"coltsfootvalve/core/cfvcatalog"
+	"coltsfootvalve/core/cfvmember"
+	"coltsfootvalve/core/cfvslot"
+	"coltsfootvalve/core/cfvtree"
+	"coltsfootvalve/io/cfvmembership"
+	"coltsfootvalve/io/cfvpeer"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) {
+	cfvseed.Fix()
+	os.Exit(m.Run())
+}
+
+const (
+	testLease = 1200 * time.Millisecond
+	// leaveTold is within what SWIM's probes take to tell all entries that a member left.
+	leaveTold = 300 * time.Millisecond
+)
+
+func testCatalog(t *testing.T) *cfvcatalog.Catalog {
+	changes, err := cfvtree.DecodeChanges([]byte(`{
+		"services/assistant": {},
+		"regions/pampeana/rosario/a0": {"service": "assistant", "address": "127.0.0.1:1"},
+		"regions/pampeana/cordoba/a1": {"service": "assistant", "address": "127.0.0.1:2"}
+	}`))
+	assert.NilError(t, err)
+	tree, err := cfvtree.Tree{}.Apply(changes)
+	assert.NilError(t, err)
+	return cfvcatalog.New(1, tree)
+}
+
+func testEntry(t *testing.T, reserve func(r cfvslot.Request) cfvslot.Decision) (*Entry, Ask) {
+	c := testCatalog(t)
+	serving := map[string][]string{"pampeana": {"entry-0", "entry-1"}}
+	e := NewEntry(EntryConfig{
+		Self: cfvmember.Member{Name: "entry-0", Region: "pampeana"},
+		Reserve: func(_ context.Context, _ string, r cfvslot.Request) (cfvslot.Decision, error) {
+			return reserve(r), nil
+		},
+		View:    func() cfvmembership.View { return cfvmembership.View{Serving: serving} },
+		Catalog: func() *cfvcatalog.Catalog { return c },
+		Lease:   testLease,
+		Log:     cfvlog.New(io.Discard, "entry-0"),
+		Metrics: cfvmetric.New(),
+	})
+	service, ok := c.Service("assistant")
+	assert.Assert(t, ok)
+	return e, Ask{Service: service, RouteKey: "prompt"}
+}
+
+func grant(c *cfvcatalog.Catalog, r cfvslot.Request, epoch string) cfvslot.Decision {
+	g, _ := c.Group(r.Group)
+	return cfvslot.Decision{Slot: r.Slot, Grant: &cfvslot.Grant{Slot: r.Slot, Endpoint: g.Endpoints[0].Name, Epoch: epoch}}
+}
+
+// A group whose owner left is served by the next one as soon as the entries agree on it.
+func TestRequestsWaitForTheNextOwner(t *testing.T) {
+	tests := map[string]struct {
+		settles time.Duration // until the asked owner takes the group
+		lapses  time.Duration // until the promise to the owner before ends; 0 for none
+	}{
+		"the entry asks the owner that left":     {settles: leaveTold},
+		"the entry still recognises another one": {lapses: testLease / 2},
+		"both":                                   {settles: leaveTold, lapses: testLease / 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := testCatalog(t)
+				begun := time.Now()
+				e, ask := testEntry(t, func(r cfvslot.Request) cfvslot.Decision {
+					if time.Since(begun) < tt.settles {
+						return cfvslot.Decision{Slot: r.Slot, Reason: cfverror.ReasonNotOwner}
+					}
+					return grant(c, r, "entry-1/1")
+				})
+				if tt.lapses > 0 {
+					time.Sleep(testLease) // an entry promises nothing before
+					begun = time.Now()
+					for _, g := range c.Groups("assistant") {
+						inv := e.Recognise(cfvpeer.Recognise{Group: g.Key, Owner: "entry-2/1", Lease: tt.lapses})
+						assert.Assert(t, inv.Promised)
+					}
+				}
+				slot, refusal := e.Acquire(t.Context(), ask)
+				assert.Assert(t, refusal == nil, "refused: %v", refusal)
+				assert.Equal(t, slot.Grant.Epoch, "entry-1/1")
+				assert.Assert(t, time.Since(begun) <= max(tt.settles, tt.lapses)+ownerRetry)
+			})
+		})
+	}
+}
+
+// A group that gets no owner is not waited for longer than an owner may be recognised.
+func TestGroupWithoutOwnerIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, ask := testEntry(t, func(r cfvslot.Request) cfvslot.Decision {
+			return cfvslot.Decision{Slot: r.Slot, Reason: cfverror.ReasonNotOwner}
+		})
+		begun := time.Now()
+		_, refusal := e.Acquire(t.Context(), ask)
+		assert.Equal(t, refusal.Reason, cfverror.ReasonNotOwner)
+		assert.Equal(t, refusal.Ran, cfverror.RanNo)
+		assert.Assert(t, time.Since(begun) <= testLease+ownerRetry)
+	})
+}
