Fetch parts of replaced weights for endpoints that still run them

Change: such parts are fetched for three seconds, by endpoints that were known before; the holder of the duty counts these fetches in before it frees. A call frees up to 1,000 parts. Ruled out: parts that find no room (0), lost events (no part was missed for long). TestReturningPromptsWhileWeightsChange fails under the old rule.

--- a/core/cfvdispatch/query.go
+++ b/core/cfvdispatch/query.go
@@ -17,9 +17,10 @@
 	Shared      int     // tokens of the shared parts
 	Stored      bool    // a store holds the shared parts
 	Model       string
-	Wanted      int64 // newest weights; 0: not named
-	RefuseOld   bool  // older weights may not begin any more
-	PreferNew   bool  // older weights lose worth
+	Wanted      int64                // newest weights; 0: not named
+	RefuseOld   bool                 // older weights may not begin any more
+	PreferNew   bool                 // older weights lose worth
+	OldParts    func(id string) bool // parts of older weights may be fetched at an endpoint; nil: at none
 	Domain      string
 	Exclude     map[string]bool // endpoints that rejected the request
 	MaxPerEntry int             // most requests of this entry at one endpoint; 0: no bound
--- a/core/cfvfleet/view.go
+++ b/core/cfvfleet/view.go
@@ -82,7 +82,7 @@
 type known struct {
 	endpoint *Endpoint
 	coldTo   time.Duration
-	seen     time.Duration
+	begun    time.Duration // when its process was first heard of
 	gone     bool // removed, but kept until the grace ends
 }
 
@@ -152,12 +152,13 @@
 		delete(v.endpoints, c.ID)
 		return true
 	}
-	k := &known{endpoint: c.Endpoint, coldTo: now + c.Endpoint.ColdFor, seen: now}
+	k := &known{endpoint: c.Endpoint, coldTo: now + c.Endpoint.ColdFor, begun: now}
 	if c.Endpoint.ColdFor == 0 {
 		k.coldTo = 0
 	}
-	if have != nil && have.endpoint.Incarnation() == c.Endpoint.Incarnation() && have.endpoint.Leaving {
-		c.Endpoint.Leaving = true // leaving is never taken back by the same process
+	if have != nil && have.endpoint.Incarnation() == c.Endpoint.Incarnation() {
+		k.begun = have.begun
+		c.Endpoint.Leaving = c.Endpoint.Leaving || have.endpoint.Leaving // never taken back by the same process
 	}
 	v.endpoints[c.ID] = k
 	return true
@@ -199,6 +200,15 @@
 	return 0
 }
 
+// KnownSince returns when the endpoint's process was first heard of; the present for one
+// that is not known.
+func (v *View) KnownSince(now time.Duration, id string) time.Duration {
+	if k := v.endpoints[id]; k != nil {
+		return k.begun
+	}
+	return now
+}
+
 // Usable returns the endpoints of a service that may get work, by id.
 func (v *View) Usable(service string) []*Endpoint {
 	var out []*Endpoint
--- a/core/cfvfleet/view_test.go
+++ b/core/cfvfleet/view_test.go
@@ -148,3 +148,29 @@
 		}
 	})
 }
+
+func TestKnownSince(t *testing.T) {
+	endpoint := func(born int64) Change {
+		return Change{Endpoint: &EndpointChange{ID: "a", Endpoint: &Endpoint{ID: "a", Born: born}}}
+	}
+	tests := map[string]struct {
+		later []Change
+		want  time.Duration
+	}{
+		"announced once":       {want: time.Second},
+		"announced again":      {later: []Change{endpoint(1)}, want: time.Second},
+		"started anew":         {later: []Change{endpoint(2)}, want: 2 * time.Second},
+		"removed and returned": {later: []Change{{Endpoint: &EndpointChange{ID: "a"}}, endpoint(1)}, want: 2 * time.Second},
+		"removed":              {later: []Change{{Endpoint: &EndpointChange{ID: "a"}}}, want: 3 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := NewView()
+			v.Apply(time.Second, endpoint(1))
+			for _, c := range tt.later {
+				v.Apply(2*time.Second, c)
+			}
+			assert.Equal(t, v.KnownSince(3*time.Second, "a"), tt.want)
+		})
+	}
+}
--- /dev/null
+++ b/core/cfvparts/transfers_test.go
@@ -0,0 +1,107 @@
+package cfvparts
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"coltsfootvalve/core/cfvcall"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestTransfers(t *testing.T) {
+	held := Event{Number: 1, Salt: "m.1.all", Part: "p", Tokens: 500}
+	parts := []cfvcall.Part{{ID: "p", Tokens: 500}, {ID: "q", Tokens: 100}}
+	tests := map[string]struct {
+		wish  Wish
+		clock int64
+		want  Transfers
+	}{
+		"what is held is fetched, the rest is saved": {
+			wish: Wish{Salt: "m.1.all", Parts: parts, Save: true}, clock: 50,
+			want: Transfers{Fetch: []string{"large", ""}, Save: []string{"", "large"}, Until: 50 + FetchTime.Milliseconds()},
+		},
+		"parts of replaced weights are fetched and not saved": {
+			wish: Wish{Salt: "m.1.all", Parts: parts}, clock: 50,
+			want: Transfers{Fetch: []string{"large", ""}, Save: []string{"", ""}, Until: 50 + FetchTime.Milliseconds()},
+		},
+		"other weights share nothing": {
+			wish: Wish{Salt: "m.2.all", Parts: parts[:1]}, clock: 50,
+			want: Transfers{Fetch: []string{""}, Save: []string{""}},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := NewCatalog()
+			c.SetStores([]Store{{Addr: "large", Tokens: 100000, FirstByte: 6}})
+			c.Apply(0, "large", Batch{Epoch: 1, Next: 2, Full: true, Events: []Event{held}, ClockMillis: tt.clock})
+			assert.DeepEqual(t, c.Transfers(0, tt.wish), tt.want)
+		})
+	}
+}
+
+// returning is the chamber's load of long prompts: subjects that come back about every
+// eight seconds.
+type returning struct {
+	subjects  int
+	tokens    int
+	perSecond float64
+}
+
+// play sends the load while a fleet changes its weights group by group, one group each half
+// second, and returns the tokens that are read although some endpoint had read them for the
+// same weights. A part that is read is in its store 100 ms later.
+func (l returning) play(c *Catalog, addr string, seconds int, seed uint64) (again int) {
+	const groups, groupTime, saving = 6, 500 * time.Millisecond, 100 * time.Millisecond
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	read := make(map[Key]bool)
+	number := int64(1)
+	type save struct {
+		at time.Duration
+		e  Event
+	}
+	var saves []save
+	for now := time.Duration(0); now < time.Duration(seconds)*time.Second; {
+		now += time.Duration(rnd.ExpFloat64() / l.perSecond * float64(time.Second))
+		b := Batch{Epoch: 1, ClockMillis: now.Milliseconds()}
+		for len(saves) > 0 && saves[0].at <= now {
+			b.Events = append(b.Events, saves[0].e)
+			saves = saves[1:]
+		}
+		b.Next = number
+		c.Apply(now, addr, b)
+		changed := now - 8*time.Second // the new weights are named after eight seconds
+		current := rnd.IntN(groups) < int(changed/groupTime)
+		salt := "m.1.all"
+		if current {
+			salt = "m.2.all"
+		}
+		part := cfvcall.Part{ID: fmt.Sprint("norm-", rnd.IntN(l.subjects)), Tokens: l.tokens}
+		k := Key{salt, part.ID}
+		t := c.Transfers(now, Wish{Salt: salt, Parts: []cfvcall.Part{part}, Save: changed < 0 || current})
+		if t.Fetch[0] == "" && read[k] {
+			again += part.Tokens
+		}
+		read[k] = true
+		if t.Save[0] != "" {
+			saves = append(saves, save{now + saving, Event{Number: number, Salt: salt, Part: part.ID, Tokens: part.Tokens}})
+			number++
+		}
+	}
+	return again
+}
+
+// Pattern: prompts return while their weights change, with room for both versions. Only
+// what comes back while its part is on the way to the store is read again.
+func TestReturningPromptsWhileWeightsChange(t *testing.T) {
+	l := returning{subjects: 190, tokens: 12800, perSecond: 24}
+	c := NewCatalog()
+	c.SetStores([]Store{{Addr: "large", Tokens: 3 * l.subjects * l.tokens, FirstByte: 6}})
+	c.Apply(0, "large", Batch{Epoch: 1, Next: 1, Full: true})
+	const seconds, seed = 16, 1
+	again := l.play(c, "large", seconds, seed)
+	asked := int(l.perSecond) * seconds * l.tokens
+	assert.Assert(t, again*100 < 5*asked, "%d of %d tokens were read again", again, asked) // the target of issue 11: under 0.05
+}
--- a/io/cfvduty/duty.go
+++ b/io/cfvduty/duty.go
@@ -24,14 +24,16 @@
 	step        = 100 * time.Millisecond
 	leaseTime   = 2500 * time.Millisecond
 	renewEvery  = 500 * time.Millisecond
-	orderWithin = 1 * time.Second         // orders are given only so long after a renewal was sent that succeeded
-	contention  = 500 * time.Millisecond  // hubs wait up to this long before they take a free duty
-	leafDelay   = 1 * time.Second         // other entries wait this much longer
-	freeAfter   = 7 * time.Second         // no fetch of a replaced part can be under way any more, whoever began it
-	freeLoaded  = 1800 * time.Millisecond // nor so long after all endpoints run the new weights: fetches that take longer are thrown away
+	orderWithin = 1 * time.Second                                                   // orders are given only so long after a renewal was sent that succeeded
+	contention  = 500 * time.Millisecond                                            // hubs wait up to this long before they take a free duty
+	leafDelay   = 1 * time.Second                                                   // other entries wait this much longer
+	beliefLag   = 4600 * time.Millisecond                                           // an entry that hears of new weights later serves nothing
+	freeMargin  = 300 * time.Millisecond                                            // clocks differ, and news travel
+	freeAfter   = beliefLag + cfvparts.OldFetches + cfvparts.FetchTime + freeMargin // no fetch of a replaced part can be under way, whoever began it
+	freeLoaded  = cfvparts.FetchTime + freeMargin                                   // nor so long after all endpoints run the new weights
 	freeEvery   = 500 * time.Millisecond
-	freeAtOnce  = 64
-	loadsShare  = 6 // one in so many endpoints loads at once
+	freeAtOnce  = 1000 // parts a call; about 40 bytes each
+	loadsShare  = 6    // one in so many endpoints loads at once
 	leastLoads  = 2
 )
 
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -23,7 +23,6 @@
 	loadingTime   = 500 * time.Millisecond  // an endpoint that rejects while it has room loads weights
 	oldWeightsIn  = 1200 * time.Millisecond // from then on older weights cost worth
 	oldWeightsEnd = 0.7                     // share of the bound from which older weights begin nothing
-	fetchTime     = 1500 * time.Millisecond // a fetch that takes longer is thrown away
 	comeBack      = 300 * time.Millisecond
 )
 
--- a/io/cfventry/choice.go
+++ b/io/cfventry/choice.go
@@ -131,22 +131,14 @@
 	version := max(e.dispatcher.Version(c.Endpoint, p.Model), 1)
 	d.WeightVersion = version
 	d.Salt = cfvcall.Salt(q.workspace, p.Model, version)
-	if len(p.Shared()) == 0 || e.cfg.Parts == nil || version < query.Wanted {
+	current := version >= query.Wanted
+	if len(p.Shared()) == 0 || e.cfg.Parts == nil || !current && (query.OldParts == nil || !query.OldParts(c.Endpoint.ID)) {
 		return d
 	}
-	d.Fetch, d.Save = make([]string, len(p.Parts)), make([]string, len(p.Parts))
 	e.cfg.Parts.Do(func(cat *cfvparts.Catalog) {
-		for i, part := range p.Shared() {
-			k := cfvparts.Key{Salt: d.Salt, Part: part.ID}
-			d.Fetch[i] = cat.Find(now, k, part.Tokens, c.Endpoint.Domain)
-			if d.Fetch[i] == "" {
-				d.Save[i] = cat.Target(now, k, part.Tokens)
-				continue
-			}
-			if clock := cat.Clock(now, d.Fetch[i]); clock > 0 {
-				d.FetchUntil = clock + fetchTime.Milliseconds()
-			}
-		}
+		t := cat.Transfers(now, cfvparts.Wish{Salt: d.Salt, Parts: p.Shared(), Domain: c.Endpoint.Domain, Save: current})
+		d.FetchUntil = t.Until
+		d.Fetch, d.Save = append(t.Fetch, ""), append(t.Save, "") // the last part is the request's own
 	})
 	return d
 }
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -6,6 +6,7 @@
 	"coltsfootvalve/core/cfvcall"
 	"coltsfootvalve/core/cfvdispatch"
 	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvparts"
 	"coltsfootvalve/io/cfvreserve"
 )
 
@@ -106,6 +107,7 @@
 		if w := v.Wanted(p.Model); p.Model != "" && w.Version > 0 {
 			q.Wanted = w.Version
 			q.PreferNew = now-w.Since > oldWeightsIn
+			q.OldParts = oldParts(now, v, w, q.Endpoints)
 			q.RefuseOld = e.cfg.Bounds.Versions > 0 && now-w.Since > time.Duration(oldWeightsEnd*float64(e.cfg.Bounds.Versions))
 		}
 	})
@@ -115,3 +117,17 @@
 	}
 	return q
 }
+
+// oldParts returns at which endpoints parts of replaced weights may still be fetched. The
+// holder of the duty frees them once all endpoints that it knows run the new weights, so an
+// endpoint that came later does not count.
+func oldParts(now time.Duration, v *cfvfleet.View, w cfvfleet.Wanted, endpoints []*cfvfleet.Endpoint) func(id string) bool {
+	if now-w.Since > cfvparts.OldFetches {
+		return nil
+	}
+	before := make(map[string]bool, len(endpoints))
+	for _, ep := range endpoints {
+		before[ep.ID] = v.KnownSince(now, ep.ID) <= w.Since
+	}
+	return func(id string) bool { return before[id] }
+}
