--- a/core/cfvparts/catalog.go
+++ b/core/cfvparts/catalog.go
@@ -292,33 +292,56 @@
 }
 
 // Target returns the store that should keep a part, and notes that it is being saved;
-// empty: it has no room, or the part is kept or being saved already.
+// empty: no store has room, or the part is kept or being saved already. A part that finds no
+// room in the stores that suit it goes to another one.
 func (c *Catalog) Target(now time.Duration, k Key, tokens int) string {
-	var best *shelf
+	var best, suited *shelf
 	score := math.Inf(-1)
 	for _, s := range c.shelves {
-		if s.store.Tokens <= 0 || !c.suits(s, tokens) {
+		if s.keeps(now, k, tokens) {
+			return ""
+		}
+		if !s.known || !s.hasRoom(now, tokens) {
+			continue
+		}
+		suits := c.suits(s, tokens)
+		if suited != nil && !suits {
 			continue
 		}
 		// Rendezvous hashing weighted by capacity, so that all entries choose alike.
 		u := (float64(xxhash.Sum64String(s.store.Addr+"\x00"+k.Part)>>11) + 0.5) / (1 << 53)
-		if w := -float64(s.store.Tokens) / math.Log(u); w > score {
+		w := -float64(s.store.Tokens) / math.Log(u)
+		if suits && suited == nil || w > score {
 			best, score = s, w
 		}
+		if suits {
+			suited = best
+		}
 	}
-	if best == nil || !best.known || best.held[k] >= tokens {
-		return ""
-	}
-	if w, ok := best.wants[k]; ok && now-w.begun < saveTime {
-		return ""
-	}
-	if float64(best.used+best.pending(now)+tokens) > fillShare*float64(best.store.Tokens) {
+	if best == nil {
 		return ""
 	}
 	best.wants[k] = want{now, tokens}
 	return best.store.Addr
 }
 
+// keeps reports whether a store holds a part or gets it.
+func (s *shelf) keeps(now time.Duration, k Key, tokens int) bool {
+	if !s.known {
+		return false
+	}
+	if _, going := s.freed[k]; !going && s.held[k] >= tokens {
+		return true
+	}
+	w, ok := s.wants[k]
+	return ok && now-w.begun < saveTime
+}
+
+// hasRoom reports whether a part fits beside what is held and on its way.
+func (s *shelf) hasRoom(now time.Duration, tokens int) bool {
+	return float64(s.used+s.pending(now)+tokens) <= fillShare*float64(s.store.Tokens)
+}
+
 // smallPart is the length in tokens below which a part is read sooner than a long
 // transfer before it in a queue ends.
 const smallPart = 2048
