--- a/commands/hostedloops.go
+++ b/commands/hostedloops.go
@@ -62,8 +62,8 @@
 func (h *hostedEntry) duty() *cfvduty.Duty {
 	return cfvduty.New(cfvduty.Config{
 		Self: h.settings.Node, Hub: h.hub, Belief: h.belief, Version: h.entry.Version, Loaded: h.entry.Loaded,
-		Running: func(id string) int { return h.entry.Loads()[id].Running },
-		Report:  h.engines.Weights, Load: h.engines.Load, Free: h.engines.Free,
+		Running: func(id string) int { return h.entry.Loads()[id].Running }, Short: h.entry.ShortLane,
+		Report: h.engines.Weights, Load: h.engines.Load, Free: h.engines.Free,
 		Catalog: func(f func(*cfvparts.Catalog)) { h.parts.Do(f) },
 		Pause:   h.settings.Bounds.Lease, Now: cfvclock.Boot, Log: h.log.Part("duty"), Count: h.metrics.Count,
 		Holder:    func() (cfvmirror.Record, bool) { return h.belief.Item(platform.KeyOrders) },
--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -20,7 +20,8 @@
 	slotsShare      = 0.75  // of an endpoint's slots from which requests wait, as its load is heard late
 	queuedMs        = 15.0  // what a request beyond that waits for each before it
 	missFactor      = 4.0   // reading a shared part again also takes time from all other requests there
-	oldWeightsMs    = 250.0 // answers on replaced weights lose a share of their worth
+	oldWeightsMs    = 100.0 // answers on replaced weights lose a fifth of their worth, late ones four fifths
+	loadingMs       = 250.0 // an endpoint that loads weights takes no new request for half a second
 	failingMs       = 400.0 // an endpoint that fails while its health is good
 	coldMs          = 60.0  // a cold endpoint, so that warm ones go first
 	domainMs        = 1.0   // another failure domain
@@ -215,7 +216,7 @@
 		ms += oldWeightsMs
 	}
 	if now < s.loadingTo {
-		ms += oldWeightsMs
+		ms += loadingMs
 	}
 	if d.coldUntil(e, s, q) > now {
 		ms += coldMs
--- a/core/cfvfleet/view.go
+++ b/core/cfvfleet/view.go
@@ -83,7 +83,7 @@
 	endpoint *Endpoint
 	coldTo   time.Duration
 	begun    time.Duration // when its process was first heard of
-	gone     bool // removed, but kept until the grace ends
+	gone     bool          // removed, but kept until the grace ends
 }
 
 // View is the belief of one entry. Times are durations on a clock that also runs while the
--- a/core/cfvweights/plan.go
+++ b/core/cfvweights/plan.go
@@ -58,7 +58,8 @@
 	Born    int64
 	Version int64 // loaded, as last heard
 	Leaving bool
-	Running int // requests of this entry there
+	Lane    bool // it serves short prompts
+	Running int  // requests of this entry there
 }
 
 // Times of the plan.
@@ -105,9 +106,7 @@
 			due = append(due, t)
 		}
 	}
-	slices.SortFunc(due, func(a, b Target) int {
-		return cmp.Or(cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
-	})
+	due = interleave(due)
 	due = due[:min(len(due), max(p.most-under, 0))]
 	for _, t := range due {
 		p.attempts[t.ID] = attempt{t.Born, wanted, now, false}
@@ -121,3 +120,31 @@
 	a.at, a.failed = now, r != Started && r != Done
 	p.attempts[id] = a
 }
+
+// interleave orders endpoints so that both lanes change at the same pace, those with the
+// fewest requests first: prompts that avoid old weights then stay in their lane.
+func interleave(due []Target) []Target {
+	lanes := make(map[bool][]Target)
+	for _, t := range due {
+		lanes[t.Lane] = append(lanes[t.Lane], t)
+	}
+	type placed struct {
+		Target
+		at float64 // in its lane, from 0 to 1
+	}
+	var all []placed
+	for _, list := range lanes {
+		slices.SortFunc(list, func(a, b Target) int {
+			return cmp.Or(cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
+		})
+		for i, t := range list {
+			all = append(all, placed{t, (float64(i) + 0.5) / float64(len(list))})
+		}
+	}
+	slices.SortFunc(all, func(a, b placed) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.ID, b.ID)) })
+	out := make([]Target, len(all))
+	for i, p := range all {
+		out[i] = p.Target
+	}
+	return out
+}
--- a/core/cfvweights/plan_test.go
+++ b/core/cfvweights/plan_test.go
@@ -83,3 +83,42 @@
 	fmt.Println(Unknown, Started, Done, Busy, Fenced, Refused)
 	// Output: unknown started done busy fenced refused
 }
+
+// Pattern: a fleet in two lanes changes its weights in groups. Neither lane may be wholly
+// old or wholly new while the other is not, or prompts that avoid old weights leave theirs.
+func TestLanesChangeAtTheSamePace(t *testing.T) {
+	tests := map[string]struct{ short, long, most int }{
+		"chamber":       {7, 11, 3},
+		"grown chamber": {25, 46, 11},
+		"few short":     {2, 10, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := NewPlan(tt.most)
+			var targets []Target
+			for i := range tt.short + tt.long {
+				short := i < tt.short
+				running := 0
+				if short {
+					running = 9 // short prompts run in greater number
+				}
+				targets = append(targets, Target{ID: fmt.Sprintf("%02d", i), Born: 1, Version: 1, Lane: short, Running: running})
+			}
+			changed := map[bool]int{}
+			for now := time.Duration(0); changed[true]+changed[false] < len(targets); now += time.Second {
+				for _, due := range p.Next(now, 2, targets) {
+					changed[due.Lane]++
+					p.Ended(now, due.ID, Done)
+					for i := range targets {
+						if targets[i].ID == due.ID {
+							targets[i].Version = 2
+						}
+					}
+				}
+				// Of each lane the same share has changed, to within one endpoint and the order's half steps.
+				difference := changed[true]*tt.long - changed[false]*tt.short
+				assert.Assert(t, max(difference, -difference) <= tt.short+tt.long, "%v after %s", changed, now)
+			}
+		})
+	}
+}
--- a/io/cfvduty/duty.go
+++ b/io/cfvduty/duty.go
@@ -59,6 +59,7 @@
 	Version   func(e *cfvfleet.Endpoint, model string) int64
 	Loaded    func(e *cfvfleet.Endpoint, model string, version int64)
 	Running   func(id string) int
+	Short     func() map[string]bool // endpoints that serve short prompts
 	Report    func(ctx context.Context, addr, id string) (cfvweights.Report, error)
 	Load      func(ctx context.Context, addr, id string, o cfvweights.Order) (cfvweights.Result, error)
 	Free      func(ctx context.Context, addr string, epoch int64, parts []cfvparts.Key) error
--- a/io/cfvduty/duty_test.go
+++ b/io/cfvduty/duty_test.go
@@ -189,6 +189,7 @@
 			seen[e.ID] = v
 		},
 		Running: func(string) int { return 0 },
+		Short:   func() map[string]bool { return nil },
 		Report: func(_ context.Context, _, id string) (cfvweights.Report, error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/io/cfvduty/orders.go
+++ b/io/cfvduty/orders.go
@@ -31,6 +31,7 @@
 		byID    map[string]*cfvfleet.Endpoint
 	}
 	var jobs []job
+	short := d.cfg.Short()
 	d.cfg.Belief.Read(func(v *cfvfleet.View) {
 		for _, model := range v.Models() {
 			j := job{model: model, version: v.Wanted(model).Version, byID: make(map[string]*cfvfleet.Endpoint)}
@@ -40,7 +41,7 @@
 				}
 				j.byID[e.ID] = e
 				j.targets = append(j.targets, cfvweights.Target{
-					ID: e.ID, Born: e.Born, Version: d.cfg.Version(e, model), Leaving: e.Leaving, Running: d.cfg.Running(e.ID),
+					ID: e.ID, Born: e.Born, Version: d.cfg.Version(e, model), Leaving: e.Leaving, Lane: short[e.ID], Running: d.cfg.Running(e.ID),
 				})
 			}
 			jobs = append(jobs, j)
--- a/io/cfventry/answer.go
+++ b/io/cfventry/answer.go
@@ -85,7 +85,7 @@
 }
 
 // done logs a served request, or one in so many.
-func (q *request) done(ep *cfvfleet.Endpoint, status int) {
+func (q *request) done(ep *cfvfleet.Endpoint, status int, pairs ...any) {
 	e := q.entry
 	e.cfg.Metrics.Count("served."+q.service.Name, 1)
 	e.cfg.Metrics.Observe("answer."+q.route.Name, e.cfg.Now()-q.begun)
@@ -93,5 +93,5 @@
 	if status < http.StatusInternalServerError && (e.cfg.LogSuccess <= 0 || n%int64(e.cfg.LogSuccess) != 0) {
 		return
 	}
-	q.note(ep, "a request was answered", "status", status)
+	q.note(ep, "a request was answered", append([]any{"status", status}, pairs...)...)
 }
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -234,6 +235,21 @@
 	return l
 }
 
+// ShortLane returns the endpoints of all services that are for short prompts.
+func (e *Entry) ShortLane() map[string]bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make(map[string]bool)
+	for service, l := range e.lanes {
+		var usable []*cfvfleet.Endpoint
+		e.cfg.Belief.Read(func(v *cfvfleet.View) { usable = v.Usable(service) })
+		if border := l.Border(len(usable)); border > 0 {
+			maps.Copy(out, cfvdispatch.InShortLane(usable, border))
+		}
+	}
+	return out
+}
+
 // Demands returns the recent work of this entry's callers by service.
 func (e *Entry) Demands() map[string]cfvdispatch.Demand {
 	e.mu.Lock()
--- a/io/cfventry/stream.go
+++ b/io/cfventry/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"coltsfootvalve/core/cfvfleet"
 )
@@ -14,10 +15,22 @@
 type streamState struct {
 	lastID  string // last event that the caller has
 	started bool   // the head has been sent
+	events  int    // passed on so far, counting those that came together as one
+	last    time.Duration
+	pause   time.Duration // longest time between two events
 }
 
 func (s *streamState) begun() bool { return s != nil && s.started }
 
+// passed notes that events were passed on.
+func (s *streamState) passed(now time.Duration) {
+	if s.events > 0 {
+		s.pause = max(s.pause, now-s.last)
+	}
+	s.events++
+	s.last = now
+}
+
 // resumeAfter returns the event after which an endpoint goes on.
 func (q *request) resumeAfter() string {
 	if q.stream.begun() {
@@ -103,6 +116,7 @@
 			q.stream.started = true
 			q.began(ep)
 		}
+		q.stream.passed(q.entry.cfg.Now())
 		if id := lastID(chunk); id != "" {
 			q.stream.lastID = id
 		}
@@ -137,7 +151,8 @@
 		return left
 	}
 	q.count(ep, false)
-	q.done(ep, resp.StatusCode)
+	q.entry.cfg.Metrics.Observe("longestPause."+q.route.Name, q.stream.pause)
+	q.done(ep, resp.StatusCode, "events", q.stream.events, "longestPauseMillis", q.stream.pause.Milliseconds())
 	return answered
 }
 
