--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -26,7 +26,9 @@
 	coldMs          = 60.0  // a cold endpoint, so that warm ones go first
 	domainMs        = 1.0   // another failure domain
 	shortAwayMs     = 150.0 // a short prompt among long ones waits for the rest of one
-	longAwayMs      = 350.0 // a long prompt among short ones delays many of them
+	longAwayFactor  = 1.25  // a long prompt among short ones delays many of them by what it reads
+	pauseTokens     = 10000 // reading so many tokens or more makes a pause of over 0.3 s in streams there, six steps with a piece each
+	pauseMs         = 250.0 // what a stream that is held up weighs: most of its worth, at one time in two
 	memoryShare     = 0.7   // of an engine's memory for long prompts; a request that finds none is preempted and read again
 	fetchSpare      = 1.5   // fetches queue for the link
 	fetchStartMs    = 6.0   // until a store's first byte
@@ -153,7 +155,7 @@
 		return nil
 	}
 	if q.Ledger != nil {
-		home := q.Ledger.Home(now, q.homeKey())
+		home := q.Ledger.Home(now, q.homeKey(), q.Memory)
 		for _, e := range q.Endpoints {
 			if e.ID == home && now >= d.of(e).down {
 				return e
@@ -185,20 +187,18 @@
 
 // score estimates the milliseconds until the endpoint answers.
 func (d *Dispatcher) score(now time.Duration, e *cfvfleet.Endpoint, s *state, q Query, primary *cfvfleet.Endpoint) float64 {
-	load := Load{s.running + s.peers.Running, s.tokens + s.peers.Tokens}
-	crowded := 0.0
+	home := primary != nil && e.ID == primary.ID
+	var ms float64
 	if q.Ledger != nil {
-		var memory int
-		load, memory = q.Ledger.Load(now, e.ID)
-		if q.Memory > 0 {
-			crowded = max(0, float64(memory+q.Tokens)-memoryShare*float64(q.Memory))
+		ms = q.waitByLedger(now, e.ID, home)
+	} else {
+		load := Load{s.running + s.peers.Running, s.tokens + s.peers.Tokens}
+		ms = float64(load.Tokens)/readTokensPerMs + float64(load.Running)*runningMs
+		if over := float64(load.Running) - slotsShare*float64(e.Slots); over > 0 {
+			ms += over * queuedMs
 		}
 	}
-	ms := float64(load.Tokens)/readTokensPerMs + float64(load.Running)*runningMs + crowded/readTokensPerMs
-	if over := float64(load.Running) - slotsShare*float64(e.Slots); over > 0 && q.Ledger == nil {
-		ms += over * queuedMs
-	}
-	if q.Affinity != "" && primary != nil && e.ID != primary.ID {
+	if q.Affinity != "" && primary != nil && !home {
 		if q.Stored {
 			ms += float64(q.Shared)*q.FetchMs*fetchSpare + fetchStartMs
 		} else {
@@ -206,11 +206,7 @@
 		}
 	}
 	if q.away(e) {
-		if q.Tokens >= LongPrompt {
-			ms += longAwayMs
-		} else {
-			ms += shortAwayMs
-		}
+		ms += q.awayMs(home)
 	}
 	if q.PreferNew && d.Version(e, q.Model) < q.Wanted {
 		ms += oldWeightsMs
@@ -227,6 +223,28 @@
 	return ms + s.outcomes.excess(now)*failingMs
 }
 
+// waitByLedger estimates the wait at an endpoint from what was granted there, and what the
+// prompt does to the streams that run there.
+func (q *Query) waitByLedger(now time.Duration, id string, home bool) float64 {
+	w := q.Ledger.Load(now, id)
+	ms := float64(w.Tokens)/readTokensPerMs + float64(w.Unread)*runningMs
+	if q.Memory > 0 {
+		ms += max(0, float64(w.Memory+q.Tokens)-memoryShare*float64(q.Memory)) / readTokensPerMs
+	}
+	if q.work(home) >= pauseTokens {
+		ms += float64(w.Streams) * pauseMs
+	}
+	return ms
+}
+
+// awayMs is what a prompt costs in the lane for others.
+func (q *Query) awayMs(home bool) float64 {
+	if q.Tokens < LongPrompt {
+		return shortAwayMs
+	}
+	return float64(q.work(home)) / readTokensPerMs * longAwayFactor
+}
+
 func (d *Dispatcher) coldUntil(e *cfvfleet.Endpoint, s *state, q Query) time.Duration {
 	t := s.coldTo
 	if q.ColdUntil != nil {
--- a/core/cfvdispatch/ledger.go
+++ b/core/cfvdispatch/ledger.go
@@ -14,6 +14,7 @@
 	grantLife         = 6 * time.Second  // a grant whose end nobody told is forgotten
 	homeLife          = 20 * time.Second // an engine has dropped parts that were not used for longer
 	maxHomes          = 20000
+	keptShare         = 0.7 // of an engine's memory is filled anew before parts yield; the rest is in use by what runs
 )
 
 // Ledger answers a load of long prompts that arrive at many entries: each entry alone sees
@@ -23,37 +24,51 @@
 type Ledger struct {
 	grants map[string]map[string]grant // by endpoint and request
 	homes  map[string]home             // by what prompts share
+	filled map[string]int              // tokens that an endpoint's prompts have put into its memory, ever
 }
 
 // home is where shared parts were read last.
 type home struct {
 	endpoint string
 	at       time.Duration
+	filled   int // of the endpoint, once the parts were there
 }
 
+// grant is one request at an endpoint.
 type grant struct {
-	tokens int
+	tokens int // memory
+	work   int // tokens to read
 	at     time.Duration
-	read   bool // the prompt has been read; its memory is still in use
+	read   bool // the prompt has been read; its answer is being made
+}
+
+// Work is what an endpoint has under way.
+type Work struct {
+	Unread  int // prompts that have not been read
+	Tokens  int // that they still have to read
+	Streams int // requests whose answer is not complete, with the unread ones
+	Memory  int // tokens of memory in use
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{grants: make(map[string]map[string]grant), homes: make(map[string]home)}
+	return &Ledger{grants: make(map[string]map[string]grant), homes: make(map[string]home), filled: make(map[string]int)}
 }
 
-// Grant notes that a request was placed.
-func (l *Ledger) Grant(now time.Duration, endpoint, request string, tokens int) {
+// Grant notes that a request was placed: how much memory it takes, and what it reads.
+func (l *Ledger) Grant(now time.Duration, endpoint, request string, memory, work int) {
 	m := l.grants[endpoint]
 	if m == nil {
 		m = make(map[string]grant)
 		l.grants[endpoint] = m
 	}
-	m[request] = grant{tokens: tokens, at: now}
+	m[request] = grant{tokens: memory, work: work, at: now}
 }
 
-// Read notes where shared parts are read.
-func (l *Ledger) Read(now time.Duration, affinity, endpoint string) {
+// Read notes where shared parts are read, and how many tokens that adds to the endpoint's
+// memory.
+func (l *Ledger) Read(now time.Duration, affinity, endpoint string, added int) {
+	l.filled[endpoint] += added
 	if affinity == "" {
 		return
 	}
@@ -67,15 +82,19 @@
 			return
 		}
 	}
-	l.homes[affinity] = home{endpoint, now}
+	l.homes[affinity] = home{endpoint, now, l.filled[endpoint]}
 }
 
-// Home returns the endpoint that read shared parts last; empty: none did lately.
-func (l *Ledger) Home(now time.Duration, affinity string) string {
+// Home returns the endpoint that read shared parts last; empty: none did lately, or others
+// have taken their place in its memory since. Memory is what an endpoint holds; 0: not known.
+func (l *Ledger) Home(now time.Duration, affinity string, memory int) string {
 	h, ok := l.homes[affinity]
 	if !ok || now-h.at > homeLife {
 		return ""
 	}
+	if memory > 0 && float64(l.filled[h.endpoint]-h.filled) > keptShare*float64(memory) {
+		return ""
+	}
 	return h.endpoint
 }
 
@@ -95,20 +114,21 @@
 	}
 }
 
-// Load returns what an endpoint still has to read, and the tokens of memory in use.
-func (l *Ledger) Load(now time.Duration, endpoint string) (unread Load, memory int) {
+// Load returns what an endpoint has under way.
+func (l *Ledger) Load(now time.Duration, endpoint string) (w Work) {
 	for id, g := range l.grants[endpoint] {
 		if now-g.at > grantLife {
 			delete(l.grants[endpoint], id)
 			continue
 		}
-		memory += g.tokens
+		w.Memory += g.tokens
+		w.Streams++
 		if !g.read {
-			unread.Running++
-			unread.Tokens += g.tokens
+			w.Unread++
+			w.Tokens += g.work
 		}
 	}
-	return unread, memory
+	return w
 }
 
 // Groups returns into how many groups n endpoints are cut.
--- a/core/cfvdispatch/query.go
+++ b/core/cfvdispatch/query.go
@@ -46,8 +46,21 @@
 
 // Granted notes in the ledger that a request goes to an endpoint.
 func (q *Query) Granted(now time.Duration, request string, e *cfvfleet.Endpoint) {
-	q.Ledger.Grant(now, e.ID, request, q.Tokens)
-	q.Ledger.Read(now, q.homeKey(), e.ID)
+	home := q.Ledger.Home(now, q.homeKey(), q.Memory) == e.ID
+	added := q.Tokens
+	if home {
+		added -= q.Shared
+	}
+	q.Ledger.Grant(now, e.ID, request, q.Tokens, q.work(home))
+	q.Ledger.Read(now, q.homeKey(), e.ID, added)
+}
+
+// work returns the tokens that an endpoint reads of the prompt.
+func (q *Query) work(home bool) int {
+	if home || q.Stored {
+		return q.Tokens - q.Shared
+	}
+	return q.Tokens
 }
 
 // Choice is where a request goes.
