--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -26,7 +26,7 @@
 	coldMs          = 60.0  // a cold endpoint, so that warm ones go first
 	domainMs        = 1.0   // another failure domain
 	shortAwayMs     = 150.0 // a short prompt among long ones waits for the rest of one
-	longAwayFactor  = 1.25  // a long prompt among short ones delays many of them by what it reads
+	longAwayFactor  = 3.0   // a long prompt among short ones delays many of them by what it reads
 	pauseTokens     = 10000 // reading so many tokens or more makes a pause of over 0.3 s in streams there, six steps with a piece each
 	pauseMs         = 250.0 // what a stream that is held up weighs: most of its worth, at one time in two
 	memoryShare     = 0.7   // of an engine's memory for long prompts; a request that finds none is preempted and read again
--- a/core/cfvdispatch/lanes.go
+++ b/core/cfvdispatch/lanes.go
@@ -17,7 +17,7 @@
 
 // Figures of the demand.
 const (
-	slotMs      = 160.0           // what a request takes of a slot beside reading: fetches one after the other, and steps with others
+	slotMs      = 120.0           // what a request takes of a slot beside reading: fetches one after the other, and steps with others
 	demandFor   = 8 * time.Second // how far back the demand is judged
 	demandLeast = 24.0            // requests before it is
 	borderSlack = 0.7             // endpoints by which the border must be off before it moves
--- a/core/cfvdispatch/ledger.go
+++ b/core/cfvdispatch/ledger.go
@@ -10,7 +10,7 @@
 
 // Figures of the placement of long prompts.
 const (
-	endpointsPerGroup = 16               // endpoints whose long prompts one entry places
+	endpointsPerGroup = 64               // endpoints whose long prompts one entry places; smaller groups run full one by one
 	grantLife         = 6 * time.Second  // a grant whose end nobody told is forgotten
 	homeLife          = 20 * time.Second // an engine has dropped parts that were not used for longer
 	maxHomes          = 20000
