--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -3,7 +3,9 @@
 package cfvdispatch
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -30,6 +32,7 @@
 	pauseTokens     = 10000 // reading so many tokens or more makes a pause of over 0.3 s in streams there, six steps with a piece each
 	pauseMs         = 250.0 // what a stream that is held up weighs: most of its worth, at one time in two
 	memoryShare     = 0.7   // of an engine's memory for long prompts; a request that finds none is preempted and read again
+	notDrawnMs      = 300.0 // an endpoint that was not drawn; faults and crowds there weigh more
 	fetchSpare      = 1.5   // fetches queue for the link
 	fetchStartMs    = 6.0   // until a store's first byte
 )
@@ -40,6 +43,7 @@
 	running   int
 	tokens    int // prompt tokens not yet answered
 	peers     Load
+	crowd     float64       // requests of all entries there, over the last second
 	down      time.Duration // not used before, unless nothing else is left
 	backoff   time.Duration
 	coldTo    time.Duration
@@ -111,7 +115,8 @@
 	if q.Border > 0 && q.lane == nil {
 		q.lane = InShortLane(q.Endpoints, q.Border)
 	}
-	c.Primary = d.primary(now, q)
+	drawn := d.draw(now, q, u)
+	c.Primary = d.primary(now, q, drawn)
 	for _, e := range q.Endpoints {
 		if q.Exclude[e.ID] {
 			continue
@@ -129,7 +134,10 @@
 			why = max(why, AllCold)
 			continue
 		}
-		score := d.score(now, e, s, q, c.Primary) + tie(q.Affinity, e.ID, u)
+		score := d.score(now, e, s, q, c.Primary)
+		if q.Ledger == nil && !slices.Contains(drawn, e) {
+			score += notDrawnMs
+		}
 		if now < s.down {
 			if score < second {
 				second, spare = score, e
@@ -150,7 +158,7 @@
 }
 
 // primary returns the endpoint that the shared parts of a prompt belong to.
-func (d *Dispatcher) primary(now time.Duration, q Query) *cfvfleet.Endpoint {
+func (d *Dispatcher) primary(now time.Duration, q Query, drawn []*cfvfleet.Endpoint) *cfvfleet.Endpoint {
 	if q.Affinity == "" {
 		return nil
 	}
@@ -163,26 +171,55 @@
 		}
 		return nil // nobody has read the parts
 	}
-	var best *cfvfleet.Endpoint
-	var high uint64
+	if len(drawn) > 0 {
+		return drawn[0]
+	}
+	return nil
+}
+
+// How many endpoints a request is drawn for. Each that keeps the same shared parts takes
+// memory from other parts.
+const (
+	drawnForParts = 2
+	drawnAtRandom = 2
+)
+
+// draw returns the endpoints that a request is drawn for: the same for the same shared parts,
+// random ones for others. What other entries have under way is heard late: where all entries
+// choose among all endpoints, they meet at the one that was idle when the picture was taken.
+// Of two drawn ones the better is taken, and no picture sends more there than two shares.
+func (d *Dispatcher) draw(now time.Duration, q Query, u float64) []*cfvfleet.Endpoint {
+	key := q.Affinity
+	if key == "" {
+		key = strconv.FormatFloat(u, 'g', -1, 64)
+	}
+	type ranked struct {
+		e    *cfvfleet.Endpoint
+		hash uint64
+	}
+	var all []ranked
 	for _, e := range q.Endpoints {
-		if now < d.of(e).down || q.away(e) {
-			continue
-		}
-		if h := xxhash.Sum64String(q.Affinity + "\x00" + e.ID); best == nil || h > high {
-			best, high = e, h
+		if !q.Exclude[e.ID] && !q.away(e) && d.sound(now, e, q) {
+			all = append(all, ranked{e, xxhash.Sum64String(key + "\x00" + e.ID)})
 		}
 	}
-	return best
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
+	n := drawnAtRandom
+	if q.Affinity != "" {
+		n = drawnForParts
+	}
+	var drawn []*cfvfleet.Endpoint
+	for _, r := range all[:min(n, len(all))] {
+		drawn = append(drawn, r.e)
+	}
+	return drawn
 }
 
-// tie prefers the same endpoint for the same shared parts, and a random one for others, by
-// less than a millisecond.
-func tie(affinity, id string, u float64) float64 {
-	if affinity == "" {
-		affinity = strconv.FormatFloat(u, 'g', -1, 64)
-	}
-	return 1 - float64(xxhash.Sum64String(affinity+"\x00"+id)>>11)/(1<<53)
+// sound reports whether nothing but its load speaks against an endpoint.
+func (d *Dispatcher) sound(now time.Duration, e *cfvfleet.Endpoint, q Query) bool {
+	s := d.of(e)
+	return now >= s.down && now >= s.loadingTo && d.coldUntil(e, s, q) <= now && s.outcomes.excess(now) == 0 &&
+		(!q.PreferNew || d.Version(e, q.Model) >= q.Wanted)
 }
 
 // score estimates the milliseconds until the endpoint answers.
