--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"strconv"
 	"time"
 
 	"coltsfootvalve/core/cfvfleet"
@@ -32,6 +31,7 @@
 	pauseTokens     = 10000 // reading so many tokens or more makes a pause of over 0.3 s in streams there, six steps with a piece each
 	pauseMs         = 250.0 // what a stream that is held up weighs: most of its worth, at one time in two
 	memoryShare     = 0.7   // of an engine's memory for long prompts; a request that finds none is preempted and read again
+	laterDrawnMs    = 1.0   // the second one drawn
 	notDrawnMs      = 300.0 // an endpoint that was not drawn; faults and crowds there weigh more
 	fetchSpare      = 1.5   // fetches queue for the link
 	fetchStartMs    = 6.0   // until a store's first byte
@@ -135,9 +135,10 @@
 			continue
 		}
 		score := d.score(now, e, s, q, c.Primary)
-		if q.Ledger == nil && !slices.Contains(drawn, e) {
-			score += notDrawnMs
+		if q.Ledger == nil {
+			score += drawnMs(drawn, e)
 		}
+		score += tie(q.drawKey(u), e.ID)
 		if now < s.down {
 			if score < second {
 				second, spare = score, e
@@ -189,10 +190,7 @@
 // choose among all endpoints, they meet at the one that was idle when the picture was taken.
 // Of two drawn ones the better is taken, and no picture sends more there than two shares.
 func (d *Dispatcher) draw(now time.Duration, q Query, u float64) []*cfvfleet.Endpoint {
-	key := q.Affinity
-	if key == "" {
-		key = strconv.FormatFloat(u, 'g', -1, 64)
-	}
+	key := q.drawKey(u)
 	type ranked struct {
 		e    *cfvfleet.Endpoint
 		hash uint64
@@ -215,6 +213,14 @@
 	return drawn
 }
 
+// drawnMs is what speaks against an endpoint that was drawn later, or not at all.
+func drawnMs(drawn []*cfvfleet.Endpoint, e *cfvfleet.Endpoint) float64 {
+	if i := slices.Index(drawn, e); i >= 0 {
+		return float64(i) * laterDrawnMs
+	}
+	return notDrawnMs
+}
+
 // sound reports whether nothing but its load speaks against an endpoint.
 func (d *Dispatcher) sound(now time.Duration, e *cfvfleet.Endpoint, q Query) bool {
 	s := d.of(e)
@@ -222,6 +228,12 @@
 		(!q.PreferNew || d.Version(e, q.Model) >= q.Wanted)
 }
 
+// tie breaks ties alike for the same shared parts, and at random for others, by less than a
+// millisecond.
+func tie(key, id string) float64 {
+	return 1 - float64(xxhash.Sum64String(key+"\x00"+id)>>11)/(1<<53)
+}
+
 // score estimates the milliseconds until the endpoint answers.
 func (d *Dispatcher) score(now time.Duration, e *cfvfleet.Endpoint, s *state, q Query, primary *cfvfleet.Endpoint) float64 {
 	home := primary != nil && e.ID == primary.ID
--- a/core/cfvdispatch/query.go
+++ b/core/cfvdispatch/query.go
@@ -44,6 +44,14 @@
 // homeKey names the shared parts as read on the wanted weights.
 func (q *Query) homeKey() string { return strconv.FormatInt(q.Wanted, 10) + "\x00" + q.Affinity }
 
+// drawKey is what endpoints are ranked by: the shared parts, or a random number.
+func (q *Query) drawKey(u float64) string {
+	if q.Affinity != "" {
+		return q.Affinity
+	}
+	return strconv.FormatFloat(u, 'g', -1, 64)
+}
+
 // Granted notes in the ledger that a request goes to an endpoint.
 func (q *Query) Granted(now time.Duration, request string, e *cfvfleet.Endpoint) {
 	home := q.Ledger.Home(now, q.homeKey(), q.Memory) == e.ID
