--- a/commands/hosted.go
+++ b/commands/hosted.go
@@ -130,19 +130,26 @@
 	working, stopWork := context.WithCancel(ctx)
 	h.stopDuty = stopWork
 	h.startLoops(ctx)
-	h.dutyEnded = make(chan struct{})
+	ended := make(chan struct{})
+	h.dutyEnded = ended
 	go func() {
 		h.duty().Run(working)
-		close(h.dutyEnded)
+		close(ended)
 	}()
 	return nil
 }
 
-// stop gives the duty up, lets running requests end and closes the listeners.
+// stop gives the duty up, lets running requests end and closes the listeners. The time to
+// stop runs from the signal, so nothing waits for a store that does not answer.
 func (h *hostedEntry) stop(ctx context.Context) error {
 	h.stopDuty()
-	<-h.dutyEnded
-	return errors.Join(h.entry.Stop(ctx), h.peers.Close())
+	err := h.entry.Stop(ctx)
+	select {
+	case <-h.dutyEnded:
+	default:
+		h.log.Alarm("the duty had not ended when the entry stopped")
+	}
+	return errors.Join(err, h.peers.Close())
 }
 
 // startMetrics listens for those who read the metrics.
--- a/commands/hosted_belief_test.go
+++ b/commands/hosted_belief_test.go
@@ -175,3 +175,17 @@
 	assert.Equal(t, (<-done).status, http.StatusOK)
 	assert.NilError(t, <-stopped)
 }
+
+// An entry whose store does not answer while it holds the duty stops all the same.
+func TestHostedStopDoesNotWaitForTheDuty(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, cfvfakereplica.Config{}, cfvfakereplica.Config{Events: 1, Model: "m"})
+	h := f.entries[0]
+	ended := h.dutyEnded
+	defer func() { h.dutyEnded = ended }()
+	h.dutyEnded = make(chan struct{}) // the duty waits for an answer that does not come
+	stopped := make(chan error, 1)
+	go func() { stopped <- h.stop(context.Background()) }()
+	f.eventually("the entry says that it is not ready", func() bool { return !f.ready(0) })
+	assert.NilError(t, <-stopped)
+}
