Bound the ledger, read the belief outside the entry's lock

Cause: read as a newcomer: a field nobody used, a map that only grew, and a lock that was held while another was taken. Change: as said; no decision changes.

--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -43,7 +43,6 @@
 	running   int
 	tokens    int // prompt tokens not yet answered
 	peers     Load
-	crowd     float64       // requests of all entries there, over the last second
 	down      time.Duration // not used before, unless nothing else is left
 	backoff   time.Duration
 	coldTo    time.Duration
@@ -178,12 +177,9 @@
 	return nil
 }
 
-// How many endpoints a request is drawn for. Each that keeps the same shared parts takes
-// memory from other parts.
-const (
-	drawnForParts = 2
-	drawnAtRandom = 2
-)
+// endpointsDrawn is how many endpoints a request is drawn for: one would follow no load, and
+// three follow the old picture too closely.
+const endpointsDrawn = 2
 
 // draw returns the endpoints that a request is drawn for: the same for the same shared parts,
 // random ones for others. What other entries have under way is heard late: where all entries
@@ -202,12 +198,8 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
-	n := drawnAtRandom
-	if q.Affinity != "" {
-		n = drawnForParts
-	}
 	var drawn []*cfvfleet.Endpoint
-	for _, r := range all[:min(n, len(all))] {
+	for _, r := range all[:min(endpointsDrawn, len(all))] {
 		drawn = append(drawn, r.e)
 	}
 	return drawn
--- a/core/cfvdispatch/ledger.go
+++ b/core/cfvdispatch/ledger.go
@@ -14,7 +14,8 @@
 	grantLife         = 6 * time.Second  // a grant whose end nobody told is forgotten
 	homeLife          = 20 * time.Second // an engine has dropped parts that were not used for longer
 	maxHomes          = 20000
-	keptShare         = 0.7 // of an engine's memory is filled anew before parts yield; the rest is in use by what runs
+	maxEndpoints      = 4000 // endpoints that came and went; then the ledger learns anew
+	keptShare         = 0.7  // of an engine's memory is filled anew before parts yield; the rest is in use by what runs
 )
 
 // Ledger answers a load of long prompts that arrive at many entries: each entry alone sees
@@ -68,6 +69,10 @@
 // Read notes where shared parts are read, and how many tokens that adds to the endpoint's
 // memory.
 func (l *Ledger) Read(now time.Duration, affinity, endpoint string, added int) {
+	if len(l.filled) >= maxEndpoints {
+		clear(l.filled)
+		clear(l.homes)
+	}
 	l.filled[endpoint] += added
 	if affinity == "" {
 		return
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -237,14 +237,20 @@
 
 // ShortLane returns the endpoints of all services that are for short prompts.
 func (e *Entry) ShortLane() map[string]bool {
+	usable := make(map[string][]*cfvfleet.Endpoint)
+	e.cfg.Belief.Read(func(v *cfvfleet.View) {
+		for _, ep := range v.All() {
+			if usable[ep.Service] == nil {
+				usable[ep.Service] = v.Usable(ep.Service)
+			}
+		}
+	})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := make(map[string]bool)
 	for service, l := range e.lanes {
-		var usable []*cfvfleet.Endpoint
-		e.cfg.Belief.Read(func(v *cfvfleet.View) { usable = v.Usable(service) })
-		if border := l.Border(len(usable)); border > 0 {
-			maps.Copy(out, cfvdispatch.InShortLane(usable, border))
+		if border := l.Border(len(usable[service])); border > 0 {
+			maps.Copy(out, cfvdispatch.InShortLane(usable[service], border))
 		}
 	}
 	return out
