--- a/commands/root.go
+++ b/commands/root.go
@@ -50,6 +50,7 @@
 		{"serve", "Run a node", "Runs an entry VM's node until SIGTERM, then stops it gracefully.\n\nExample: coltsfootvalve serve --settings node.json", &serveCommand{con: con}},
 		{"entry", "Run an entry on the hosting platform", "Runs an entry on the platform whose settings file the environment names, until SIGTERM.\n\nExample: coltsfootvalve entry --log-success 100", &entryCommand{con: con}},
 		{"story", "Tell a request's story from logs", "Tells from log files, or standard input, what happened to a request and what its entry learned meanwhile, and names the cause.\n\nExample: coltsfootvalve story 9c41d07be2a35f68 entry-*.log", &storyCommand{con: con}},
+		{"late", "Tell from logs why streams were late", "Counts from log files, or standard input, what streams met whose first event or a later one came late. Entries must run with --log-level debug --log-success 1.\n\nExample: coltsfootvalve late --first 400ms entry-*.log", &lateCommand{con: con}},
 		{"check", "Check a settings file", "Checks a node's settings file and names the field at fault.\n\nExample: coltsfootvalve check --settings node.json", &checkCommand{con: con}},
 		{"version", "Print the version", "Prints the version of the program.\n\nExample: coltsfootvalve version", &versionCommand{con: con}},
 		{"status", "Show a node's state", "Shows members, endpoints and settings revision as a node sees them.\n\nExample: coltsfootvalve status --node http://127.0.0.1:7003", &statusCommand{con: con}},
--- a/commands/story.go
+++ b/commands/story.go
@@ -24,7 +24,7 @@
 
 // Execute prints the lines in order, and the cause last.
 func (c *storyCommand) Execute([]string) error {
-	lines, unread, err := c.read()
+	lines, unread, err := readLogs(c.Args.Files)
 	if err != nil {
 		return err
 	}
@@ -41,8 +41,8 @@
 	return c.print("cause: ", cause)
 }
 
-// read reads all files, or standard input.
-func (c *storyCommand) read() (lines []cfvlog.Line, unread int, err error) {
+// readLogs reads all files, or standard input where there are none.
+func readLogs(files []string) (lines []cfvlog.Line, unread int, err error) {
 	take := func(r io.Reader, name string) error {
 		more, bad, err := cfvlog.Read(r)
 		if err != nil {
@@ -51,10 +51,10 @@
 		lines, unread = append(lines, more...), unread+bad
 		return nil
 	}
-	if len(c.Args.Files) == 0 {
+	if len(files) == 0 {
 		return lines, unread, take(os.Stdin, "standard input")
 	}
-	for _, name := range c.Args.Files {
+	for _, name := range files {
 		f, err := os.Open(name)
 		if err != nil {
 			return nil, 0, err
--- /dev/null
+++ b/core/cfvreport/late_test.go
@@ -0,0 +1,103 @@
+package cfvreport
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"coltsfootvalve/common/cfvlog"
+
+	"gotest.tools/v3/assert"
+)
+
+// logged is a request as its entry logs it: when it was placed, when it began and when it
+// ended, in milliseconds.
+type logged struct {
+	id                   string
+	tokens               int
+	fetch                string
+	placed, began, ended int
+	pause                int
+	twice                bool
+}
+
+func (r logged) lines() string {
+	line := func(at int, message, values string) string {
+		when := time.Date(2026, 1, 2, 3, 4, 5, at*int(time.Millisecond), time.UTC).Format(time.RFC3339Nano)
+		return fmt.Sprintf(`{"time":%q,"node":"a","message":"entry: %s","requestId":%q,"route":"r"%s}`+"\n", when, message, r.id, values)
+	}
+	placed := fmt.Sprintf(`,"endpoint":"i-1","tokens":%d,"fetch":%q`, r.tokens, r.fetch)
+	out := line(r.placed, "a request was placed", placed)
+	if r.twice {
+		out += line(r.placed, "a request was placed", placed)
+	}
+	if r.began > 0 {
+		out += line(r.began, "a stream began", fmt.Sprintf(`,"millis":%d`, r.began-r.placed))
+	}
+	if r.ended > 0 {
+		out += line(r.ended, "a request was answered", fmt.Sprintf(`,"longestPauseMillis":%d`, r.pause))
+	}
+	return out
+}
+
+func TestLate(t *testing.T) {
+	const short, long = 400, 17000
+	whole := logged{id: "whole", tokens: long, placed: 10, began: 300, ended: 400}
+	fetched := logged{id: "fetched", tokens: long, fetch: "store,", placed: 10, began: 300, ended: 400}
+	tests := map[string]struct {
+		stream logged
+		beside []logged
+		want   Cause
+	}{
+		"in time":                        {stream: logged{tokens: short, began: 50, ended: 90}, want: InTime},
+		"no event came":                  {stream: logged{tokens: short}, want: NeverBegan},
+		"two endpoints":                  {stream: logged{tokens: short, began: 350, ended: 400, twice: true}, want: Rejected},
+		"behind a long prompt":           {stream: logged{tokens: short, began: 350, ended: 400}, beside: []logged{whole}, want: BesideWhole},
+		"behind one that was fetched":    {stream: logged{tokens: short, began: 350, ended: 400}, beside: []logged{fetched}, want: BesideLong},
+		"after the long prompt was read": {stream: logged{tokens: short, placed: 310, began: 700, ended: 710}, beside: []logged{whole}, want: Crowded},
+		"a long prompt's own fetch":      {stream: logged{tokens: long, fetch: "store,", began: 350, ended: 400}, want: OwnFetch},
+		"a long prompt's own reading":    {stream: logged{tokens: long, began: 350, ended: 400}, want: OwnReading},
+		"paused by a long prompt":        {stream: logged{tokens: short, began: 20, ended: 400, pause: 250}, beside: []logged{whole}, want: PausedByWhole},
+		"paused alone":                   {stream: logged{tokens: short, began: 20, ended: 400, pause: 250}, want: PausedAlone},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tt.stream.id = "this"
+			text := tt.stream.lines()
+			for _, o := range tt.beside {
+				text += o.lines()
+			}
+			lines, unread, err := cfvlog.Read(strings.NewReader(text))
+			assert.NilError(t, err)
+			assert.Equal(t, unread, 0)
+			streams := Streams(lines)
+			assert.Equal(t, streams[0].Request, "this")
+			got := Late(streams[:1], Limits{First: 200 * time.Millisecond, Pause: 200 * time.Millisecond, Long: 2048})
+			if len(tt.beside) > 0 {
+				got = nil
+				for _, r := range Late(streams, Limits{First: 200 * time.Millisecond, Pause: 200 * time.Millisecond, Long: 2048}) {
+					if r.Cause == tt.want {
+						got = append(got, r)
+					}
+				}
+			}
+			assert.Equal(t, len(got), 1)
+			assert.Equal(t, got[0].Cause, tt.want)
+			assert.Equal(t, got[0].Count, 1)
+		})
+	}
+}
+
+func ExampleLate() {
+	lines, _, err := cfvlog.Read(strings.NewReader(logged{id: "a", tokens: 400, began: 50, ended: 90}.lines() + logged{id: "b", tokens: 400, began: 500, ended: 600}.lines()))
+	if err != nil {
+		panic(err)
+	}
+	for _, r := range Late(Streams(lines), Limits{First: 200 * time.Millisecond, Pause: 200 * time.Millisecond, Long: 2048}) {
+		fmt.Printf("%s %d %.2f %s\n", r.Route, r.Count, r.Share, r.Cause)
+	}
+	// Output:
+	// r 1 0.50 began late: no long prompt was there
+	// r 1 0.50 in time
+}
