--- a/commands/commands_test.go
+++ b/commands/commands_test.go
@@ -36,6 +36,9 @@
 		"good settings":      {[]string{"check", "--settings", "../examples/node.json"}, ExitOK, "good settings for node entry-1"},
 		"node does not run":  {[]string{"status", "--node", "http://127.0.0.1:1"}, ExitFailed, "refused"},
 		"domain without one": {[]string{"domain", "drain", "rosario"}, ExitFailed, "want REGION/DOMAIN"},
+		"late without logs":  {[]string{"late", bad}, ExitFailed, "no placement of a prompt"},
+		"late without limit": {[]string{"late", "--pause", "0s", bad}, ExitFailed, "--first and --pause"},
+		"late, no such file": {[]string{"late", bad + "x"}, ExitFailed, "no such file"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -48,7 +51,7 @@
 
 func TestEveryVerbHasAnExample(t *testing.T) {
 	verbs := [][]string{
-		{"serve"}, {"check"}, {"version"}, {"status"}, {"explain"}, {"metrics"}, {"log-level"}, {"hash-key"}, {"load"},
+		{"serve"}, {"check"}, {"version"}, {"status"}, {"explain"}, {"metrics"}, {"log-level"}, {"hash-key"}, {"load"}, {"late"},
 		{"settings", "get"}, {"settings", "set"}, {"settings", "unset"}, {"settings", "apply"}, {"settings", "diff"},
 		{"settings", "history"}, {"settings", "explain"}, {"settings", "reference"},
 		{"domain", "drain"}, {"domain", "return"}, {"move", "start"}, {"move", "status"}, {"move", "takeBack"},
