--- a/io/cfvnode/config.go
+++ b/io/cfvnode/config.go
@@ -35,6 +35,8 @@
 	MovePeriod        time.Duration // of reports and decisions on version moves
 	Lease             time.Duration // how long an entry recognises one owner of a group
 	AdmitWithin       time.Duration // how long the keeper of a workspace's limits may take to answer
+	ReserveWithin     time.Duration // how long the owner of a group may take to answer, beside the wait in its queue
+	KeyValueWithin    time.Duration // how long the key-value service may take to answer
 	StoreLookup       time.Duration // how long a store VM may take to say which blocks it holds
 	Certificate       string        // file names; empty for plain connections
 	Key               string
@@ -58,7 +60,10 @@
 		Lease:       3 * time.Second,
 		AdmitWithin: 300 * time.Millisecond,
 		StoreLookup: 50 * time.Millisecond,
-		MovePeriod:  time.Second,
+
+		ReserveWithin:  300 * time.Millisecond,
+		KeyValueWithin: keyValueTimeout,
+		MovePeriod:     time.Second,
 	}
 }
 
@@ -81,6 +86,8 @@
 	LeaseMillis       *int64   `json:"leaseMillis"`
 	AdmitMillis       *int64   `json:"admitMillis"`
 	StoreLookupMillis *int64   `json:"storeLookupMillis"`
+	ReserveMillis     *int64   `json:"reserveMillis"`
+	KeyValueMillis    *int64   `json:"keyValueMillis"`
 	Certificate       string   `json:"certificate"`
 	Key               string   `json:"key"`
 	Authority         string   `json:"authority"`
@@ -128,6 +135,8 @@
 	setMillis(&cfg.Lease, j.LeaseMillis)
 	setMillis(&cfg.AdmitWithin, j.AdmitMillis)
 	setMillis(&cfg.StoreLookup, j.StoreLookupMillis)
+	setMillis(&cfg.ReserveWithin, j.ReserveMillis)
+	setMillis(&cfg.KeyValueWithin, j.KeyValueMillis)
 	return cfg, cfg.validate()
 }
 
@@ -181,7 +190,7 @@
 		value time.Duration
 	}{
 		{"probeEveryMillis", c.ProbeEvery}, {"suspectForMillis", c.SuspectFor}, {"listEveryMillis", c.ListEvery}, {"storeLookupMillis", c.StoreLookup},
-		{"admitMillis", c.AdmitWithin},
+		{"admitMillis", c.AdmitWithin}, {"reserveMillis", c.ReserveWithin}, {"keyValueMillis", c.KeyValueWithin},
 	} {
 		if f.value <= 0 {
 			return fmt.Errorf("%s: want more than 0, got %d", f.name, f.value.Milliseconds())
--- a/io/cfvnode/node.go
+++ b/io/cfvnode/node.go
@@ -100,7 +100,7 @@
 		}
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.keyValue = cfvetcd.New(cfvetcd.Config{Addresses: cfg.KeyValueAddresses, Timeout: keyValueTimeout, Silence: watchSilence})
+	n.keyValue = cfvetcd.New(cfvetcd.Config{Addresses: cfg.KeyValueAddresses, Timeout: cfg.KeyValueWithin, Silence: watchSilence})
 	n.vmList = cfvvmlist.New(cfvvmlist.Config{Address: cfg.VMListAddress, Timeout: listTimeout})
 	n.peers = cfvpeer.NewClient(cfvpeer.ClientConfig{TLS: n.tls, Traffic: &n.traffic})
 	n.forward = cfvforward.New()
@@ -159,7 +159,7 @@
 func (n *Node) buildServing() {
 	n.entry = cfvplace.NewEntry(cfvplace.EntryConfig{
 		Self: n.self, Reserve: n.reserve, Release: n.release, View: n.members.View, Catalog: n.settings.Catalog, Lease: n.cfg.Lease,
-		Log: n.log.Part("placement"), Metrics: n.metrics,
+		AnswerWithin: n.cfg.ReserveWithin, Log: n.log.Part("placement"), Metrics: n.metrics,
 	})
 	n.server = cfvserve.New(cfvserve.Config{
 		Self: n.self, Catalog: n.settings.Catalog, Acquire: n.entry.Acquire, Forward: n.forward,
--- a/io/cfvplace/entry.go
+++ b/io/cfvplace/entry.go
@@ -24,8 +24,7 @@
 const (
 	groupsAsked  = 4
 	fullFor      = 50 * time.Millisecond // how long a full group is not asked again
-	queueMargin  = 300 * time.Millisecond
-	releaseBatch = 2 * time.Millisecond // how long releases wait for others
+	releaseBatch = 2 * time.Millisecond  // how long releases wait for others
 	expireEvery  = time.Second
 	releaseAgain = 500 * time.Millisecond
 	ownerRetry   = 25 * time.Millisecond // between searches while a group changes its owner
@@ -40,6 +39,9 @@
 	View    func() cfvmembership.View
 	Catalog func() *cfvcatalog.Catalog
 	Lease   time.Duration // how long a promise to an owner holds
+
+	AnswerWithin time.Duration // how long an owner may take to answer, beside the wait in its queue
+
 	Log     cfvlog.Logger
 	Metrics *cfvmetric.Registry
 }
@@ -190,7 +192,7 @@
 		QueueLength: a.Service.QueueLength,
 		Limit:       a.Service.Limit,
 	}
-	ctx, cancel := context.WithTimeout(ctx, queueFor+queueMargin)
+	ctx, cancel := context.WithTimeout(ctx, queueFor+e.cfg.AnswerWithin)
 	defer cancel()
 	sent := time.Now()
 	d, err := e.cfg.Reserve(ctx, owner, r)
--- a/io/cfvplace/entry_test.go
+++ b/io/cfvplace/entry_test.go
@@ -56,6 +56,9 @@
 		View:    func() cfvmembership.View { return cfvmembership.View{Serving: serving} },
 		Catalog: func() *cfvcatalog.Catalog { return c },
 		Lease:   testLease,
+
+		AnswerWithin: 300 * time.Millisecond,
+
 		Log:     cfvlog.New(io.Discard, "entry-0"),
 		Metrics: cfvmetric.New(),
 	})
