Restore three checks that were loosened

The planned stop had got a queue of 20 s, which hides what the test had shown, with no trace that the processor was the cause. The bound for a slow endpoint was widened to 0.1 once 0.062 was measured; the target is 95 in 100. Waits of a minute for owners and the key-value service stood in all clusters of tests, not in the two that needed them. Change: the planned stop as it was; 0.05 for the slow endpoint, in a test of its own; the long waits in TestPlainCalls and TestSilentWatchIsReplaced alone.

--- a/core/cfvdispatch/herd_test.go
+++ b/core/cfvdispatch/herd_test.go
@@ -140,24 +140,30 @@
 // refresh is how often entries hear of each other.
 const refresh = 200 * time.Millisecond
 
+const (
+	herdObjective = 300 * time.Millisecond
+	herdLate      = 0.05 // the target: 95 in 100 within the objective
+)
+
 // Pattern: short work at very many entries, of which each hears late what the others have
 // under way. If all follow the same old picture, they meet at the endpoint that was idle
 // then, while others are idle now.
 func TestManyEntriesDoNotHerd(t *testing.T) {
-	const objective = 300 * time.Millisecond
-	// The targets: 95 in 100 within the objective; with a slow endpoint nine tenths.
-	tests := map[string]struct {
-		load deskLoad
-		most float64
-	}{
-		"the grown studios' bookings":         {load: deskLoad{entries: 74, desks: 7, perSecond: 460, workMs: 60, lag: 400 * time.Millisecond}, most: 0.05},
-		"one endpoint is three times as slow": {load: deskLoad{entries: 74, desks: 7, perSecond: 360, workMs: 60, slowOne: 3, lag: 400 * time.Millisecond}, most: 0.1},
-		"the studios' bookings at eight":      {load: deskLoad{entries: 8, desks: 4, perSecond: 112, workMs: 60, lag: 200 * time.Millisecond}, most: 0.05},
+	tests := map[string]deskLoad{
+		"the grown studios' bookings":    {entries: 74, desks: 7, perSecond: 460, workMs: 60, lag: 400 * time.Millisecond},
+		"the studios' bookings at eight": {entries: 8, desks: 4, perSecond: 112, workMs: 60, lag: 200 * time.Millisecond},
 	}
-	for name, tt := range tests {
+	for name, l := range tests {
 		t.Run(name, func(t *testing.T) {
-			late := tt.load.play(20, objective, 1)
-			assert.Assert(t, late < tt.most, "%.3f of the requests were late or rejected", late)
+			late := l.play(20, herdObjective, 1)
+			assert.Assert(t, late < herdLate, "%.3f of the requests were late or rejected", late)
 		})
 	}
 }
+
+// Pattern: the same, and one endpoint takes three times as long as the others.
+func TestManyEntriesSpareASlowEndpoint(t *testing.T) {
+	l := deskLoad{entries: 74, desks: 7, perSecond: 360, workMs: 60, slowOne: 3, lag: 400 * time.Millisecond}
+	late := l.play(20, herdObjective, 1)
+	assert.Assert(t, late < herdLate, "%.3f of the requests were late or rejected", late)
+}
--- a/io/cfvnode/cluster_test.go
+++ b/io/cfvnode/cluster_test.go
@@ -154,10 +154,8 @@
 	cfg.MovePeriod = 50 * time.Millisecond
 	cfg.ListEvery = 200 * time.Millisecond
 	cfg.DrainGrace = 100 * time.Millisecond
-	cfg.StoreLookup = time.Minute    // a lookup that is given up leaves nothing to wait for
-	cfg.AdmitWithin = time.Minute    // a keeper that is busy is not one that can't be reached
-	cfg.ReserveWithin = time.Minute  // nor is an owner
-	cfg.KeyValueWithin = time.Minute // nor the key-value service
+	cfg.StoreLookup = time.Minute // a lookup that is given up leaves nothing to wait for
+	cfg.AdmitWithin = time.Minute // a keeper that is busy is not one that can't be reached
 	if config != nil {
 		config(&cfg)
 	}
--- a/io/cfvnode/fleet_test.go
+++ b/io/cfvnode/fleet_test.go
@@ -45,7 +45,8 @@
 
 func TestSilentWatchIsReplaced(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, shape{entries: 1, engines: 1, domains: []string{"rosario"}})
+	patient := func(cfg *Config) { cfg.KeyValueWithin = time.Minute } // calls, not watches
+	c := newCluster(t, shape{entries: 1, engines: 1, domains: []string{"rosario"}, config: patient})
 	c.kv.SetFault(cfvfault.Fault{Mode: cfvfault.Silent, Route: "/v3/watch", Count: 1})
 	c.eventually("the fault is taken", func() bool { return c.kv.Stats().Watches >= 2 })
 	revision := c.nodes[0].settings.Revision()
--- a/io/cfvnode/recovery_test.go
+++ b/io/cfvnode/recovery_test.go
@@ -157,8 +157,7 @@
 
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	t.Parallel()
-	// A queue that outlasts the moments in which the test's own processor is away.
-	c := newCluster(t, shape{entries: 4, engines: 2, settings: `{"root": {"queueMillis": 20000}}`})
+	c := newCluster(t, shape{entries: 4, engines: 2})
 	l := c.startLoad(c.ready)
 	for i := 3; i > 0; i-- {
 		c.waitServed(l, 30)
--- a/io/cfvnode/serving_test.go
+++ b/io/cfvnode/serving_test.go
@@ -116,6 +116,9 @@
 	}
 }
 
+// patientWithOwners is for tests of what endpoints answer, not of how soon owners do.
+func patientWithOwners(cfg *Config) { cfg.ReserveWithin = time.Minute }
+
 func TestPlainCalls(t *testing.T) {
 	t.Parallel()
 	lost := cfvfault.Fault{Mode: cfvfault.LoseAnswers, Route: "/book"}
@@ -142,7 +145,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newCluster(t, shape{entries: 2, desks: 1, domains: []string{"rosario"}, settings: `{"services/orders": {"silenceMillis": 400, "requestMillis": 800}}`})
+			c := newCluster(t, shape{entries: 2, desks: 1, domains: []string{"rosario"}, settings: `{"services/orders": {"silenceMillis": 400, "requestMillis": 800}}`, config: patientWithOwners})
 			for _, d := range c.desks {
 				d.SetFault(tt.fault)
 			}
