--- /dev/null
+++ b/core/cfvfleet/rollout.go
@@ -0,0 +1,135 @@
+package cfvfleet
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// RolloutOrder is an operator's order to move the traffic of a service to a software version. An order without
+// a target was withdrawn.
+type RolloutOrder struct {
+	Service  string
+	Target   string // software version
+	Duration time.Duration
+}
+
+// RolloutPhase is the phase of a roll-out.
+type RolloutPhase int
+
+// Phases of a roll-out.
+const (
+	RolloutRunning RolloutPhase = iota
+	RolloutCompleted
+	RolloutRolledBack
+)
+
+// RolloutProgress is the progress of a roll-out as the leader recorded it.
+type RolloutProgress struct {
+	Service       string
+	OrderRevision int64 // the order that it belongs to
+	Target        string
+	Phase         RolloutPhase
+	Share         float64       // of the requests that go to the target version, 0 to 1
+	Replaced      []string      // software versions that the target replaces
+	Elapsed       time.Duration // from the order to the record
+	StartMillis   int64         // time of the order in Unix milliseconds, by the clock of the leader that recorded it first
+	Cause         string        // of the rollback
+}
+
+// Rollout is the roll-out of a service's software version as an entry knows it.
+type Rollout struct {
+	RolloutOrder
+	Revision  int64         // of the order
+	LearnedAt time.Duration // when this process learned of the order
+	// Progress is that of this order. Until the leader has recorded any, it is running with a share of 0.
+	Progress   RolloutProgress
+	ProgressAt time.Duration // when this process learned of the progress; 0: there is none
+}
+
+// Split divides the endpoints of the service into those that serve most requests and the candidates, which
+// serve the roll-out's share of them. Endpoints that may not be used are in neither.
+func (r *Rollout) Split(endpoints []*Endpoint) (stable, candidates []*Endpoint) {
+	var target []*Endpoint
+	for _, e := range endpoints {
+		switch {
+		case e.SoftwareVersion == r.Target:
+			target = append(target, e)
+		case r.Progress.Phase != RolloutCompleted || !slices.Contains(r.Progress.Replaced, e.SoftwareVersion):
+			stable = append(stable, e)
+		}
+	}
+	switch r.Progress.Phase {
+	case RolloutCompleted:
+		return append(stable, target...), nil
+	case RolloutRolledBack:
+		return stable, nil
+	}
+	return stable, target[:candidateCount(len(target), r.Progress.Share)]
+}
+
+// candidateCount returns how many endpoints of the target version serve a share of the requests. With as many
+// as the share needs, each one is as busy as it will be after the roll-out, so faults that depend on the load
+// show before.
+func candidateCount(target int, share float64) int {
+	if share <= 0 {
+		return 0
+	}
+	return min(int(math.Ceil(share*float64(target))), target)
+}
+
+// rolloutState is the order and the recorded progress of one service. Either may arrive first.
+type rolloutState struct {
+	order      RolloutOrder
+	revision   int64
+	learnedAt  time.Duration
+	progress   *RolloutProgress
+	progressAt time.Duration
+}
+
+func (v *View) applyRolloutOrder(now time.Duration, revision int64, o RolloutOrder) bool {
+	s := v.rollouts[o.Service]
+	if revision <= s.revision {
+		return false
+	}
+	s.order, s.revision, s.learnedAt = o, revision, now
+	v.rollouts[o.Service] = s
+	return true
+}
+
+func (v *View) applyRolloutProgress(now time.Duration, p RolloutProgress) bool {
+	s := v.rollouts[p.Service]
+	s.progress, s.progressAt = &p, now
+	v.rollouts[p.Service] = s
+	return true
+}
+
+// Rollout returns the newest roll-out of a service, which may have ended; nil if none is ordered.
+func (v *View) Rollout(service string) *Rollout {
+	s, ok := v.rollouts[service]
+	if !ok || s.order.Target == "" {
+		return nil
+	}
+	r := &Rollout{RolloutOrder: s.order, Revision: s.revision, LearnedAt: s.learnedAt}
+	if s.progress != nil && s.progress.OrderRevision == s.revision {
+		r.Progress, r.ProgressAt = *s.progress, s.progressAt
+	}
+	return r
+}
+
+// Rollouts returns the newest roll-out of each service that has one, sorted by service.
+func (v *View) Rollouts() []*Rollout {
+	var out []*Rollout
+	for service := range v.rollouts {
+		if r := v.Rollout(service); r != nil {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Rollout) int {
+		if a.Service < b.Service {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- a/core/cfvfleet/view.go
+++ b/core/cfvfleet/view.go
@@ -37,6 +37,9 @@
 	Weights  *DesiredWeights
 	Domain   *DomainChange
 	Entry    *EntryChange
+
+	RolloutOrder    *RolloutOrder
+	RolloutProgress *RolloutProgress
 }
 
 // EndpointChange is an announcement of an endpoint, or its removal if Endpoint is nil.
@@ -88,6 +91,7 @@
 	endpoints  map[string]*endpointState
 	weights    map[string]DesiredVersion
 	drained    map[string]bool
+	rollouts   map[string]rolloutState // by service
 	entries    map[string]Entry
 	graceUntil time.Duration // until then, removals may result from a store outage
 	hasRemoved bool          // some removed endpoints are kept until graceUntil
@@ -104,7 +108,7 @@
 func NewView() *View {
 	return &View{
 		endpoints: make(map[string]*endpointState), weights: make(map[string]DesiredVersion),
-		drained: make(map[string]bool), entries: make(map[string]Entry),
+		drained: make(map[string]bool), entries: make(map[string]Entry), rollouts: make(map[string]rolloutState),
 	}
 }
 
@@ -130,6 +134,10 @@
 			return false
 		}
 		v.drained[c.Domain.Domain] = c.Domain.Drained
+	case c.RolloutOrder != nil:
+		return v.applyRolloutOrder(now, c.Revision, *c.RolloutOrder)
+	case c.RolloutProgress != nil:
+		return v.applyRolloutProgress(now, *c.RolloutProgress)
 	case c.Entry != nil && c.Entry.Addr == "":
 		v.roster = nil
 		delete(v.entries, c.Entry.Name)
--- a/io/cfvstate/state.go
+++ b/io/cfvstate/state.go
@@ -86,6 +86,11 @@
 		l.Infow("weights were named", "from", from, "revision", c.Revision, "model", c.Weights.Model, "version", c.Weights.Version)
 	case c.Domain != nil:
 		l.Infow("failure domain drained or returned to service", "from", from, "revision", c.Revision, "domain", c.Domain.Domain, "out", c.Domain.Drained)
+	case c.RolloutOrder != nil:
+		l.Infow("a roll-out was ordered or withdrawn", "from", from, "revision", c.Revision, "service", c.RolloutOrder.Service, "target", c.RolloutOrder.Target, "durationMillis", c.RolloutOrder.Duration.Milliseconds())
+	case c.RolloutProgress != nil:
+		p := c.RolloutProgress
+		l.Infow("a roll-out made progress", "from", from, "revision", c.Revision, "service", p.Service, "target", p.Target, "phase", int(p.Phase), "share", p.Share, "cause", p.Cause)
 	case c.Entry != nil:
 		l.Infow("entry added or removed", "from", from, "entry", c.Entry.Name, "addr", c.Entry.Addr)
 	case c.Endpoint != nil && c.Endpoint.Endpoint == nil:
--- a/io/cfvwire/cfvwireentry/cfvwireentryconnect/entry.connect.go
+++ b/io/cfvwire/cfvwireentry/cfvwireentryconnect/entry.connect.go
@@ -26,6 +26,8 @@
 	ExchangeName = "coltsfootvalve.entry.v1.Exchange"
 	// PlacementName is the fully-qualified name of the Placement service.
 	PlacementName = "coltsfootvalve.entry.v1.Placement"
+	// RolloutsName is the fully-qualified name of the Rollouts service.
+	RolloutsName = "coltsfootvalve.entry.v1.Rollouts"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -42,6 +44,8 @@
 	PlacementReserveProcedure = "/coltsfootvalve.entry.v1.Placement/Reserve"
 	// PlacementSettleProcedure is the fully-qualified name of the Placement's Settle RPC.
 	PlacementSettleProcedure = "/coltsfootvalve.entry.v1.Placement/Settle"
+	// RolloutsReportProcedure is the fully-qualified name of the Rollouts's Report RPC.
+	RolloutsReportProcedure = "/coltsfootvalve.entry.v1.Rollouts/Report"
 )
 
 // ExchangeClient is a client for the coltsfootvalve.entry.v1.Exchange service.
@@ -215,3 +219,75 @@
 func (UnimplementedPlacementHandler) Settle(context.Context, *connect.Request[cfvwireentry.SettleRequest]) (*connect.Response[cfvwireentry.SettleResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("coltsfootvalve.entry.v1.Placement.Settle is not implemented"))
 }
+
+// RolloutsClient is a client for the coltsfootvalve.entry.v1.Rollouts service.
+type RolloutsClient interface {
+	// Report replaces the evidence of the calling entry.
+	Report(context.Context, *connect.Request[cfvwireentry.ReportRequest]) (*connect.Response[cfvwireentry.ReportResponse], error)
+}
+
+// NewRolloutsClient constructs a client for the coltsfootvalve.entry.v1.Rollouts service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewRolloutsClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) RolloutsClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	rolloutsMethods := cfvwireentry.File_io_cfvwire_cfvwireentry_entry_proto.Services().ByName("Rollouts").Methods()
+	return &rolloutsClient{
+		report: connect.NewClient[cfvwireentry.ReportRequest, cfvwireentry.ReportResponse](
+			httpClient,
+			baseURL+RolloutsReportProcedure,
+			connect.WithSchema(rolloutsMethods.ByName("Report")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// rolloutsClient implements RolloutsClient.
+type rolloutsClient struct {
+	report *connect.Client[cfvwireentry.ReportRequest, cfvwireentry.ReportResponse]
+}
+
+// Report calls coltsfootvalve.entry.v1.Rollouts.Report.
+func (c *rolloutsClient) Report(ctx context.Context, req *connect.Request[cfvwireentry.ReportRequest]) (*connect.Response[cfvwireentry.ReportResponse], error) {
+	return c.report.CallUnary(ctx, req)
+}
+
+// RolloutsHandler is an implementation of the coltsfootvalve.entry.v1.Rollouts service.
+type RolloutsHandler interface {
+	// Report replaces the evidence of the calling entry.
+	Report(context.Context, *connect.Request[cfvwireentry.ReportRequest]) (*connect.Response[cfvwireentry.ReportResponse], error)
+}
+
+// NewRolloutsHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewRolloutsHandler(svc RolloutsHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	rolloutsMethods := cfvwireentry.File_io_cfvwire_cfvwireentry_entry_proto.Services().ByName("Rollouts").Methods()
+	rolloutsReportHandler := connect.NewUnaryHandler(
+		RolloutsReportProcedure,
+		svc.Report,
+		connect.WithSchema(rolloutsMethods.ByName("Report")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/coltsfootvalve.entry.v1.Rollouts/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case RolloutsReportProcedure:
+			rolloutsReportHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedRolloutsHandler returns CodeUnimplemented from all methods.
+type UnimplementedRolloutsHandler struct{}
+
+func (UnimplementedRolloutsHandler) Report(context.Context, *connect.Request[cfvwireentry.ReportRequest]) (*connect.Response[cfvwireentry.ReportResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("coltsfootvalve.entry.v1.Rollouts.Report is not implemented"))
+}
