Run whole fleets of nodes on virtual time

Every client of a node dials, and every listener listens, through two functions of its Config. cfvfakenet is a network in memory: it delivers data after a fixed time, refuses connections to closed listeners, and makes writers wait for readers. runVirtual runs a cluster on it in a synctest bubble; all timeouts of the nodes and all bounds of the test then run on the bubble's clock, which stands still while anything computes.

TestOperatorTakesAMoveBack is the first test on it; its conditions are unchanged.

--- a/common/cfvhttp/counting.go
+++ b/common/cfvhttp/counting.go
@@ -55,7 +55,7 @@
 }
 
 // Dial returns a dial function that counts the bytes of its connections.
-func (t *Traffic) Dial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+func (t *Traffic) Dial(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
--- a/common/cfvhttp/json.go
+++ b/common/cfvhttp/json.go
@@ -95,12 +95,33 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// DialFunc connects to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// WithTimeout returns a DialFunc that fails after the given time. A nil DialFunc uses the
+// network of the operating system.
+func (f DialFunc) WithTimeout(d time.Duration) DialFunc {
+	if f == nil {
+		return (&net.Dialer{Timeout: d}).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, d)
+		defer cancel()
+		return f(ctx, network, address)
+	}
+}
+
 // NewClient returns a client with its own connection pool, which keeps at most
 // maxIdlePerHost idle connections to each host.
 func NewClient(dialTimeout time.Duration, maxIdlePerHost int) *http.Client {
-	d := &net.Dialer{Timeout: dialTimeout}
+	return NewClientWithDial(nil, dialTimeout, maxIdlePerHost)
+}
+
+// NewClientWithDial returns a client like NewClient that connects with dial; nil uses the
+// network of the operating system.
+func NewClientWithDial(dial DialFunc, dialTimeout time.Duration, maxIdlePerHost int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext:         dial.WithTimeout(dialTimeout),
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     90 * time.Second,
 		DisableCompression:  true,
--- a/io/cfvetcd/client.go
+++ b/io/cfvetcd/client.go
@@ -18,9 +18,10 @@
 
 // Config configures a client.
 type Config struct {
-	Addresses        []string      // base URLs, tried in turn
-	Timeout          time.Duration // timeout of one call
-	WatchIdleTimeout time.Duration // maximum time without data on a watch
+	Addresses        []string         // base URLs, tried in turn
+	Timeout          time.Duration    // timeout of one call
+	WatchIdleTimeout time.Duration    // maximum time without data on a watch
+	Dial             cfvhttp.DialFunc // nil to use the network of the operating system
 }
 
 // Client calls the key-value store. After a failed call it uses the next address. It is safe
@@ -33,7 +34,7 @@
 
 // New returns a client.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, http: cfvhttp.NewClient(time.Second, 8)}
+	return &Client{cfg: cfg, http: cfvhttp.NewClientWithDial(cfg.Dial, time.Second, 8)}
 }
 
 func (c *Client) currentAddress() string {
--- a/io/cfvforward/client.go
+++ b/io/cfvforward/client.go
@@ -31,9 +31,14 @@
 	http *http.Client
 }
 
+// Config configures a client.
+type Config struct {
+	Dial cfvhttp.DialFunc // nil to use the network of the operating system
+}
+
 // New returns a client.
-func New() *Client {
-	return &Client{http: cfvhttp.NewClient(dialTimeout, maxIdleConnsPerHost)}
+func New(cfg Config) *Client {
+	return &Client{http: cfvhttp.NewClientWithDial(cfg.Dial, dialTimeout, maxIdleConnsPerHost)}
 }
 
 // Call is one request to an endpoint.
--- a/io/cfvnode/cluster_test.go
+++ b/io/cfvnode/cluster_test.go
@@ -8,13 +8,14 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"coltsfootvalve/common/cfvhttp"
 	"coltsfootvalve/common/cfvseed"
 	"coltsfootvalve/core/cfvcatalog"
 	"coltsfootvalve/core/cfvtree"
@@ -23,6 +24,7 @@
 	"coltsfootvalve/io/cfvvmlist"
 	"coltsfootvalve/standins/cfvfakeengine"
 	"coltsfootvalve/standins/cfvfakekv"
+	"coltsfootvalve/standins/cfvfakenet"
 	"coltsfootvalve/standins/cfvfakeplain"
 	"coltsfootvalve/standins/cfvfakestore"
 	"coltsfootvalve/standins/cfvfakevmlist"
@@ -54,9 +56,14 @@
 	nodeConfig func(*Config)
 }
 
-// cluster runs nodes and stand-ins in the test process, connected over loopback.
+// fakeLatency is how long a network in memory takes to deliver data.
+const fakeLatency = 4 * time.Millisecond
+
+// cluster runs nodes and stand-ins in the test process, connected over loopback or, on virtual
+// time, over a network in memory.
 type cluster struct {
 	t         testing.TB
+	network   *cfvfakenet.Network // nil to use loopback
 	kv        *cfvfakekv.Server
 	vmList    *cfvfakevmlist.List
 	vms       []cfvvmlist.VM
@@ -89,18 +96,38 @@
 	return b.buf.String()
 }
 
-// newCluster starts a cluster and waits until it serves requests.
+// runVirtual runs a test of a cluster on virtual time, over a network in memory, so that its
+// result does not depend on the speed of the test host.
+func runVirtual(t *testing.T, s clusterConfig, test func(t *testing.T, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := cfvfakenet.New(fakeLatency)
+		t.Cleanup(func() {
+			network.Close()
+			time.Sleep(2 * time.Minute) // longer than every timeout, so that all goroutines end
+		})
+		test(t, newClusterOn(t, network, s))
+	})
+}
+
+// newCluster starts a cluster on loopback and waits until it serves requests.
 func newCluster(t testing.TB, s clusterConfig) *cluster {
+	t.Helper()
+	return newClusterOn(t, nil, s)
+}
+
+func newClusterOn(t testing.TB, network *cfvfakenet.Network, s clusterConfig) *cluster {
 	t.Helper()
 	if len(s.domains) == 0 {
 		s.domains = []string{"rosario", "cordoba"}
 	}
 	c := &cluster{
-		t: t, kv: cfvfakekv.New(cfvfakekv.Config{}), vmList: cfvfakevmlist.New(cfvfakevmlist.Config{}), logs: &lockedBuffer{},
+		t: t, network: network, kv: cfvfakekv.New(cfvfakekv.Config{}), vmList: cfvfakevmlist.New(cfvfakevmlist.Config{}), logs: &lockedBuffer{},
 		engines: make(map[string]*cfvfakeengine.Engine), services: make(map[string]*cfvfakeplain.Service),
 		stores:    make(map[string]*cfvfakestore.Store),
-		addresses: make(map[string]string), reserved: make(map[string]net.Listener), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		addresses: make(map[string]string), reserved: make(map[string]net.Listener),
 	}
+	c.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: c.dial()}}
 	kv, list := c.startServer(c.kv.Handler()), c.startServer(c.vmList.Handler())
 	for i := range s.entries {
 		c.addNode(i, s.domains[i%len(s.domains)], kv, list, s.nodeConfig)
@@ -119,17 +146,33 @@
 }
 
 func (c *cluster) startServer(h http.Handler) string {
-	s := httptest.NewServer(h)
-	c.t.Cleanup(func() {
-		s.CloseClientConnections()
-		s.Close()
-	})
-	return s.URL
+	l, err := c.openListener("tcp", "127.0.0.1:0")
+	assert.NilError(c.t, err)
+	s := &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	c.t.Cleanup(func() { _ = s.Close() })
+	return "http://" + l.Addr().String()
+}
+
+// openListener listens on the network of the cluster.
+func (c *cluster) openListener(network, address string) (net.Listener, error) {
+	if c.network != nil {
+		return c.network.Listen(network, address)
+	}
+	return net.Listen(network, address)
+}
+
+// dial returns the function that connects on the network of the cluster; nil for loopback.
+func (c *cluster) dial() cfvhttp.DialFunc {
+	if c.network != nil {
+		return c.network.DialContext
+	}
+	return nil
 }
 
 // reserveAddress opens a listener that a node uses when it starts, and returns its address.
 func (c *cluster) reserveAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := c.openListener("tcp", "127.0.0.1:0")
 	assert.NilError(c.t, err)
 	c.reserved[l.Addr().String()] = l
 	return l.Addr().String()
@@ -141,7 +184,7 @@
 		delete(c.reserved, address)
 		return l, nil
 	}
-	return net.Listen(network, address)
+	return c.openListener(network, address)
 }
 
 func (c *cluster) addNode(i int, domain, kv, list string, config func(*Config)) {
@@ -150,6 +193,7 @@
 	cfg.Region, cfg.FailureDomain = "pampeana", domain
 	cfg.CallerAddress, cfg.PeerAddress, cfg.OperatorAddress = c.reserveAddress(), c.reserveAddress(), c.reserveAddress()
 	cfg.KeyValueAddresses, cfg.VMListAddress = []string{kv}, list
+	cfg.Listen, cfg.Dial = c.listen, c.dial()
 	cfg.Lease = 1200 * time.Millisecond
 	cfg.MoveInterval = 50 * time.Millisecond
 	cfg.ListInterval = 200 * time.Millisecond
@@ -161,7 +205,6 @@
 	}
 	n, err := New(cfg, c.logs)
 	assert.NilError(c.t, err)
-	n.listenFunc = c.listen
 	c.nodes = append(c.nodes, n)
 	c.vms = append(c.vms, cfvvmlist.VM{
 		Name: cfg.Name, Address: cfg.PeerAddress, Role: cfvvmlist.RoleEntry, Region: cfg.Region, FailureDomain: domain, State: "live",
@@ -187,7 +230,7 @@
 		for i := range s.engines {
 			cfg := cfvfakeengine.Config{
 				Name: fmt.Sprintf("%s-a%d", d, i), Version: "v1", PrefillPerToken: time.Microsecond, DecodePerToken: time.Millisecond,
-				MaxBatch: 16, MaxColdRequests: 2, ColdFor: 500 * time.Millisecond, ColdSlowdown: 2, CacheBlocks: 64,
+				MaxBatch: 16, MaxColdRequests: 2, ColdFor: 500 * time.Millisecond, ColdSlowdown: 2, CacheBlocks: 64, Dial: c.dial(),
 			}
 			if s.engine != nil {
 				s.engine(&cfg)
--- a/io/cfvnode/config.go
+++ b/io/cfvnode/config.go
@@ -12,6 +12,7 @@
 	"os"
 	"time"
 
+	"coltsfootvalve/common/cfvhttp"
 	"coltsfootvalve/core/cfvslot"
 )
 
@@ -43,6 +44,9 @@
 	Authority          string
 	CallerCertificate  string
 	CallerKey          string
+
+	Listen func(network, address string) (net.Listener, error) // nil to use the network of the operating system
+	Dial   cfvhttp.DialFunc                                    // likewise
 }
 
 // minLease leaves time to renew a lease before a granted slot must be used.
--- a/io/cfvnode/moves_test.go
+++ b/io/cfvnode/moves_test.go
@@ -144,12 +144,13 @@
 
 func TestOperatorTakesAMoveBack(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, moveConfig(cfvfakeengine.Behaviour{}))
-	l := c.startLoad(func(i int) int { return i % 3 })
-	c.startMove(time.Minute)
-	c.eventually("some traffic has moved", func() bool { return c.moveStatus(0).Share > 0 })
-	c.apply(`{"services/assistant": {"moveTakenBack": true}}`)
-	c.waitMoveState(cfvmoves.StateTakenBack)
-	c.eventually("every engine runs the old version again", func() bool { return c.engineVersions()["v1"] == 6 })
-	l.stopAndGetFailure()
+	runVirtual(t, moveConfig(cfvfakeengine.Behaviour{}), func(_ *testing.T, c *cluster) {
+		l := c.startLoad(func(i int) int { return i % 3 })
+		c.startMove(time.Minute)
+		c.eventually("some traffic has moved", func() bool { return c.moveStatus(0).Share > 0 })
+		c.apply(`{"services/assistant": {"moveTakenBack": true}}`)
+		c.waitMoveState(cfvmoves.StateTakenBack)
+		c.eventually("every engine runs the old version again", func() bool { return c.engineVersions()["v1"] == 6 })
+		l.stopAndGetFailure()
+	})
 }
--- a/io/cfvnode/node.go
+++ b/io/cfvnode/node.go
@@ -72,7 +72,6 @@
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
 	listeners   []*http.Server
-	listenFunc  func(network, address string) (net.Listener, error)
 	ownerConfig ownerConfig
 }
 
@@ -84,7 +83,10 @@
 
 // New returns a node that is not started yet.
 func New(cfg Config, logs io.Writer) (n *Node, err error) {
-	n = &Node{cfg: cfg, listenFunc: net.Listen, metrics: cfvmetric.New(), log: cfvlog.New(logs, cfg.Name)}
+	if cfg.Listen == nil {
+		cfg.Listen = net.Listen
+	}
+	n = &Node{cfg: cfg, metrics: cfvmetric.New(), log: cfvlog.New(logs, cfg.Name)}
 	n.self = cfvmember.Member{
 		Name: cfg.Name, Address: cfg.PeerAddress, Region: cfg.Region, Domain: cfg.FailureDomain,
 		StartMillis: uint64(time.Now().UnixMilli()),
@@ -100,10 +102,10 @@
 		}
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.kvStore = cfvetcd.New(cfvetcd.Config{Addresses: cfg.KeyValueAddresses, Timeout: cfg.KeyValueTimeout, WatchIdleTimeout: watchIdleTimeout})
-	n.vmList = cfvvmlist.New(cfvvmlist.Config{Address: cfg.VMListAddress, Timeout: vmListTimeout})
-	n.peers = cfvpeer.NewClient(cfvpeer.ClientConfig{TLS: n.tls, Traffic: &n.traffic})
-	n.forward = cfvforward.New()
+	n.kvStore = cfvetcd.New(cfvetcd.Config{Addresses: cfg.KeyValueAddresses, Timeout: cfg.KeyValueTimeout, WatchIdleTimeout: watchIdleTimeout, Dial: cfg.Dial})
+	n.vmList = cfvvmlist.New(cfvvmlist.Config{Address: cfg.VMListAddress, Timeout: vmListTimeout, Dial: cfg.Dial})
+	n.peers = cfvpeer.NewClient(cfvpeer.ClientConfig{TLS: n.tls, Traffic: &n.traffic, Dial: cfg.Dial})
+	n.forward = cfvforward.New(cfvforward.Config{Dial: cfg.Dial})
 	n.limits = newLimits(n)
 	n.quarantine = cfvserve.NewQuarantine()
 	n.traces = cfvserve.NewTraces()
@@ -164,7 +166,7 @@
 	})
 	n.server = cfvserve.New(cfvserve.Config{
 		Self: n.self, Catalog: n.settings.Catalog, Acquire: n.entry.Acquire, Forward: n.forward,
-		Tier:  cfvtier.New(cfvtier.Config{Catalog: n.settings.Catalog, Metrics: n.metrics, LookupTimeout: n.cfg.StoreLookupTimeout}),
+		Tier:  cfvtier.New(cfvtier.Config{Catalog: n.settings.Catalog, Metrics: n.metrics, LookupTimeout: n.cfg.StoreLookupTimeout, Dial: n.cfg.Dial}),
 		Claim: n.claim, Conclude: n.conclude, Admit: n.limits.admit, Dismiss: n.limits.dismiss,
 		Alive:        n.isEntryAlive,
 		VersionFor:   n.moves.Version,
@@ -230,7 +232,7 @@
 }
 
 func (n *Node) listen(address string, s *http.Server) error {
-	l, err := n.listenFunc("tcp", address)
+	l, err := n.cfg.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
--- a/io/cfvnode/operator_test.go
+++ b/io/cfvnode/operator_test.go
@@ -82,9 +82,9 @@
 		engine: func(cfg *cfvfakeengine.Config) { cfg.EnforceFencing = true },
 	})
 	order := cfvopenai.VersionOrder{Version: "v2", FencingToken: 7}
-	assert.NilError(t, cfvforward.New().OrderVersion(t.Context(), c.addresses["regions/pampeana/rosario/a0"], order))
+	assert.NilError(t, cfvforward.New(cfvforward.Config{}).OrderVersion(t.Context(), c.addresses["regions/pampeana/rosario/a0"], order))
 	order = cfvopenai.VersionOrder{Version: "v3", FencingToken: 6}
-	assert.ErrorContains(t, cfvforward.New().OrderVersion(t.Context(), c.addresses["regions/pampeana/rosario/a0"], order), "old fencing number")
+	assert.ErrorContains(t, cfvforward.New(cfvforward.Config{}).OrderVersion(t.Context(), c.addresses["regions/pampeana/rosario/a0"], order), "old fencing number")
 	for i := range 40 {
 		resp := c.chat(i%2, chamberKey, "which grade", 4, i%3 == 0)
 		assert.Equal(t, resp.status, http.StatusOK, resp.body)
--- a/io/cfvpeer/client.go
+++ b/io/cfvpeer/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -33,6 +32,7 @@
 type ClientConfig struct {
 	TLS     *TLSConfig       // nil for unencrypted connections
 	Traffic *cfvhttp.Traffic // counts the bytes sent and received
+	Dial    cfvhttp.DialFunc // nil to use the network of the operating system
 }
 
 // Client calls peers by address and keeps a connection to each. It is safe for concurrent
@@ -65,9 +65,8 @@
 }
 
 func (c *Client) newPeer(address string) *peer {
-	d := &net.Dialer{Timeout: dialTimeout}
 	t := &http.Transport{
-		DialContext: c.cfg.Traffic.Dial(d.DialContext),
+		DialContext: c.cfg.Traffic.Dial(c.cfg.Dial.WithTimeout(dialTimeout)),
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout},
 		Protocols:   new(http.Protocols),
 	}
--- a/io/cfvtier/tier.go
+++ b/io/cfvtier/tier.go
@@ -31,7 +31,8 @@
 type Config struct {
 	Catalog       func() *cfvcatalog.Catalog
 	Metrics       *cfvmetric.Registry
-	LookupTimeout time.Duration // timeout of a lookup at a store; 0: 50 ms
+	LookupTimeout time.Duration    // timeout of a lookup at a store; 0: 50 ms
+	Dial          cfvhttp.DialFunc // nil to use the network of the operating system
 }
 
 // Tier plans transfers of cache blocks. It is safe for concurrent use.
@@ -51,7 +52,7 @@
 		cfg.LookupTimeout = defaultLookupTimeout
 	}
 	return &Tier{
-		cfg: cfg, http: cfvhttp.NewClient(cfg.LookupTimeout, 8),
+		cfg: cfg, http: cfvhttp.NewClientWithDial(cfg.Dial, cfg.LookupTimeout, 8),
 		policies: make(map[string]*cfvcache.Policy), unavailableUntil: make(map[string]time.Time),
 	}
 }
--- a/io/cfvvmlist/client.go
+++ b/io/cfvvmlist/client.go
@@ -37,6 +37,7 @@
 type Config struct {
 	Address string // base URL
 	Timeout time.Duration
+	Dial    cfvhttp.DialFunc // nil to use the network of the operating system
 }
 
 // Client reads the list.
@@ -47,7 +48,7 @@
 
 // New returns a client.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, http: cfvhttp.NewClient(time.Second, 1)}
+	return &Client{cfg: cfg, http: cfvhttp.NewClientWithDial(cfg.Dial, time.Second, 1)}
 }
 
 // Read returns the current list.
--- a/standins/cfvfakeengine/engine.go
+++ b/standins/cfvfakeengine/engine.go
@@ -38,6 +38,7 @@
 	EventLag          time.Duration // delay until cache events are published
 	DropEventEvery    int           // every n-th cache event is lost; 0: none is lost
 	VersionBehaviours Behaviours
+	Dial              cfvhttp.DialFunc // connects to store VMs; nil to use the network of the operating system
 }
 
 // Stats holds the counters of an engine.
@@ -64,6 +65,7 @@
 	cache  *cache
 	events *eventLog
 	batch  *batch
+	stores *http.Client
 
 	mu           sync.Mutex
 	boot         int
@@ -88,6 +90,7 @@
 // New returns an engine that has just started.
 func New(cfg Config) *Engine {
 	e := &Engine{cfg: cfg, version: cfg.Version, cache: newCache(cfg.CacheBlocks), batch: newBatch(cfg.MaxBatch)}
+	e.stores = cfvhttp.NewClientWithDial(cfg.Dial, storeDialTimeout, maxIdlePerStore)
 	e.served = make(map[string]int)
 	e.events = &eventLog{lag: cfg.EventLag, dropEvery: cfg.DropEventEvery}
 	e.startBoot()
--- a/standins/cfvfakeengine/transfer.go
+++ b/standins/cfvfakeengine/transfer.go
@@ -15,10 +15,12 @@
 	"coltsfootvalve/io/cfvopenai"
 )
 
-// Timeouts of transfers between an engine and a store VM.
+// Limits of transfers between an engine and a store VM.
 const (
-	importTimeout = 2 * time.Second
-	exportTimeout = 5 * time.Second
+	storeDialTimeout = time.Second
+	maxIdlePerStore  = 16
+	importTimeout    = 2 * time.Second
+	exportTimeout    = 5 * time.Second
 )
 
 // maxBlockBytes is the largest block that an engine reads.
@@ -60,7 +62,7 @@
 	if err != nil {
 		return false
 	}
-	resp, err := storeClient.Do(req)
+	resp, err := e.stores.Do(req)
 	if err != nil {
 		return false
 	}
@@ -81,8 +83,6 @@
 	return true
 }
 
-var storeClient = cfvhttp.NewClient(time.Second, 16)
-
 // exportBlocks writes the requested blocks to their stores and commits each of them.
 func (e *Engine) exportBlocks(t *cfvopenai.TransferParams, keys []string) {
 	if t == nil {
@@ -110,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := storeClient.Do(req)
+	resp, err := e.stores.Do(req)
 	if err != nil {
 		return err
 	}
@@ -124,5 +124,5 @@
 	}
 	sum := sha256.Sum256(data)
 	m := cfvopenai.Manifest{Key: b.Key, Generation: staged.Generation, Length: len(data), Checksum: hex.EncodeToString(sum[:])}
-	return cfvhttp.Call(ctx, storeClient, http.MethodPost, "http://"+b.Store+"/manifests", m, nil)
+	return cfvhttp.Call(ctx, e.stores, http.MethodPost, "http://"+b.Store+"/manifests", m, nil)
 }
