--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"coltsfootvalve/common/cfverror"
+	"coltsfootvalve/common/cfvhttp"
 	"coltsfootvalve/core/cfvcall"
 	"coltsfootvalve/core/cfvdispatch"
 	"coltsfootvalve/core/cfvfleet"
@@ -156,13 +157,13 @@
 	hedge := q.startHedgeTimer(ep, cancel)
 	defer hedge.stop()
 	var sent sendTracker
-	dog := &watchdog{cancel: cancel}
-	defer dog.stop()
-	resp, err := q.send(dog.watchHead(sent.trace(ctx)), ep, opts)
+	dog := cfvhttp.NewWatchdog(cancel)
+	defer dog.Stop()
+	resp, err := q.send(dog.WatchHead(sent.trace(ctx)), ep, opts)
 	if err != nil {
-		return q.handleSendError(ep, &sent, hedge.fired() || dog.fired(), err)
+		return q.handleSendError(ep, &sent, hedge.fired() || dog.Expired(), err)
 	}
-	dog.stop()
+	dog.Stop()
 	defer resp.Body.Close()
 	meta := e.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
 	q.applyResponseMeta(ep, meta)
@@ -175,7 +176,7 @@
 		q.recordFailure(ep)
 		return outcomeFailed
 	case meta.NotRun || meta.Misdirected:
-		dog.start(rejectBodyTimeout)
+		dog.Start(rejectBodyTimeout)
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxRejectBodyBytes)) // so that the connection can be reused; the body carries no information
 		return q.handleRejection(ep, meta, resp.StatusCode)
 	case !meta.FromEndpoint:
--- a/io/cfventry/stream.go
+++ b/io/cfventry/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"coltsfootvalve/common/cfvhttp"
 	"coltsfootvalve/core/cfvfleet"
 )
 
@@ -97,20 +98,20 @@
 
 // forwardStream forwards complete events to the caller as they arrive. It calls prefillDone after
 // the first ones, which show that the endpoint has finished the prefill.
-func (q *request) forwardStream(ep *cfvfleet.Endpoint, resp *http.Response, hedge *hedgeTimer, dog *watchdog, prefillDone func()) outcome {
+func (q *request) forwardStream(ep *cfvfleet.Endpoint, resp *http.Response, hedge *hedgeTimer, dog *cfvhttp.Watchdog, prefillDone func()) outcome {
 	if q.stream == nil {
 		q.stream = &streamState{}
 	}
 	events := &eventReader{r: resp.Body}
 	for {
-		dog.start(q.stallLimit())
+		dog.Start(q.stallLimit())
 		batch, err := events.next()
-		dog.stop()
+		dog.Stop()
 		if errors.Is(err, io.EOF) {
 			return q.finishStream(ep, resp, events.remainder())
 		}
 		if err != nil {
-			return q.handleStreamError(ep, hedge.fired() || dog.fired(), err)
+			return q.handleStreamError(ep, hedge.fired() || dog.Expired(), err)
 		}
 		hedge.stop()
 		prefillDone()
