Limit the time of response heads of endpoints

Callers waited until the time limit of their request if an endpoint sent a head that never ended, or interim responses without end, and got 504; a completion was not retried at another endpoint.

Cause: one timer of the request's whole time limit covered the head, and any number of interim responses was accepted. A head is now watched as in the entry of the hosted form: complete within 1 s of its first byte, 5 s after an interim response, at most 8 of these.

Bytes that are no head at all were refused at once before, too.

--- a/io/cfvforward/client.go
+++ b/io/cfvforward/client.go
@@ -71,28 +71,28 @@
 // responseReader reads a response body with an idle timeout.
 type responseReader struct {
 	resp        *http.Response
-	idleTimer   *time.Timer
+	watchdog    *cfvhttp.Watchdog
 	cancel      context.CancelFunc
 	idleTimeout time.Duration
 }
 
-// Read reads from the body. Each read that returns data resets the idle timer.
+// Read reads from the body. Each read that returns data restarts the idle timeout.
 func (r *responseReader) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
 	if n > 0 {
-		r.idleTimer.Reset(r.idleTimeout)
+		r.watchdog.Start(r.idleTimeout)
 	}
 	return n, err
 }
 
 func (r *responseReader) close() {
-	r.idleTimer.Stop()
+	r.watchdog.Stop()
 	r.cancel()
 	r.resp.Body.Close()
 }
 
-// send sends the call and returns when the response header is received. The header must arrive
-// within headerTimeout.
+// send sends the call and returns when the response header is received. The header must begin
+// within headerTimeout, and then be complete soon.
 func (c *Client) send(ctx context.Context, call Call, headerTimeout time.Duration) (*responseReader, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, bytes.NewReader(call.Body))
@@ -106,19 +106,20 @@
 	req.Header.Set(cfvopenai.HeaderRequestID, call.RequestID)
 	req.GetBody = nil // the transport can't resend the request without GetBody
 	idleErr := cfverror.Unknown(cfverror.ReasonEndpointSilent, "the endpoint %s was silent for too long", call.Address)
-	idleTimer := time.AfterFunc(headerTimeout, func() { cancel(idleErr) })
-	resp, err := c.http.Do(req)
+	watchdog := cfvhttp.NewWatchdog(func() { cancel(idleErr) })
+	watchdog.Start(headerTimeout)
+	resp, err := c.http.Do(req.WithContext(watchdog.WatchHead(ctx)))
 	if err != nil {
-		idleTimer.Stop()
+		watchdog.Stop()
 		err = sendError(ctx, call, err)
 		cancel(nil)
 		return nil, err
 	}
-	idleTimer.Reset(call.IdleTimeout)
+	watchdog.Start(call.IdleTimeout)
 	if call.OnHeader != nil {
 		call.OnHeader(readResponseMeta(resp.Header))
 	}
-	return &responseReader{resp, idleTimer, func() { cancel(nil) }, call.IdleTimeout}, nil
+	return &responseReader{resp, watchdog, func() { cancel(nil) }, call.IdleTimeout}, nil
 }
 
 // sendError converts an error of sending a request to a refusal.
