Time streams of endpoints from event to event

A stream that stalled but sent a byte now and then was not resumed at another endpoint: the caller waited until the request's time limit and got an error. A sound stream was cut if its caller took the events more slowly than the idle timeout.

Cause: silenceMillis was restarted by each byte of a stream, and kept running while an event was passed on. It now runs from event to event and stands still while the caller takes one. A complete event of comments counts, as in the hosted form, since servers keep sound streams open by it; bytes that complete no event don't. Bodies that are not streamed are still timed by their bytes, up to the request's time limit.

--- a/core/cfvtree/schema.go
+++ b/core/cfvtree/schema.go
@@ -108,7 +108,7 @@
 	{QueueMillis, KindInt, IntValue(2000), 0, 600_000, serviceLevels, "Maximum time in milliseconds that a request waits for a slot."},
 	{QueueLength, KindInt, IntValue(64), 0, 100_000, serviceLevels, "Maximum number of requests that wait for a group of endpoints."},
 	{RequestMillis, KindInt, IntValue(120_000), 1, 3_600_000, serviceLevels, "Maximum duration of a request in milliseconds."},
-	{SilenceMillis, KindInt, IntValue(5000), 1, 600_000, serviceLevels, "Idle timeout of a response in milliseconds: if no data arrives for this long, the connection is closed."},
+	{SilenceMillis, KindInt, IntValue(5000), 1, 600_000, serviceLevels, "Idle timeout of a response in milliseconds: if no data of a body, or no complete event of a stream, arrives for this long, the connection is closed."},
 	{MaxBodyBytes, KindInt, IntValue(8 << 20), 1, 1 << 30, serviceLevels, "Maximum size of a request body in bytes."},
 	{IdempotentMethods, KindText, TextValue("GET,HEAD"), 0, 0, serviceLevels, "Comma-separated HTTP methods whose requests to a plain service may be retried."},
 	{HonoursKey, KindBool, BoolValue(false), 0, 0, serviceLevels, "Whether the service itself ensures that requests with the same idempotency key run at most once."},
--- a/io/cfvforward/client.go
+++ b/io/cfvforward/client.go
@@ -49,7 +49,7 @@
 	Path        string
 	Header      http.Header
 	Body        []byte
-	IdleTimeout time.Duration      // maximum time without a byte of the response
+	IdleTimeout time.Duration      // maximum time without a byte of a body, or without an event of a stream
 	OnHeader    func(ResponseMeta) // called when the response header is received; may be nil
 }
 
@@ -202,9 +202,11 @@
 		resp.Body, _ = io.ReadAll(io.LimitReader(r, maxResponseBytes))
 		return resp, nil
 	}
-	events := cfvopenai.NewEventReader(r)
+	events := cfvopenai.NewWatchedEventReader(r.resp.Body, func() { r.watchdog.Start(call.IdleTimeout) })
 	for !checker.Ended() {
+		r.watchdog.Start(call.IdleTimeout)
 		data, err := events.Next()
+		r.watchdog.Stop() // the caller may be slow to take the event
 		if err != nil {
 			return resp, readError(r.resp.Request.Context(), call, err)
 		}
--- a/io/cfvforward/client_test.go
+++ b/io/cfvforward/client_test.go
@@ -155,3 +155,91 @@
 		assert.Equal(t, string(resp.Body), "ok")
 	})
 }
+
+const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// writeChunk writes text as one chunk of a body.
+func writeChunk(w io.Writer, text string) {
+	_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(text), text)
+}
+
+// writeToken writes the event of one token.
+func writeToken(w io.Writer, offset int) {
+	writeChunk(w, fmt.Sprintf("data: {\"id\":%q,\"offset\":%d}\n\n", testRequestID, offset))
+}
+
+// Failure: a stalled stream that sends a byte now and then never ends, because each byte restarts the idle
+// timeout.
+func TestBytesThatAreNoEventEndTheStream(t *testing.T) {
+	tests := map[string]struct {
+		text   string // sent again and again
+		tokens int    // sent before
+	}{
+		"before the first event":    {"x", 0},
+		"after an event":            {"x", 3},
+		"line breaks":               {"\n", 3},
+		"an event that never ends":  {"data: x\n", 3},
+		"a comment that never ends": {":\n", 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				endpoint := &rawEndpoint{answer: func(w io.Writer) {
+					_, _ = io.WriteString(w, streamHead)
+					for i := range tt.tokens {
+						writeToken(w, i)
+					}
+					dribble(w, fmt.Sprintf("%x\r\n%s\r\n", len(tt.text), tt.text))
+				}}
+				defer endpoint.close()
+				ctx, cancel := context.WithTimeout(t.Context(), testRequestTimeout)
+				defer cancel()
+				checker := cfvstream.New(testRequestID)
+				begin := time.Now()
+				_, err := New(Config{Dial: endpoint.dial}).Stream(ctx, testCall(), testRequestTimeout, checker, func(cfvopenai.Response) error { return nil })
+				requireRefusal(t, begin, err, cfverror.ReasonEndpointSilent, testIdleTimeout+time.Second)
+				assert.Equal(t, checker.NextOffset(), tt.tokens)
+			})
+		})
+	}
+}
+
+// Guards against an idle timeout that cuts slow but sound streams.
+func TestSlowStreamIsComplete(t *testing.T) {
+	const pause = testIdleTimeout - 50*time.Millisecond
+	tests := map[string]func(w io.Writer){
+		"events": func(io.Writer) {},
+		"comments between events": func(w io.Writer) {
+			writeChunk(w, ": wait\n\n")
+			time.Sleep(pause)
+		},
+	}
+	for name, between := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				endpoint := &rawEndpoint{answer: func(w io.Writer) {
+					_, _ = io.WriteString(w, streamHead)
+					for i := range 4 {
+						time.Sleep(pause)
+						between(w)
+						writeToken(w, i)
+					}
+					time.Sleep(pause)
+					writeChunk(w, "data: "+cfvopenai.StreamEnd+"\n\n")
+				}}
+				defer endpoint.close()
+				checker := cfvstream.New(testRequestID)
+				tokens := 0
+				slowCaller := func(cfvopenai.Response) error {
+					tokens++
+					time.Sleep(2 * testIdleTimeout)
+					return nil
+				}
+				_, err := New(Config{Dial: endpoint.dial}).Stream(t.Context(), testCall(), testRequestTimeout, checker, slowCaller)
+				assert.NilError(t, err)
+				assert.Equal(t, tokens, 4)
+				assert.Assert(t, checker.Ended())
+			})
+		})
+	}
+}
--- a/io/cfvnode/serving_test.go
+++ b/io/cfvnode/serving_test.go
@@ -82,6 +82,20 @@
 	}
 }
 
+// Failure: a stream that stalls, but sends a byte now and then, is not resumed and fails at the request's time
+// limit.
+func TestStreamThatDribblesIsResumed(t *testing.T) {
+	t.Parallel()
+	runVirtual(t, clusterConfig{entries: 2, engines: 1}, func(t *testing.T, c *cluster) {
+		for _, e := range c.engines {
+			e.SetFault(cfvfault.Fault{Mode: cfvfault.Dribble, Count: 1, Route: "/v1/chat/completions"})
+		}
+		resp := c.chat(0, chamberKey, "which grade", 12, true)
+		assert.Assert(t, resp.complete, "status %d reason %s", resp.status, resp.reason)
+		assert.Equal(t, resp.text, expectedText("which grade", 12))
+	})
+}
+
 func TestStreamThatNeverEndsHasNoDoneEvent(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, clusterConfig{entries: 1, engines: 1, domains: []string{"rosario"}})
--- a/io/cfvopenai/messages_test.go
+++ b/io/cfvopenai/messages_test.go
@@ -93,3 +93,31 @@
 	// {"choices":[],"id":"r-1","model":"a"}
 	// not a response
 }
+
+func TestEventsAreReported(t *testing.T) {
+	tests := map[string]struct {
+		input string
+		want  int
+	}{
+		"events":                       {"data: a\n\ndata: b\r\n\r\n", 2},
+		"a comment":                    {": wait\n\ndata: a\n\n", 2},
+		"an event that is not over":    {"data: a\n\ndata: b\n", 1},
+		"line breaks between events":   {"\n\n\ndata: a\n\n\n\n", 1},
+		"an event of several lines":    {"id: 1\ndata: a\ndata: b\n\n", 1},
+		"a comment within an event":    {"data: a\n: wait\ndata: b\n\n", 1},
+		"bytes that complete no event": {":::::", 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := 0
+			events := NewWatchedEventReader(strings.NewReader(tt.input), func() { got++ })
+			for {
+				if _, err := events.Next(); err != nil {
+					assert.ErrorIs(t, err, io.EOF)
+					break
+				}
+			}
+			assert.Equal(t, got, tt.want)
+		})
+	}
+}
--- a/standins/cfvfakeengine/completion.go
+++ b/standins/cfvfakeengine/completion.go
@@ -19,7 +19,10 @@
 )
 
 // defaultMaxTokens is the length of a response whose request sets no limit.
-const defaultMaxTokens = 16
+const (
+	defaultMaxTokens = 16
+	dribbleInterval  = 100 * time.Millisecond
+)
 
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, 64<<20))
@@ -210,7 +213,7 @@
 			e.countCancelled()
 			cfvfault.DropConnection()
 		}
-		if i >= r.resumeFrom+(n-r.resumeFrom)/2 && e.interruptStream(r, f) {
+		if i >= r.resumeFrom+(n-r.resumeFrom)/2 && interruptStream(w, r, f) {
 			cfvfault.DropConnection()
 		}
 		e.sendChunk(w, r, i)
@@ -226,17 +229,30 @@
 
 // interruptStream applies a fault in the middle of a stream. It reports whether the connection
 // is to be dropped.
-func (e *Engine) interruptStream(r *activeRequest, f cfvfault.Fault) bool {
+func interruptStream(w http.ResponseWriter, r *activeRequest, f cfvfault.Fault) bool {
 	switch f.Mode {
 	case cfvfault.Silent:
 		<-r.ctx.Done()
 		return true
+	case cfvfault.Dribble:
+		dribble(w, r)
+		return true
 	case cfvfault.Truncate:
 		return true
 	}
 	return false
 }
 
+// dribble sends a byte now and then, which completes no event, until the request is cancelled.
+func dribble(w http.ResponseWriter, r *activeRequest) {
+	for sleep(r.ctx, dribbleInterval) {
+		_, _ = io.WriteString(w, ":")
+		if f, ok := w.(http.Flusher); ok {
+			f.Flush()
+		}
+	}
+}
+
 func (e *Engine) sendChunk(w http.ResponseWriter, r *activeRequest, i int) {
 	token := Token(r.version, r.request.PromptText(), i)
 	c := cfvopenai.Choice{}
--- a/standins/cfvfakeengine/engine.go
+++ b/standins/cfvfakeengine/engine.go
@@ -127,8 +127,8 @@
 	e.leaving = leaving
 }
 
-// SetFault injects a fault. It supports Outage, Slow, Fail, Silent, Truncate and
-// WrongRequestID.
+// SetFault injects a fault. It supports Outage, Slow, Fail, Silent, Dribble (of streams),
+// Truncate and WrongRequestID.
 func (e *Engine) SetFault(f cfvfault.Fault) { e.faults.Set(f) }
 
 // ClearCache empties the prefix cache, as eviction would over time.
--- a/standins/cfvfault/injector.go
+++ b/standins/cfvfault/injector.go
@@ -20,6 +20,7 @@
 	Slow           Mode = "slow"        // every call takes Millis longer
 	LoseResponses  Mode = "loseAnswers" // calls take effect, but their responses are lost
 	Silent         Mode = "silent"      // open responses stall and never end
+	Dribble        Mode = "dribble"     // open responses stall, but a byte is sent now and then
 	Truncate       Mode = "truncate"    // responses end before they are complete
 	WrongRequestID Mode = "cross"       // responses carry the ID of another request
 	Refuse         Mode = "refuse"      // requests are refused before they run
