Limit the time of error bodies in place of streams

A completion whose engine refused it with a body that came a byte at a time held its caller until the request's time limit, instead of being retried at another engine: each byte restarted the idle timeout. The body of an error response, which is only passed on for information, must now be complete within one idle timeout; what has arrived is kept.

--- a/io/cfvforward/client.go
+++ b/io/cfvforward/client.go
@@ -199,7 +199,7 @@
 	defer r.close()
 	resp = Response{Meta: readResponseMeta(r.resp.Header), Status: r.resp.StatusCode, Header: r.resp.Header}
 	if resp.Status != http.StatusOK {
-		resp.Body, _ = io.ReadAll(io.LimitReader(r, maxResponseBytes))
+		resp.Body, _ = io.ReadAll(io.LimitReader(r.resp.Body, maxResponseBytes)) // within one idle timeout
 		return resp, nil
 	}
 	events := cfvopenai.NewWatchedEventReader(r.resp.Body, func() { r.watchdog.Start(call.IdleTimeout) })
--- a/io/cfvforward/client_test.go
+++ b/io/cfvforward/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -243,3 +244,21 @@
 		})
 	}
 }
+
+// Failure: the body of an error response that comes a byte at a time holds the request until its time limit.
+func TestErrorBodyThatNeverEndsEndsTheStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		endpoint := &rawEndpoint{answer: func(w io.Writer) {
+			_, _ = io.WriteString(w, strings.Replace(streamHead, "200 OK", "503 Full", 1))
+			dribble(w, "1\r\nx\r\n")
+		}}
+		defer endpoint.close()
+		ctx, cancel := context.WithTimeout(t.Context(), testRequestTimeout)
+		defer cancel()
+		begin := time.Now()
+		resp, err := New(Config{Dial: endpoint.dial}).Stream(ctx, testCall(), testRequestTimeout, cfvstream.New(testRequestID), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Status, http.StatusServiceUnavailable)
+		assert.Assert(t, time.Since(begin) <= testIdleTimeout, "took %s", time.Since(begin))
+	})
+}
