Move the last endpoint once the old version is idle

Cause: a judge sent all traffic to the new version and ordered the last endpoint to load it in one decision. The broadcast of the share is sent once; an entry that missed it hears of the share with its next probe, and until then sends some requests to a version that no endpoint runs.

The judge now waits until entries have reported no request of the old version for 3 s, but at most half the time that is left to the deadline. A judge that takes over when all endpoints have moved orders none back.

Ruled out: stale load reports alone; with reports 0.5 to 2 s old no request failed in one run each, only retries grew.

--- a/core/cfvmove/judge.go
+++ b/core/cfvmove/judge.go
@@ -12,6 +12,7 @@
 	snapshotInterval   = time.Second
 	minRequestsPerStep = 20 // requests of the new version that each step needs before the next one
 	evidenceMaxAge     = 15 * time.Second
+	oldVersionIdleTime = 3 * time.Second // without requests of the old version before its last endpoint moves
 )
 
 // Judge sums the evidence of all entries about one move and decides how the move goes on. It
@@ -24,6 +25,10 @@
 	tallyAtStep    tally // of the new version at the time of the last step
 	lastEvidenceAt time.Time
 	lastRequests   float64
+	lastOldAt      time.Time // of the last request of the old version
+	oldRequests    float64
+	fullShareAt    time.Time
+	oldVersionIdle bool
 	verdict        *Verdict
 }
 
@@ -101,7 +106,7 @@
 	if cause := j.findFault(now, totals); cause != "" {
 		return j.takeBack(cause)
 	}
-	newTally := newVersionTally(j.plan, totals)
+	newTally := versionTally(j.plan.To, totals)
 	if newTally.requests > j.lastRequests {
 		j.lastRequests = newTally.requests
 		j.lastEvidenceAt = now
@@ -116,7 +121,7 @@
 	if j.step >= 0 {
 		d.Share = steps[j.step]
 	}
-	if d.ReadyShare == FullShare && d.Share < FullShare {
+	if d.ReadyShare == FullShare && !j.mayMoveLastEndpoint(now, d.Share, c, totals) {
 		d.ReadyShare = maxPartialShare
 	}
 	if now.Before(j.plan.Start) {
@@ -139,6 +144,27 @@
 	return now.Sub(j.lastEvidenceAt) <= evidenceMaxAge && newTally.requests-j.tallyAtStep.requests >= minRequestsPerStep
 }
 
+// mayMoveLastEndpoint reports whether the last endpoint may leave the old version: all traffic has
+// moved, and entries have reported no request of the old version for a while, since those that have
+// not heard of the full share yet still send some. The wait is at most half the time to the deadline.
+// An endpoint that a previous judge has moved stays moved.
+func (j *Judge) mayMoveLastEndpoint(now time.Time, share int, c Capacity, totals map[series]tally) bool {
+	old := versionTally(j.plan.From, totals).requests
+	if old != j.oldRequests {
+		j.oldRequests, j.lastOldAt = old, now
+	}
+	j.oldVersionIdle = j.oldVersionIdle || (c.Total > 0 && c.Moved == c.Total)
+	if share < FullShare || j.oldVersionIdle {
+		return share == FullShare && j.oldVersionIdle
+	}
+	if j.fullShareAt.IsZero() {
+		j.fullShareAt, j.lastOldAt = now, now
+	}
+	maxWait := j.plan.Deadline.Sub(j.fullShareAt) / 2
+	j.oldVersionIdle = now.Sub(j.lastOldAt) >= min(oldVersionIdleTime, maxWait) || now.Sub(j.fullShareAt) >= maxWait
+	return j.oldVersionIdle
+}
+
 // checkEnd marks the decision as done once all traffic and all endpoints have moved and the
 // last step has enough evidence. If that is not so at the deadline, the move is taken back.
 func (j *Judge) checkEnd(now time.Time, d Decision, newTally tally, c Capacity) Decision {
@@ -158,9 +184,9 @@
 	return Decision{Verdict: j.verdict}
 }
 
-func newVersionTally(p Plan, totals map[series]tally) (out tally) {
+func versionTally(version string, totals map[series]tally) (out tally) {
 	for s, t := range totals {
-		if s.version == p.To {
+		if s.version == version {
 			out.requests += t.requests
 			out.failures += t.failures
 			out.slow += t.slow
--- a/core/cfvmove/judge_test.go
+++ b/core/cfvmove/judge_test.go
@@ -124,6 +124,54 @@
 	}
 }
 
+// Failure: the last endpoint leaves the old version while an entry that hasn't heard of the full share still sends
+// requests to it, which are refused.
+func TestLastEndpointMovesAfterTheOldVersionIsIdle(t *testing.T) {
+	const endpoints = 6
+	tests := map[string]struct {
+		oldUntil time.Duration // after the full share, until which an entry reports requests of the old version
+		min, max time.Duration // when the last endpoint may move, after the full share
+	}{
+		"all entries know at once":    {0, 3 * time.Second, 4 * time.Second},
+		"one entry knows later":       {5 * time.Second, 8 * time.Second, 9 * time.Second},
+		"one entry never hears of it": {time.Hour, 75 * time.Second, 76 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := testPlan()
+			now := p.Start.Add(p.Deadline.Sub(p.Start) * 3 / 4) // the last step is due
+			j := NewJudge(now, p, 50)
+			old, moved := uint64(0), endpoints-1
+			decide := func() Decision {
+				j.AddReport(Report{Entry: "n", StartMillis: 1, Evidence: []Evidence{
+					{Service: p.Service, Version: p.From, Route: "chat", Requests: old},
+					{Service: p.Service, Version: p.To, Route: "chat", Requests: minRequestsPerStep},
+				}})
+				return j.Decide(now, Capacity{moved, endpoints})
+			}
+			assert.Equal(t, decide().Share, FullShare)
+			var after time.Duration
+			for ; decide().ReadyShare < FullShare; after += 100 * time.Millisecond {
+				now = now.Add(100 * time.Millisecond)
+				if after < tt.oldUntil {
+					old++
+				}
+			}
+			assert.Assert(t, after >= tt.min && after <= tt.max, "after %s", after)
+			old++
+			now = now.Add(time.Second)
+			assert.Equal(t, decide().ReadyShare, FullShare, "a late request must not move the endpoint back")
+		})
+	}
+}
+
+func TestNewJudgeLeavesTheLastEndpointMoved(t *testing.T) {
+	p := testPlan()
+	now := p.Start.Add(p.Deadline.Sub(p.Start) * 3 / 4)
+	d := NewJudge(now, p, FullShare).Decide(now, Capacity{6, 6})
+	assert.Equal(t, d.ReadyShare, FullShare)
+}
+
 // maxStandardErrors is how far a count may be above its mean. The hash of each request decides
 // its version, so the share of the new version varies, most of all with few requests.
 const maxStandardErrors = 4
--- a/io/cfvnode/moves_test.go
+++ b/io/cfvnode/moves_test.go
@@ -78,6 +78,23 @@
 	assert.Equal(t, l.stopAndGetFailure(), "")
 }
 
+// Failure: the last endpoint leaves the old version before an entry that missed the broadcast of the full share
+// knows of it, and the entry's requests are refused with noEndpoint.
+func TestMoveWaitsForEntryThatMissedABroadcast(t *testing.T) {
+	t.Parallel()
+	cfg := moveConfig(cfvfakeengine.Behaviour{})
+	cfg.nodeConfig = func(cfg *Config) { cfg.ProbeInterval = 2 * time.Second }
+	runVirtual(t, cfg, func(t *testing.T, c *cluster) {
+		deaf := (c.judgeIndex() + 1) % len(c.nodes)
+		c.network.SetLatency(c.nodes[deaf].cfg.PeerAddress, time.Hour) // it still calls others
+		l := c.startLoad(func(int) int { return deaf })
+		c.startMove(24 * time.Second)
+		c.waitMoveState(cfvmoves.StateDone)
+		c.waitServed(l, 40)
+		assert.Equal(t, l.stopAndGetFailure(), "")
+	})
+}
+
 func TestBadMoveIsTakenBack(t *testing.T) {
 	t.Parallel()
 	tests := map[string]struct {
--- a/standins/cfvfakenet/conn.go
+++ b/standins/cfvfakenet/conn.go
@@ -21,7 +21,8 @@
 
 // newPair returns both ends of a connection.
 func newPair(n *Network, near, far net.Addr) (*conn, *conn) {
-	a, b := newPipe(n.latency), newPipe(n.latency)
+	latency := func() time.Duration { return n.latencyOf(far.String()) }
+	a, b := newPipe(latency), newPipe(latency)
 	return &conn{n, near, far, a, b}, &conn{n, far, near, b, a}
 }
 
@@ -79,7 +80,7 @@
 
 // pipe carries the data of one direction.
 type pipe struct {
-	latency time.Duration
+	latency func() time.Duration
 
 	mu            sync.Mutex
 	changed       *sync.Cond
@@ -99,7 +100,7 @@
 	data []byte
 }
 
-func newPipe(latency time.Duration) *pipe {
+func newPipe(latency func() time.Duration) *pipe {
 	p := &pipe{latency: latency}
 	p.changed = sync.NewCond(&p.mu)
 	return p
@@ -155,8 +156,9 @@
 // send sends data, or the end if there is none. The caller holds the lock.
 func (p *pipe) send(data []byte) {
 	p.buffered += len(data)
-	p.sent = append(p.sent, segment{time.Now().Add(p.latency), data})
-	time.AfterFunc(p.latency, p.deliver)
+	latency := p.latency()
+	p.sent = append(p.sent, segment{time.Now().Add(latency), data})
+	time.AfterFunc(latency, p.deliver)
 }
 
 // deliver makes the segments readable whose time has come.
--- a/standins/cfvfakenet/network.go
+++ b/standins/cfvfakenet/network.go
@@ -23,13 +23,31 @@
 
 	mu        sync.Mutex
 	nextPort  int
+	slow      map[string]time.Duration // latencies of single addresses
 	listeners map[string]*listener
 	conns     map[*conn]bool
 }
 
 // New returns a network that delivers data after the given time.
 func New(latency time.Duration) *Network {
-	return &Network{latency: latency, nextPort: firstPort, listeners: make(map[string]*listener), conns: make(map[*conn]bool)}
+	return &Network{latency: latency, nextPort: firstPort, slow: make(map[string]time.Duration), listeners: make(map[string]*listener), conns: make(map[*conn]bool)}
+}
+
+// SetLatency sets the latency of all connections to an address, in both directions.
+func (n *Network) SetLatency(address string, latency time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slow[address] = latency
+}
+
+// latencyOf returns the latency of the connections to an address.
+func (n *Network) latencyOf(address string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if d, ok := n.slow[address]; ok {
+		return d
+	}
+	return n.latency
 }
 
 // Listen listens on an address. Port 0 selects a free port.
@@ -60,7 +78,7 @@
 // DialContext connects to an address. Connections to an address without a listener are refused.
 func (n *Network) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	select {
-	case <-time.After(n.latency):
+	case <-time.After(n.latencyOf(address)):
 	case <-ctx.Done():
 		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
 	}
--- a/standins/cfvfakenet/network_test.go
+++ b/standins/cfvfakenet/network_test.go
@@ -97,3 +97,17 @@
 		assert.ErrorIs(t, err, context.Canceled)
 	})
 }
+
+func TestLatencyOfOneAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New(testLatency)
+		client, server := connect(t, n)
+		n.SetLatency(server.LocalAddr().String(), time.Second)
+		begin := time.Now()
+		_, err := server.Write([]byte("x"))
+		assert.NilError(t, err)
+		_, err = client.Read(make([]byte, 1))
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(begin), time.Second)
+	})
+}
