Follow a move if an endpoint has left the old version

Cause, by reading the code: owners learn of an endpoint's version from its load report, so a request with the old version may be granted an endpoint that has left it. Its attempts are spent on such endpoints (once all others are excluded, on the same one again) although the move has assigned the request to the new version since. It now follows the move after this refusal as it did after noEndpoint.

TestRequestFollowsTheMoveIfItsVersionIsGone (one endpoint, a stale owner) failed before with versionNotLoaded; 5 runs with the race detector pass. The failure of TestGoodMoveIsDone itself was not reproduced on virtual time, so that this was its cause is suspected, not shown.

--- a/io/cfvserve/completion.go
+++ b/io/cfvserve/completion.go
@@ -100,13 +100,15 @@
 // switchVersion changes the version of a request during a move and reports whether it did. A
 // request for the new version falls back to the old one if no endpoint of the new version has
 // capacity. A request for the old version switches to the new one if the old one has no
-// endpoint left and the move now assigns the request to the new one.
+// endpoint left, or its endpoint has left it, and the move now assigns the request to the new one.
 func (s *Server) switchVersion(r *request, cause *cfverror.Refusal, checker *cfvstream.Checker) bool {
 	p := r.service.Plan
 	if !p.Active() || checker.NextOffset() > 0 || r.attempts >= maxAttempts {
 		return false
 	}
-	if r.version == p.From && cause.Reason == cfverror.ReasonNoEndpoint && s.cfg.VersionFor(r.service, moveKey(r)) == p.To {
+	gone := cause.Reason == cfverror.ReasonNoEndpoint || cause.Reason == cfverror.ReasonVersionMissing
+	if r.version == p.From && gone && s.cfg.VersionFor(r.service, moveKey(r)) == p.To {
+		r.trace.Note("version %s is gone: %s", p.From, cause.Reason)
 		r.version = p.To
 		return true
 	}
