Let no late load report undo that an endpoint is leaving

Cause: owners read load reports beside responses, and a report that was made before the announcement and arrived after it set the endpoint back to available until the next one. An announcement now stands until a report of the next boot, or one that must have been made after it: later by the report's greatest age and the time that the call took.

--- a/core/cfvslot/endpoint.go
+++ b/core/cfvslot/endpoint.go
@@ -14,7 +14,7 @@
 	ColdSlots       int           // slots of an endpoint that has just started
 	WarmSlots       int           // slots of a warm endpoint
 	MinRampInterval time.Duration // between two doublings of the slots
-	MaxReportAge    time.Duration // greatest age of the state in a load report when it arrives
+	MaxReportAge    time.Duration // greatest age of the state in a load report when the endpoint sends it
 	Drained         bool
 }
 
@@ -23,6 +23,7 @@
 	BootID  string
 	Version string
 	Leaving bool
+	Took    time.Duration // from the request for the report until its arrival
 }
 
 // RampLevel is the number of slots that the ramp of an endpoint has reached since one boot.
@@ -44,6 +45,7 @@
 	slots            map[string]*slot
 	reportedSlots    map[string]int
 	leaving          bool
+	leavingSeenAt    time.Time // when the endpoint last announced that it is leaving
 	failures         int
 	unavailableUntil time.Time
 	restarts         int       // changes of the boot ID seen by this node
@@ -150,6 +152,21 @@
 	}
 }
 
+// recordLeaving records whether the endpoint is leaving. An announcement is only undone by a load
+// report of the next boot or one that must have been made after it.
+func (e *endpoint) recordLeaving(now time.Time, restarted bool, l LoadReport) {
+	if l.Leaving {
+		e.leaving, e.leavingSeenAt = true, now
+	} else if restarted || e.isNewer(now, l, e.leavingSeenAt) {
+		e.leaving = false
+	}
+}
+
+// isNewer reports whether a load report that arrives now must have been made after the given time.
+func (e *endpoint) isNewer(now time.Time, l LoadReport, t time.Time) bool {
+	return now.Sub(t) >= e.cfg.MaxReportAge+l.Took
+}
+
 // applyRampLevel raises the ramp to a level that an entry reports. Once this node has seen
 // a restart of the endpoint, it ignores the level: a late load report may show the ID of the
 // boot that has ended, whose level the entries still know.
--- a/core/cfvslot/table.go
+++ b/core/cfvslot/table.go
@@ -139,7 +139,9 @@
 		return nil
 	}
 	e.observeBoot(now, r.BootID)
-	e.leaving = e.leaving || (r.Leaving && r.BootID == e.bootID)
+	if r.Leaving && r.BootID == e.bootID {
+		e.leaving, e.leavingSeenAt = true, now
+	}
 	switch r.Outcome {
 	case OutcomeDone:
 		e.recordSuccess(now, r.BootID)
@@ -168,8 +170,9 @@
 	if !ok {
 		return nil
 	}
-	e.clearConnectionLost(now, e.observeBoot(now, l.BootID))
-	e.leaving = l.Leaving
+	restarted := e.observeBoot(now, l.BootID)
+	e.clearConnectionLost(now, restarted)
+	e.recordLeaving(now, restarted, l)
 	if l.Version != "" {
 		e.version = l.Version
 	}
--- a/core/cfvslot/table_test.go
+++ b/core/cfvslot/table_test.go
@@ -109,6 +109,41 @@
 	}
 }
 
+// Failure: a load report made before an endpoint announced that it is leaving arrives after the announcement, and the
+// endpoint gets requests again.
+func TestLateLoadReportDoesNotUndoLeaving(t *testing.T) {
+	const maxAge, took = 50 * time.Millisecond, 300 * time.Millisecond
+	tests := map[string]struct {
+		after  time.Duration // from the announcement until the report arrives
+		report LoadReport
+		grants bool
+	}{
+		"older than the announcement":     {10 * time.Millisecond, LoadReport{BootID: "boot"}, false},
+		"possibly older":                  {maxAge - 1, LoadReport{BootID: "boot"}, false},
+		"possibly older, on its way long": {maxAge + took - 1, LoadReport{BootID: "boot", Took: took}, false},
+		"newer":                           {maxAge, LoadReport{BootID: "boot"}, true},
+		"newer, on its way long":          {maxAge + took, LoadReport{BootID: "boot", Took: took}, true},
+		"of the next boot":                {10 * time.Millisecond, LoadReport{BootID: "boot2"}, true},
+	}
+	for name, tt := range tests {
+		for _, byResponse := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/announced by a response %v", name, byResponse), func(t *testing.T) {
+				table := warmTable(4)
+				table.endpoints["a"].cfg.MaxReportAge = maxAge
+				if byResponse {
+					table.Release(testStart, Release{Slot: "x", Endpoint: "a", Outcome: OutcomeDone, BootID: "boot", Leaving: true})
+				} else {
+					table.ApplyLoadReport(testStart, "a", LoadReport{BootID: "boot", Leaving: true})
+				}
+				now := testStart.Add(tt.after)
+				table.ApplyLoadReport(now, "a", tt.report)
+				got := table.Reserve(now, testRequest("s", "w", 5))
+				assert.Equal(t, got[0].Grant != nil, tt.grants)
+			})
+		}
+	}
+}
+
 func TestInterruptedRequestKeepsItsSlotWhileItLingers(t *testing.T) {
 	table := warmTable(1)
 	table.Reserve(testStart, testRequest("s1", "w", 5))
--- a/io/cfvplace/owner.go
+++ b/io/cfvplace/owner.go
@@ -257,6 +257,7 @@
 func (o *Owner) readLoad(ctx context.Context, name, address string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	requestedAt := time.Now()
 	report, err := o.cfg.ReadLoad(ctx, address)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -266,7 +267,7 @@
 		o.table.RecordUnreachable(now, name)
 		return
 	}
-	load := cfvslot.LoadReport{BootID: report.BootID, Version: report.Version, Leaving: report.Leaving}
+	load := cfvslot.LoadReport{BootID: report.BootID, Version: report.Version, Leaving: report.Leaving, Took: now.Sub(requestedAt)}
 	o.deliver(o.table.ApplyLoadReport(now, name, load))
 }
 
