Count a load report's time on its way in its age

By reading the code: an endpoint to which a connection was lost got requests again after a load report that had been made before the loss, if the call took longer than the age that reportLagMillis allows; such calls may take 0.4 s, the age is 50 ms in the tests.

TestLateLoadReportDoesNotEndALoss (core/cfvslot) failed before.

--- a/core/cfvslot/endpoint.go
+++ b/core/cfvslot/endpoint.go
@@ -146,8 +146,8 @@
 
 // clearConnectionLost makes the endpoint available again after a lost connection if the load
 // report shows a restart, or if the report must have been made after the loss.
-func (e *endpoint) clearConnectionLost(now time.Time, restarted bool) {
-	if restarted || now.Sub(e.connectionLostAt) >= e.cfg.MaxReportAge {
+func (e *endpoint) clearConnectionLost(now time.Time, restarted bool, l LoadReport) {
+	if restarted || e.isNewer(now, l, e.connectionLostAt) {
 		e.connectionLostAt = time.Time{}
 	}
 }
--- a/core/cfvslot/table.go
+++ b/core/cfvslot/table.go
@@ -171,7 +171,7 @@
 		return nil
 	}
 	restarted := e.observeBoot(now, l.BootID)
-	e.clearConnectionLost(now, restarted)
+	e.clearConnectionLost(now, restarted, l)
 	e.recordLeaving(now, restarted, l)
 	if l.Version != "" {
 		e.version = l.Version
--- a/core/cfvslot/table_test.go
+++ b/core/cfvslot/table_test.go
@@ -144,6 +144,18 @@
 	}
 }
 
+// Failure: a load report that was on its way for long makes an endpoint available that was lost since.
+func TestLateLoadReportDoesNotEndALoss(t *testing.T) {
+	const maxAge, took = 50 * time.Millisecond, 300 * time.Millisecond
+	table := warmTable(4)
+	table.endpoints["a"].cfg.MaxReportAge = maxAge
+	table.Release(testStart, Release{Slot: "x", Endpoint: "a", Outcome: OutcomeFailed, ConnectionLost: true})
+	table.ApplyLoadReport(testStart.Add(took), "a", LoadReport{BootID: "boot", Took: took})
+	assert.Equal(t, len(table.AwaitingLoadReport()), 1)
+	table.ApplyLoadReport(testStart.Add(maxAge+took), "a", LoadReport{BootID: "boot", Took: took})
+	assert.Equal(t, len(table.AwaitingLoadReport()), 0)
+}
+
 func TestInterruptedRequestKeepsItsSlotWhileItLingers(t *testing.T) {
 	table := warmTable(1)
 	table.Reserve(testStart, testRequest("s1", "w", 5))
