Use no leaving endpoint while its owner is unreachable

While the owner of a group couldn't be reached, an entry sent requests without a grant to an endpoint that the VM list, or a response to this entry, had reported as leaving. Cause: only owners were told of it. Found by reading the code for the failures of TestLeavingEndpointGetsNoRequests on real time, where calls to owners time out beside load; that it caused them is suspected, not shown. An entry that has heard of neither may still use such an endpoint.

--- a/io/cfvnode/wiring.go
+++ b/io/cfvnode/wiring.go
@@ -31,7 +31,7 @@
 	n.moves.Apply(updates.Clearances, updates.Verdicts)
 }
 
-// applyVMList passes the endpoints that the VM list marks as leaving to the owner.
+// applyVMList passes the endpoints that the VM list marks as leaving to the owner and the entry.
 func (n *Node) applyVMList(vms []cfvvmlist.VM) {
 	leaving := make(map[string]bool)
 	for _, vm := range vms {
@@ -39,6 +39,7 @@
 			leaving[vm.Address] = true
 		}
 	}
+	n.entry.SetLeaving(leaving)
 	if n.owner.SetLeaving(leaving) {
 		n.owner.Configure(n.settings.Catalog(), n.members.View())
 	}
--- a/io/cfvplace/entry.go
+++ b/io/cfvplace/entry.go
@@ -55,6 +55,7 @@
 	held            map[string]heldSlot
 	rampLevels      *lru.Cache[string, cfvslot.RampLevel]
 	fullUntil       map[string]time.Time
+	leaving         map[string]bool              // endpoint addresses that the VM list marks as leaving
 	pendingReleases map[string][]cfvslot.Release // by group
 	releasesQueued  chan struct{}                // signals that pendingReleases is not empty
 }
@@ -267,7 +268,8 @@
 
 // fallback uses a warm endpoint without a grant while the owner is unreachable. To limit the
 // load, each entry runs at most one such request on an endpoint, and only the first entries in
-// rendezvous order do so, at most half as many as the endpoint has slots.
+// rendezvous order do so, at most half as many as the endpoint has slots. An endpoint that is known
+// to be leaving is not used.
 func (e *Entry) fallback(group string, req Request, slot string) (*Slot, *cfverror.Refusal) {
 	g, _ := e.cfg.Catalog().Group(group)
 	serving := e.cfg.View().Serving[g.Region]
@@ -275,7 +277,7 @@
 	defer e.mu.Unlock()
 	for _, c := range g.Endpoints {
 		level, known := e.rampLevels.Get(c.Name)
-		if !known || level.Slots < c.WarmSlots || c.ColdSlots == c.WarmSlots || c.Drained || e.usesEndpoint(c.Name) {
+		if !known || level.Slots < c.WarmSlots || c.ColdSlots == c.WarmSlots || c.Drained || e.leaving[c.Address] || e.usesEndpoint(c.Name) {
 			continue
 		}
 		if req.Version != "" && req.Version != c.Version {
@@ -334,6 +336,13 @@
 	return inv
 }
 
+// SetLeaving sets the addresses of the endpoints that the VM list marks as leaving.
+func (e *Entry) SetLeaving(addresses map[string]bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = addresses
+}
+
 // InUse returns the number of slots in use.
 func (e *Entry) InUse() int {
 	e.mu.Lock()
--- a/io/cfvplace/entry_test.go
+++ b/io/cfvplace/entry_test.go
@@ -125,3 +125,47 @@
 		assert.Assert(t, time.Since(start) <= testLease+ownerRetryDelay)
 	})
 }
+
+// Failure: while the owner of a group can't be reached, an entry uses an endpoint without a grant although it was told
+// that the endpoint is leaving.
+func TestFallbackUsesNoLeavingEndpoint(t *testing.T) {
+	address := map[string]string{"pampeana/rosario/a0": "127.0.0.1:1", "pampeana/cordoba/a1": "127.0.0.1:2"}
+	tests := map[string]struct {
+		tell func(e *Entry, s *Slot)
+		used bool
+	}{
+		"not leaving":             {func(_ *Entry, s *Slot) { s.Release(Result{Outcome: cfvslot.OutcomeDone}) }, true},
+		"announced by a response": {func(_ *Entry, s *Slot) { s.Release(Result{Outcome: cfvslot.OutcomeDone, Leaving: true}) }, false},
+		"reported by the VM list": {func(e *Entry, s *Slot) {
+			s.Release(Result{Outcome: cfvslot.OutcomeDone})
+			e.SetLeaving(map[string]bool{address[s.Grant.Endpoint]: true})
+		}, false},
+		"another one is reported": {func(e *Entry, s *Slot) {
+			s.Release(Result{Outcome: cfvslot.OutcomeDone})
+			e.SetLeaving(map[string]bool{"127.0.0.1:3": true})
+		}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := testCatalog(t)
+				e, req := testEntry(t, func(r cfvslot.Request) cfvslot.Decision {
+					d := grant(c, r, "entry-1/1")
+					d.Grant.Level = cfvslot.RampLevel{Endpoint: d.Grant.Endpoint, BootID: "boot", Slots: 1000}
+					return d
+				})
+				slot, refusal := e.Acquire(t.Context(), req)
+				assert.Assert(t, refusal == nil, "refused: %v", refusal)
+				tt.tell(e, slot)
+				e.cfg.Reserve = func(context.Context, string, cfvslot.Request) (cfvslot.Decision, error) {
+					return cfvslot.Decision{}, context.DeadlineExceeded
+				}
+				again, refusal := e.Acquire(t.Context(), req)
+				assert.Equal(t, again != nil, tt.used)
+				if !tt.used {
+					assert.Equal(t, refusal.Reason, cfverror.ReasonOwnerUnreachable)
+				}
+			})
+		})
+	}
+}
--- a/io/cfvplace/slot.go
+++ b/io/cfvplace/slot.go
@@ -29,7 +29,7 @@
 func (s *Slot) Release(result Result) {
 	s.entry.mu.Lock()
 	delete(s.entry.held, s.Grant.Slot)
-	if result.ConnectionLost || (result.BootID != "" && result.BootID != s.Grant.Level.BootID) {
+	if result.ConnectionLost || result.Leaving || (result.BootID != "" && result.BootID != s.Grant.Level.BootID) {
 		s.entry.rampLevels.Remove(s.Grant.Endpoint)
 	}
 	s.entry.mu.Unlock()
