Wait for a slot in a group that can serve the request

Cause: a request that no group grants at once waits in the queue of the group that it prefers. If that group's owner knows of a drain before the entry does, or its endpoints are all leaving, it refuses at once, and the entry passed that on although the other group was only full or cold for the moment. The request now waits in the first group that didn't say that it has no endpoint for it.

TestRequestWaitsInAGroupThatCanServeIt failed before in its three cases with a group that can serve; 5 runs with the race detector pass.

--- a/io/cfvplace/entry.go
+++ b/io/cfvplace/entry.go
@@ -1,6 +1,7 @@
 package cfvplace
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -145,7 +146,8 @@
 }
 
 // searchGroups requests a slot from each group in order of preference. If none has a free
-// slot, it waits in the queue of the first group, provided that the service allows queueing.
+// slot, it waits in the queue of the first group that can serve the request, provided that the
+// service allows queueing.
 func (e *Entry) searchGroups(ctx context.Context, req Request) (*Slot, *cfverror.Refusal) {
 	key := req.AffinityKey
 	if key == "" {
@@ -156,8 +158,10 @@
 		return nil, cfverror.NotRun(cfverror.ReasonNoEndpoint, "service %s has no endpoint that takes work", req.Service.Name)
 	}
 	var last *cfverror.Refusal
+	var queues []string
 	for _, g := range groups {
 		if e.isFull(g) {
+			queues = append(queues, g)
 			continue
 		}
 		slot, refusal := e.reserve(ctx, g, req, 0)
@@ -165,13 +169,16 @@
 			return slot, nil
 		}
 		last = refusal
+		if !cannotServe(refusal) {
+			queues = append(queues, g)
+		}
 	}
-	if req.Service.QueueTimeout > 0 && ctx.Err() == nil {
-		slot, refusal := e.reserve(ctx, groups[0], req, req.Service.QueueTimeout)
+	if req.Service.QueueTimeout > 0 {
+		slot, refusal := e.waitInQueue(ctx, queues, req)
 		if slot != nil {
 			return slot, nil
 		}
-		last = refusal
+		last = cmp.Or(refusal, last)
 	}
 	if last == nil {
 		last = cfverror.NotRun(cfverror.ReasonEndpointsFull, "every endpoint of service %s is full", req.Service.Name)
@@ -179,6 +186,24 @@
 	return nil, last
 }
 
+// waitInQueue waits in the queue of the first group that can serve the request.
+func (e *Entry) waitInQueue(ctx context.Context, groups []string, req Request) (slot *Slot, refusal *cfverror.Refusal) {
+	for _, g := range groups {
+		if ctx.Err() != nil {
+			return nil, refusal
+		}
+		if slot, refusal = e.reserve(ctx, g, req, req.Service.QueueTimeout); !cannotServe(refusal) {
+			return slot, refusal
+		}
+	}
+	return nil, refusal
+}
+
+// cannotServe reports whether a group refused a request that it can't serve later either.
+func cannotServe(r *cfverror.Refusal) bool {
+	return r != nil && (r.Reason == cfverror.ReasonDrained || r.Reason == cfverror.ReasonNoEndpoint)
+}
+
 // reserve requests a slot from the owner of one group. If the call fails, reserve releases the
 // slot, since the owner may have granted it, and falls back to a warm endpoint.
 func (e *Entry) reserve(ctx context.Context, group string, req Request, maxQueueTime time.Duration) (*Slot, *cfverror.Refusal) {
--- a/io/cfvplace/entry_test.go
+++ b/io/cfvplace/entry_test.go
@@ -169,3 +169,51 @@
 		})
 	}
 }
+
+// Failure: the group that a request prefers was just drained, the other one is full for a moment, and the request is
+// refused with drained instead of waiting in the queue of the other group.
+func TestRequestWaitsInAGroupThatCanServeIt(t *testing.T) {
+	tests := map[string]struct {
+		reason  cfverror.Reason // of the preferred group
+		full    cfverror.Reason // of the other group, to requests that don't wait
+		granted bool
+	}{
+		"drained":                {cfverror.ReasonDrained, cfverror.ReasonEndpointsFull, true},
+		"no endpoint":            {cfverror.ReasonNoEndpoint, cfverror.ReasonEndpointsFull, true},
+		"the other one is cold":  {cfverror.ReasonDrained, cfverror.ReasonEndpointsCold, true},
+		"both are drained":       {cfverror.ReasonDrained, cfverror.ReasonDrained, false},
+		"the preferred one full": {cfverror.ReasonEndpointsFull, cfverror.ReasonDrained, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := testCatalog(t)
+				preferred := ""
+				var e *Entry
+				var req Request
+				e, req = testEntry(t, func(r cfvslot.Request) cfvslot.Decision {
+					if preferred == "" {
+						preferred = r.Group
+					}
+					switch {
+					case r.Group == preferred:
+						return cfvslot.Decision{Slot: r.Slot, Reason: tt.reason}
+					case r.MaxQueueTime == 0 || tt.full == cfverror.ReasonDrained:
+						return cfvslot.Decision{Slot: r.Slot, Reason: tt.full}
+					}
+					time.Sleep(r.MaxQueueTime / 2)
+					d := grant(c, r, "entry-1/1")
+					d.Grant.QueueTime = r.MaxQueueTime / 2
+					return d
+				})
+				for range 2 { // the second request doesn't ask full groups first
+					slot, refusal := e.Acquire(t.Context(), req)
+					assert.Equal(t, slot != nil, tt.granted, "%v", refusal)
+					if !tt.granted {
+						assert.Equal(t, refusal.Reason, tt.reason)
+					}
+				}
+			})
+		})
+	}
+}
