Read salts of models with a dot in their name

The leader never freed the parts of replaced weights of a model like llama-3.1: the salt of its version 5 was read as version 1 of llama-3. Cause: salts were split at their first two dots. The version is now the first number that stands before a scope, so names of models and workspaces may have dots.

--- a/core/cfvcall/call.go
+++ b/core/cfvcall/call.go
@@ -86,12 +86,18 @@
 	Leaving       bool // the connection closes after the response
 }
 
+// Scopes of salts. The second is followed by the name of a workspace.
+const (
+	sharedScope   = "all"
+	isolatedScope = "only."
+)
+
 // Salt returns the cache salt of a request. Only requests with the same salt share parts:
 // isolated workspaces share with no other workspace, and versions of the weights never mix.
 func Salt(w *cfvfleet.Workspace, model string, version int64) string {
-	scope := "all"
+	scope := sharedScope
 	if w != nil && w.Isolated {
-		scope = "only." + w.Name
+		scope = isolatedScope + w.Name
 	}
 	var b strings.Builder
 	b.WriteString(model)
@@ -102,12 +108,20 @@
 	return b.String()
 }
 
-// ParseSalt returns the model and the version of the weights in a salt.
+// ParseSalt returns the model and the version of the weights in a salt. Names of models may have
+// dots, so the version is the first number before a scope.
 func ParseSalt(salt string) (model string, version int64, ok bool) {
-	parts := strings.SplitN(salt, ".", 3)
-	if len(parts) != 3 {
-		return "", 0, false
+	for i := range len(salt) {
+		if salt[i] != '.' {
+			continue
+		}
+		number, scope, found := strings.Cut(salt[i+1:], ".")
+		if !found || scope != sharedScope && !strings.HasPrefix(scope, isolatedScope) {
+			continue
+		}
+		if version, ok = parseVersion(number); ok {
+			return salt[:i], version, true
+		}
 	}
-	version, ok = parseVersion(parts[1])
-	return parts[0], version, ok
+	return "", 0, false
 }
