Keep the revision below which peers need a listing

A peer could keep a key that had been removed, such as a withdrawn endpoint: after a mirror had taken over a full listing, dropping its old tombstones set the revision below which peers get a full listing back to that of the newest one dropped, so that a peer older than the listing got changes only, without removals that no tombstone tells of. The revision now only grows.

TestPeerOlderThanAListingReceivesAListing failed before.

--- a/core/cfvmirror/mirror.go
+++ b/core/cfvmirror/mirror.go
@@ -127,6 +127,6 @@
 	slices.SortFunc(tombstones, byRevision)
 	for _, r := range tombstones[:len(tombstones)-maxTombstones/2] {
 		delete(m.records, r.Key)
-		m.droppedUpTo = r.Revision
+		m.droppedUpTo = max(m.droppedUpTo, r.Revision)
 	}
 }
--- a/core/cfvmirror/mirror_test.go
+++ b/core/cfvmirror/mirror_test.go
@@ -107,6 +107,28 @@
 	assert.Equal(t, age, 2*time.Second)
 }
 
+// Failure: dropping tombstones older than a listing lowers the revision from which peers get changes only, and a peer
+// keeps a key that was removed before the listing.
+func TestPeerOlderThanAListingReceivesAListing(t *testing.T) {
+	m := New()
+	rev := int64(0)
+	remove := func(n int) {
+		var removed []Record
+		for range n {
+			rev++
+			removed = append(removed, Record{Key: fmt.Sprint("k", rev), Revision: rev, Deleted: true})
+		}
+		m.Merge(removed, rev)
+	}
+	remove(maxTombstones)
+	beforeListing := rev + 1 // the revision of a peer that has a key which is removed before the listing
+	rev += 10
+	m.Replace(nil, rev)
+	remove(10)
+	_, full := m.Delta(beforeListing)
+	assert.Assert(t, full)
+}
+
 func TestPeerThatLagsBehindDroppedTombstonesReceivesAListing(t *testing.T) {
 	m := New()
 	rev := int64(0)
