Keep a store's clock if a batch names none

After a batch of events without the store's clock, the clock counted as unknown until the next one that names it, so that fetches of that time were sent without their time limit at the store. Cause: the batch's 0 was taken for a clock. The last clock known of the same epoch now runs on, and peers are sent its value at the time of the update, not that at which it was last named.

TestClockIsKeptIfABatchNamesNone failed before in two of five cases.

--- a/core/cfvparts/catalog.go
+++ b/core/cfvparts/catalog.go
@@ -141,6 +141,9 @@
 	if s == nil {
 		return true
 	}
+	if b.ClockMillis == 0 && b.Epoch == s.epoch {
+		b.ClockMillis = s.clock(now)
+	}
 	if b.Full || b.Epoch != s.epoch {
 		s.reset(b.Epoch)
 	}
@@ -225,7 +228,7 @@
 		if s == nil || !s.known {
 			continue
 		}
-		u := StoreUpdate{Position: Position{p.Addr, s.epoch, s.next}, Age: now - s.updatedAt, ClockMillis: s.clockMillis}
+		u := StoreUpdate{Position: Position{p.Addr, s.epoch, s.next}, Age: now - s.updatedAt, ClockMillis: s.clock(s.updatedAt)}
 		u.Full = p.Epoch != s.epoch || p.Next > s.next
 		for _, e := range s.lastEvents {
 			if u.Full && !e.Removed || !u.Full && e.Sequence >= p.Next {
@@ -350,7 +353,15 @@
 // Clock returns a store's clock in milliseconds, or 0 if the store has not reported it.
 func (c *Catalog) Clock(now time.Duration, addr string) int64 {
 	s := c.states[addr]
-	if s == nil || s.clockMillis == 0 {
+	if s == nil {
+		return 0
+	}
+	return s.clock(now)
+}
+
+// clock returns the store's clock in milliseconds, or 0 if it is unknown.
+func (s *storeState) clock(now time.Duration) int64 {
+	if s.clockMillis == 0 {
 		return 0
 	}
 	return s.clockMillis + (now - s.clockAt).Milliseconds()
--- a/core/cfvparts/catalog_test.go
+++ b/core/cfvparts/catalog_test.go
@@ -199,6 +199,30 @@
 	}
 }
 
+// Failure: a batch that doesn't name the store's clock sets it back to unknown, here and at peers.
+func TestClockIsKeptIfABatchNamesNone(t *testing.T) {
+	tests := map[string]struct {
+		then Batch
+		want int64 // the clock 3 s after it was named
+	}{
+		"no clock":                      {Batch{Epoch: 1, Next: 1}, 8000},
+		"a listing without a clock":     {Batch{Epoch: 1, Next: 1, Full: true}, 8000},
+		"another clock":                 {Batch{Epoch: 1, Next: 1, ClockMillis: 20_000}, 21_000},
+		"no clock after a restart":      {Batch{Epoch: 2, Next: 1, Full: true}, 0},
+		"another clock after a restart": {Batch{Epoch: 2, Next: 1, Full: true, ClockMillis: 100}, 1100},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			relay, peer := newCatalog("fast"), newCatalog("fast")
+			relay.Apply(time.Second, "fast", Batch{Epoch: 1, Next: 1, ClockMillis: 5000})
+			relay.Apply(3*time.Second, "fast", tt.then)
+			merge(relay, peer, 4*time.Second)
+			assert.Equal(t, relay.Clock(4*time.Second, "fast"), tt.want)
+			assert.Equal(t, peer.Clock(4*time.Second, "fast"), tt.want)
+		})
+	}
+}
+
 func TestFreedPartsAreThoseOfOldWeights(t *testing.T) {
 	c := newCatalog("large", Event{Sequence: 1, Salt: "m.1.all", Part: "a", Tokens: 10}, Event{Sequence: 2, Salt: "m.2.all", Part: "a", Tokens: 10},
 		Event{Sequence: 3, Salt: "m.1.only.x", Part: "b", Tokens: 10})
