Test good moves on virtual time

On real time the move was not done in time, or a request was refused with noEndpoint or versionNotLoaded. The first was a bound on wall time: on virtual time a move of 20 s takes 15.5 s, its last step being due at 15 s, and each decision waits for calls that a loaded host delays.

--- a/io/cfvnode/moves_test.go
+++ b/io/cfvnode/moves_test.go
@@ -66,16 +66,17 @@
 
 func TestGoodMoveIsDone(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, moveConfig(cfvfakeengine.Behaviour{}))
-	l := c.startLoad(func(i int) int { return i % 3 })
-	c.waitServed(l, 60)
-	c.startMove(20 * time.Second)
-	c.waitMoveState(cfvmoves.StateDone)
-	assert.Equal(t, c.engineVersions()["v2"], 6)
-	c.waitSettings()
-	assert.Equal(t, c.nodes[1].settings.Catalog().Tree().Text("services/assistant", cfvtree.ActiveVersion), "v2")
-	c.waitServed(l, 40)
-	assert.Equal(t, l.stopAndGetFailure(), "")
+	runVirtual(t, moveConfig(cfvfakeengine.Behaviour{}), func(t *testing.T, c *cluster) {
+		l := c.startLoad(func(i int) int { return i % 3 })
+		c.waitServed(l, 60)
+		c.startMove(20 * time.Second)
+		c.waitMoveState(cfvmoves.StateDone)
+		assert.Equal(t, c.engineVersions()["v2"], 6)
+		c.waitSettings()
+		assert.Equal(t, c.nodes[1].settings.Catalog().Tree().Text("services/assistant", cfvtree.ActiveVersion), "v2")
+		c.waitServed(l, 40)
+		assert.Equal(t, l.stopAndGetFailure(), "")
+	})
 }
 
 // Failure: the last endpoint leaves the old version before an entry that missed the broadcast of the full share
