Test returning prompts on virtual time

On real time an entry once found no tokens cached. By reading: if the call to a group's owner takes longer than the reserve timeout (0.3 s), the entry asks the next group, where the prompt is not cached; that is what the timeout is for, and beside load it expired for want of processor time.

--- a/io/cfvnode/serving_test.go
+++ b/io/cfvnode/serving_test.go
@@ -20,15 +20,16 @@
 
 func TestReturningPromptIsCachedThroughAnotherEntry(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, clusterConfig{entries: 3, engines: 2})
-	first := c.chat(0, chamberKey, longPrompt, 8, true)
-	assert.Assert(t, first.complete)
-	assert.Equal(t, first.cachedTokens, 0)
-	for entry := range c.nodes {
-		again := c.chat(entry, chamberKey, longPrompt, 8, true)
-		assert.Equal(t, again.text, expectedText(longPrompt, 8))
-		assert.Assert(t, again.cachedTokens >= 12_000, "entry %d: %d tokens cached", entry, again.cachedTokens)
-	}
+	runVirtual(t, clusterConfig{entries: 3, engines: 2}, func(t *testing.T, c *cluster) {
+		first := c.chat(0, chamberKey, longPrompt, 8, true)
+		assert.Assert(t, first.complete)
+		assert.Equal(t, first.cachedTokens, 0)
+		for entry := range c.nodes {
+			again := c.chat(entry, chamberKey, longPrompt, 8, true)
+			assert.Equal(t, again.text, expectedText(longPrompt, 8))
+			assert.Assert(t, again.cachedTokens >= 12_000, "entry %d: %d tokens cached", entry, again.cachedTokens)
+		}
+	})
 }
 
 func TestWorkspacesShareNoCache(t *testing.T) {
