--- a/io/cfvnode/recovery_test.go
+++ b/io/cfvnode/recovery_test.go
@@ -101,21 +101,22 @@
 
 func TestDrainedDomainGetsNoRequestsDuringOutage(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, clusterConfig{entries: 4, engines: 2})
-	l := c.startLoad(func(i int) int { return i % 4 })
-	c.waitServed(l, 60)
-	assert.Assert(t, c.requestCount("cordoba") > 0)
-	c.apply(`{"regions/pampeana/cordoba": {"drained": true}}`)
-	c.kv.SetFault(cfvfault.Fault{Mode: cfvfault.Outage})
-	c.waitSettings()
-	c.waitServed(l, 20)
-	before := c.requestCount("cordoba")
-	c.waitServed(l, 100)
-	assert.Equal(t, c.requestCount("cordoba"), before)
-	c.kv.SetFault(cfvfault.Fault{})
-	c.apply(`{"regions/pampeana/cordoba": {"drained": false}}`)
-	c.eventually("the domain receives requests again", func() bool { return c.requestCount("cordoba") > before })
-	assert.Equal(t, l.stopAndGetFailure(), "")
+	runVirtual(t, clusterConfig{entries: 4, engines: 2}, func(t *testing.T, c *cluster) {
+		l := c.startLoad(func(i int) int { return i % 4 })
+		c.waitServed(l, 60)
+		assert.Assert(t, c.requestCount("cordoba") > 0)
+		c.apply(`{"regions/pampeana/cordoba": {"drained": true}}`)
+		c.kv.SetFault(cfvfault.Fault{Mode: cfvfault.Outage})
+		c.waitSettings()
+		c.waitServed(l, 20)
+		before := c.requestCount("cordoba")
+		c.waitServed(l, 100)
+		assert.Equal(t, c.requestCount("cordoba"), before)
+		c.kv.SetFault(cfvfault.Fault{})
+		c.apply(`{"regions/pampeana/cordoba": {"drained": false}}`)
+		c.eventually("the domain receives requests again", func() bool { return c.requestCount("cordoba") > before })
+		assert.Equal(t, l.stopAndGetFailure(), "")
+	})
 }
 
 func TestLeavingEndpointGetsNoRequests(t *testing.T) {
