Test leaving endpoints on virtual time

What remains by design: an entry that has heard from nobody that an endpoint leaves may use it without a grant while the owner's calls time out, as beside load on real time.

--- a/io/cfvnode/recovery_test.go
+++ b/io/cfvnode/recovery_test.go
@@ -132,27 +132,28 @@
 	for name, leave := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newCluster(t, clusterConfig{entries: 2, engines: 2, domains: []string{"rosario"}})
-			l := c.startLoad(func(i int) int { return i % 2 })
-			c.waitServed(l, 40)
-			leave(c)
-			// Wait until the owner itself knows that the endpoint is leaving and all slots granted
-			// before are released. It is not enough that the endpoint is unavailable, which also
-			// happens for a while after a failed load report, or that another node knows.
-			c.eventually("the owner knows that the endpoint is leaving, and no slot is held", func() bool {
-				for _, n := range c.nodes {
-					for _, s := range n.owner.Statuses() {
-						if "regions/"+s.Name == path && s.Settled && s.BootID != "" && s.Leaving && s.Held == 0 {
-							return true
+			runVirtual(t, clusterConfig{entries: 2, engines: 2, domains: []string{"rosario"}}, func(t *testing.T, c *cluster) {
+				l := c.startLoad(func(i int) int { return i % 2 })
+				c.waitServed(l, 40)
+				leave(c)
+				// Wait until the owner itself knows that the endpoint is leaving and all slots granted
+				// before are released. It is not enough that the endpoint is unavailable, which also
+				// happens for a while after a failed load report, or that another node knows.
+				c.eventually("the owner knows that the endpoint is leaving, and no slot is held", func() bool {
+					for _, n := range c.nodes {
+						for _, s := range n.owner.Statuses() {
+							if "regions/"+s.Name == path && s.Settled && s.BootID != "" && s.Leaving && s.Held == 0 {
+								return true
+							}
 						}
 					}
-				}
-				return false
+					return false
+				})
+				before := c.engines[path].Stats().Requests
+				c.waitServed(l, 60)
+				assert.Equal(t, c.engines[path].Stats().Requests, before)
+				assert.Equal(t, l.stopAndGetFailure(), "")
 			})
-			before := c.engines[path].Stats().Requests
-			c.waitServed(l, 60)
-			assert.Equal(t, c.engines[path].Stats().Requests, before)
-			assert.Equal(t, l.stopAndGetFailure(), "")
 		})
 	}
 }
