Test accepted changes on virtual time

On real time, beside load, a write of the set-up ended with "context deadline exceeded": the timeout of the key-value store is 1 s, which the test host took.

--- a/io/cfvnode/recovery_test.go
+++ b/io/cfvnode/recovery_test.go
@@ -215,18 +215,19 @@
 
 func TestAcceptedChangeReachesAllNodesDespiteOutage(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, clusterConfig{entries: 4, engines: 1, domains: []string{"rosario"}})
-	c.nodes[2].settings.Propose(t.Context(), cfvsettings.Proposal{Changes: []cfvtree.Change{
-		{Path: "root", Name: cfvtree.QueueMillis, Value: cfvtree.IntValue(77)},
-	}})
-	c.kv.SetFault(cfvfault.Fault{Mode: cfvfault.Outage})
-	c.eventually("all nodes have applied the change", func() bool {
-		for _, n := range c.nodes {
-			if n.settings.Catalog().Tree().Int("root", cfvtree.QueueMillis) != 77 {
-				return false
+	runVirtual(t, clusterConfig{entries: 4, engines: 1, domains: []string{"rosario"}}, func(t *testing.T, c *cluster) {
+		c.nodes[2].settings.Propose(t.Context(), cfvsettings.Proposal{Changes: []cfvtree.Change{
+			{Path: "root", Name: cfvtree.QueueMillis, Value: cfvtree.IntValue(77)},
+		}})
+		c.kv.SetFault(cfvfault.Fault{Mode: cfvfault.Outage})
+		c.eventually("all nodes have applied the change", func() bool {
+			for _, n := range c.nodes {
+				if n.settings.Catalog().Tree().Int("root", cfvtree.QueueMillis) != 77 {
+					return false
+				}
 			}
-		}
-		return true
+			return true
+		})
 	})
 }
 
