--- a/io/cfvnode/recovery_test.go
+++ b/io/cfvnode/recovery_test.go
@@ -197,20 +197,21 @@
 
 func TestOtherEntriesServeAfterOneIsKilled(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, clusterConfig{entries: 4, engines: 2})
-	l := c.startLoad(func(i int) int { return i % 3 })
-	c.waitServed(l, 30)
-	c.kill(3)
-	c.eventually("the killed entry is dead", func() bool {
-		for _, m := range c.nodes[0].members.View().Members {
-			if m.Name == "entry-3" {
-				return m.Status.String() == "dead"
+	runVirtual(t, clusterConfig{entries: 4, engines: 2}, func(t *testing.T, c *cluster) {
+		l := c.startLoad(func(i int) int { return i % 3 })
+		c.waitServed(l, 30)
+		c.kill(3)
+		c.eventually("the killed entry is dead", func() bool {
+			for _, m := range c.nodes[0].members.View().Members {
+				if m.Name == "entry-3" {
+					return m.Status.String() == "dead"
+				}
 			}
-		}
-		return false
+			return false
+		})
+		c.waitServed(l, 100)
+		assert.Equal(t, l.stopAndGetFailure(), "")
 	})
-	c.waitServed(l, 100)
-	assert.Equal(t, l.stopAndGetFailure(), "")
 }
 
 func TestAcceptedChangeReachesAllNodesDespiteOutage(t *testing.T) {
