Test plain calls on virtual time

The test's requests have 0.8 s, and owners 0.3 s in two more places than the reserve timeout that the test sets to a minute (lease and load calls): bounds on wall time that the other tests' nodes used up.

--- a/io/cfvnode/serving_test.go
+++ b/io/cfvnode/serving_test.go
@@ -161,18 +161,19 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := newCluster(t, clusterConfig{entries: 2, services: 1, domains: []string{"rosario"}, settings: `{"services/orders": {"silenceMillis": 400, "requestMillis": 800}}`, nodeConfig: withLongReserveTimeout})
-			for _, d := range c.services {
-				d.SetFault(tt.fault)
-			}
-			header := []string{"X-Request-Id", "r"}
-			if tt.key != "" {
-				header = append(header, "Idempotency-Key", tt.key)
-			}
-			resp := c.send(0, chamberKey, tt.method, "/services/orders"+tt.path, "{}", header...)
-			assert.Equal(t, resp.status, tt.status, resp.body)
-			assert.Equal(t, resp.ranState, tt.ran)
-			assert.Equal(t, c.runCount(tt.request), tt.runs)
+			runVirtual(t, clusterConfig{entries: 2, services: 1, domains: []string{"rosario"}, settings: `{"services/orders": {"silenceMillis": 400, "requestMillis": 800}}`, nodeConfig: withLongReserveTimeout}, func(t *testing.T, c *cluster) {
+				for _, d := range c.services {
+					d.SetFault(tt.fault)
+				}
+				header := []string{"X-Request-Id", "r"}
+				if tt.key != "" {
+					header = append(header, "Idempotency-Key", tt.key)
+				}
+				resp := c.send(0, chamberKey, tt.method, "/services/orders"+tt.path, "{}", header...)
+				assert.Equal(t, resp.status, tt.status, resp.body)
+				assert.Equal(t, resp.ranState, tt.ran)
+				assert.Equal(t, c.runCount(tt.request), tt.runs)
+			})
 		})
 	}
 }
