Log and count requests that begin on replaced weights

Entries now count such requests (weights.replaced, and weights.replacedLate once no request should be sent there any more) and log the late ones. The line on new weights has the age of the state that learned of them, and a corrected age is logged. No decision is changed.

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -185,6 +185,7 @@
 		return outcomeFailed
 	}
 	q.possibleRuns++
+	q.recordBegin(ep, max(meta.WeightVersion, opts.WeightVersion))
 	if resp.StatusCode/100 == 2 && q.route.Kind == cfvfleet.Streaming {
 		return q.forwardStream(ep, resp, hedge, dog, prefillDone)
 	}
--- a/io/cfventry/choose.go
+++ b/io/cfventry/choose.go
@@ -92,7 +92,7 @@
 	load := e.dispatcher.LocalLoad(choice.Endpoint.ID)
 	e.cfg.Log.Debugw("a request was placed", q.logFields("endpoint", choice.Endpoint.ID, "primary", cachedOn, "candidates", len(query.Endpoints),
 		"running", load.Running, "tokens", query.PromptTokens, "sharedTokens", query.SharedTokens, "storedTokens", query.StoredTokens,
-		"fetch", strings.Join(opts.FetchFrom, ","), "save", strings.Join(opts.SaveTo, ","), "weights", opts.WeightVersion, "affinity", query.Affinity)...)
+		"fetch", strings.Join(opts.FetchFrom, ","), "save", strings.Join(opts.SaveTo, ","), "weights", opts.WeightVersion, "desiredWeights", query.DesiredWeights, "affinity", query.Affinity)...)
 }
 
 // promptTokens returns the tokens that the request adds to the prefill queue of an endpoint.
--- a/io/cfvstate/state.go
+++ b/io/cfvstate/state.go
@@ -64,7 +64,7 @@
 		}
 		if s.view.Apply(now, c) {
 			applied = append(applied, c)
-			s.logChange(from, c)
+			s.logChange(from, c, age, known)
 		}
 	}
 	if !known || age > outdatedAge {
@@ -76,14 +76,15 @@
 	}
 }
 
-// logChange logs a change of the state.
-func (s *State) logChange(from string, c cfvfleet.Change) {
+// logChange logs a change of the state. The state had the given age before, if it was known.
+func (s *State) logChange(from string, c cfvfleet.Change, age time.Duration, known bool) {
 	l := s.cfg.Log
 	switch {
 	case c.Config != nil:
 		l.Infow("configuration applied", "from", from, "revision", c.Revision, "version", c.Config.Version, "routes", len(c.Config.Routes), "workspaces", len(c.Config.Workspaces))
 	case c.Weights != nil:
-		l.Infow("weights were named", "from", from, "revision", c.Revision, "model", c.Weights.Model, "version", c.Weights.Version)
+		l.Infow("weights were named", "from", from, "revision", c.Revision, "model", c.Weights.Model, "version", c.Weights.Version,
+			"stateKnown", known, "stateAgeMillis", age.Milliseconds())
 	case c.Domain != nil:
 		l.Infow("failure domain drained or returned to service", "from", from, "revision", c.Revision, "domain", c.Domain.Domain, "out", c.Domain.Drained)
 	case c.RolloutOrder != nil:
@@ -145,7 +146,12 @@
 func (s *State) SetWeightsSince(model string, version int64, since time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.view.Desired(model)
 	s.view.SetWeightsSince(model, version, since)
+	if after := s.view.Desired(model); after.WeightsVersion != before.WeightsVersion {
+		s.cfg.Log.Infow("a peer knows since when weights are set", "model", model, "version", version,
+			"ageMillis", (s.cfg.Now() - after.Since).Milliseconds(), "ageBeforeMillis", (s.cfg.Now() - before.Since).Milliseconds(), "certainBefore", before.Certain)
+	}
 }
 
 // Read calls f with the view under the lock. f must not retain the view.
