Bound requests on each replaced version of weights by its own time

Cause: an entry compared only the age of the desired version with the bound. When another version was named, that age began anew, and endpoints that still ran a version replaced long ago got requests again. An entry that missed the version in between (a start, a cut) also ignored its age when a peer told it.

Change: the query to the dispatcher has the oldest version on which requests may start, from the times of all known versions, instead of a flag for all but the newest. An age of a replaced version that a peer knows is added.

TestEachReplacedVersionHasItsOwnBound failed before in the three cases with another version named (200 instead of 503). The rows of TestChooseFollowsDesiredWeights that set the flag set the version instead, and one row is new.

--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		s := d.stateOf(e)
-		if q.RefuseOldWeights && d.WeightsVersion(e, q.Model) < q.DesiredWeights {
+		if d.WeightsVersion(e, q.Model) < q.OldestWeights {
 			why = max(why, AllOnOldWeights)
 			continue
 		}
--- a/core/cfvdispatch/dispatcher_test.go
+++ b/core/cfvdispatch/dispatcher_test.go
@@ -57,9 +57,10 @@
 	}{
 		"old weights are still allowed":                           {q: Query{DesiredWeights: 2}, why: Chosen},
 		"new weights are preferred":                               {q: Query{DesiredWeights: 2, PreferNewWeights: true}, want: "i-01", why: Chosen},
-		"old weights are refused":                                 {q: Query{DesiredWeights: 2, RefuseOldWeights: true}, want: "i-01", why: Chosen},
-		"no endpoint has the weights":                             {q: Query{DesiredWeights: 3, RefuseOldWeights: true}, why: AllOnOldWeights},
-		"the only endpoint with the weights rejected the request": {q: Query{DesiredWeights: 2, RefuseOldWeights: true, Exclude: map[string]bool{"i-01": true}}, why: AllOnOldWeights},
+		"old weights are refused":                                 {q: Query{DesiredWeights: 2, OldestWeights: 2}, want: "i-01", why: Chosen},
+		"only the oldest weights are refused":                     {q: Query{DesiredWeights: 3, OldestWeights: 2}, want: "i-01", why: Chosen},
+		"no endpoint has the weights":                             {q: Query{DesiredWeights: 3, OldestWeights: 3}, why: AllOnOldWeights},
+		"the only endpoint with the weights rejected the request": {q: Query{DesiredWeights: 2, OldestWeights: 2, Exclude: map[string]bool{"i-01": true}}, why: AllOnOldWeights},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/core/cfvdispatch/query.go
+++ b/core/cfvdispatch/query.go
@@ -21,7 +21,7 @@
 	StoredTokens          int // tokens of those shared parts that a store holds
 	Model                 string
 	DesiredWeights        int64                               // desired version; 0: not set
-	RefuseOldWeights      bool                                // requests may no longer start on older weights
+	OldestWeights         int64                               // oldest version on which requests may start; 0: any
 	PreferNewWeights      bool                                // responses on older weights lose value
 	MayFetchOldParts      func(id string, version int64) bool // whether an endpoint may fetch parts of a replaced version; nil: none may
 	Domain                string
--- a/core/cfvfleet/weights.go
+++ b/core/cfvfleet/weights.go
@@ -1,6 +1,7 @@
 package cfvfleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -32,6 +33,17 @@
 	return v, false
 }
 
+// Oldest returns the oldest version on which requests may still start, given whether a version was set too
+// long ago for requests to start on the versions that it replaced. It returns 0 if all may be used.
+func (d DesiredVersion) Oldest(expired func(v WeightsVersion) bool) (oldest int64) {
+	for _, v := range d.history {
+		if expired(v) {
+			oldest = v.Version
+		}
+	}
+	return oldest
+}
+
 // History returns the known versions with the times at which they were set, ascending.
 func (d DesiredVersion) History() []WeightsVersion { return d.history }
 
@@ -41,13 +53,15 @@
 	return DesiredVersion{WeightsVersion: v, history: history[max(len(history)-maxWeightsHistory, 0):]}
 }
 
-// setSince corrects the time at which a version was set, if a peer knows of an earlier one.
+// setSince corrects the time at which a version was set, if a peer knows of an earlier one, or adds the version.
 func (d DesiredVersion) setSince(version int64, since time.Duration) DesiredVersion {
 	history := slices.Clone(d.history)
-	for i := range history {
-		if v := &history[i]; v.Version == version && (since < v.Since || !v.Certain) {
-			v.Since, v.Certain = min(since, v.Since), true
-		}
+	i, known := slices.BinarySearchFunc(history, version, func(v WeightsVersion, version int64) int { return cmp.Compare(v.Version, version) })
+	switch {
+	case known && (since < history[i].Since || !history[i].Certain):
+		history[i].Since, history[i].Certain = min(since, history[i].Since), true
+	case !known && version < d.Version && len(history) < maxWeightsHistory:
+		history = slices.Insert(history, i, WeightsVersion{Version: version, Since: since, Certain: true})
 	}
 	d.history = history
 	if n := len(history); n > 0 {
@@ -56,8 +70,9 @@
 	return d
 }
 
-// SetWeightsSince records that a peer has known a version of a model's weights since the given time.
-// Unknown versions are ignored.
+// SetWeightsSince records that a peer has known a version of a model's weights since the given time. It also
+// adds a version that this process missed, since a newer one had replaced it. Newer versions than the desired
+// one are ignored.
 func (v *View) SetWeightsSince(model string, version int64, since time.Duration) {
 	if d, ok := v.weights[model]; ok {
 		v.weights[model] = d.setSince(version, since)
--- a/core/cfvfleet/weights_test.go
+++ b/core/cfvfleet/weights_test.go
@@ -42,6 +42,10 @@
 			events: func(v *View) { set(v, 5*time.Second, 2); v.SetWeightsSince("m", 3, time.Second) },
 			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, Certain: true},
 		},
+		"a peer knows an older version": {
+			events: func(v *View) { set(v, 5*time.Second, 2); v.SetWeightsSince("m", 1, time.Second) },
+			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, Certain: true},
+		},
 		"newer ones later": {
 			events: func(v *View) {
 				set(v, 5*time.Second, 2)
@@ -85,3 +89,46 @@
 		})
 	}
 }
+
+// Guards against requests on weights whose bound has passed: the time of the newest version counted for all
+// versions before it, and a version that was replaced before this process heard of it was left out.
+func TestOldest(t *testing.T) {
+	const limit = 5 * time.Second
+	set := func(v *View, at time.Duration, version int64) {
+		v.Apply(at, Change{Weights: &DesiredWeights{Model: "m", Version: version}})
+	}
+	tests := map[string]struct {
+		events func(v *View)
+		now    time.Duration
+		want   int64
+	}{
+		"no version": {events: func(*View) {}, now: time.Hour},
+		"one version, just set": {
+			events: func(v *View) { set(v, 0, 2) },
+			now:    limit,
+		},
+		"one version, long ago": {
+			events: func(v *View) { set(v, 0, 2) },
+			now:    limit + 1, want: 2,
+		},
+		"two versions, the second just set": {
+			events: func(v *View) { set(v, 0, 2); set(v, 4*time.Second, 3) },
+			now:    limit + 1, want: 2,
+		},
+		"two versions, long ago": {
+			events: func(v *View) { set(v, 0, 2); set(v, 4*time.Second, 3) },
+			now:    4*time.Second + limit + 1, want: 3,
+		},
+		"a peer knows the first of two versions": {
+			events: func(v *View) { set(v, 4*time.Second, 3); v.SetWeightsSince("m", 2, 0) },
+			now:    limit + 1, want: 2,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := NewView()
+			tt.events(v)
+			assert.Equal(t, v.Desired("m").Oldest(func(w WeightsVersion) bool { return tt.now-w.Since > limit }), tt.want)
+		})
+	}
+}
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -146,9 +146,14 @@
 			}
 		}()
 	}
+	e.startLoops(ctx)
+	return nil
+}
+
+// startLoops starts the background work, which ends with ctx.
+func (e *Entry) startLoops(ctx context.Context) {
 	go cfvclock.Every(ctx, cleanupInterval, func(context.Context) { e.cleanUp() })
 	go cfvclock.Every(ctx, peerLoadInterval, func(context.Context) { e.updatePeerLoads() })
-	return nil
 }
 
 // Stop shuts the entry down gracefully. It reports not ready, keeps serving until the load
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -1,7 +1,6 @@
 package cfventry
 
 import (
-	"slices"
 	"time"
 
 	"coltsfootvalve/common/cfverror"
@@ -229,27 +228,13 @@
 			q.DesiredWeights = desired.Version
 			q.PreferNewWeights = !desired.Certain || now-desired.Since > preferNewWeightsAfter
 			q.MayFetchOldParts = oldPartsFetchable(now, v, desired, q.Endpoints)
-			q.RefuseOldWeights = e.refusesOldWeights(now, desired, p.Model, q.Endpoints)
+			q.OldestWeights = e.oldestWeights(now, desired, p.Model, q.Endpoints)
 		}
 	})
 	q.ColdUntil = func(id string) time.Duration { return cold[id] }
 	return q
 }
 
-// refusesOldWeights reports whether requests may start on the desired weights only. If this entry does
-// not know for how long they have been desired, it uses older ones only while no endpoint has loaded
-// the desired ones.
-func (e *Entry) refusesOldWeights(now time.Duration, desired cfvfleet.DesiredVersion, model string, endpoints []*cfvfleet.Endpoint) bool {
-	limit := e.cfg.Limits.MaxVersionDelay
-	if limit <= 0 {
-		return false
-	}
-	if now-desired.Since > time.Duration(refuseOldWeightsShare*float64(limit)) {
-		return true
-	}
-	return !desired.Certain && slices.ContainsFunc(endpoints, func(ep *cfvfleet.Endpoint) bool { return ep.Weights[model] >= desired.Version })
-}
-
 // oldPartsFetchable returns a function that reports whether an endpoint may still fetch the parts of a
 // replaced version of the weights. The leader frees these parts once all endpoints that it knows of run
 // newer weights, so an endpoint that appeared after the change may not fetch them.
--- /dev/null
+++ b/io/cfventry/weights_test.go
@@ -0,0 +1,179 @@
+package cfventry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"coltsfootvalve/common/cfvlog"
+	"coltsfootvalve/common/cfvmetric"
+	"coltsfootvalve/core/cfvcall"
+	"coltsfootvalve/core/cfvdispatch"
+	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvmirror"
+	"coltsfootvalve/io/cfvstate"
+
+	"gotest.tools/v3/assert"
+)
+
+// Header of the test's requests that has the version of the weights that the entry expects.
+const testExpectVersion = "Expect-Version"
+
+// weightsFleet is an entry with endpoints that run a version of the weights of model m each, on connections
+// in memory. The route /ask/ streams, and /look/ streams and may be resumed.
+type weightsFleet struct {
+	entry  *Entry
+	state  *cfvstate.State
+	now    func() time.Duration
+	cancel context.CancelFunc
+	answer func(w io.Writer, r *http.Request, addr string)
+
+	mu       sync.Mutex
+	changes  map[string]cfvfleet.Change
+	revision int64
+	conns    []net.Conn
+	seen     map[string]int // requests received by endpoint
+}
+
+func newWeightsFleet(t *testing.T, versions map[string]int64) *weightsFleet {
+	start := time.Now()
+	ctx, cancel := context.WithCancel(t.Context())
+	f := &weightsFleet{
+		changes: make(map[string]cfvfleet.Change), seen: make(map[string]int), now: func() time.Duration { return time.Since(start) + time.Hour }, cancel: cancel,
+		answer: func(w io.Writer, r *http.Request, _ string) { writeStream(w, r) },
+	}
+	f.state = cfvstate.New(cfvstate.Config{Now: f.now, Log: cfvlog.Discard(), Decode: func(r cfvmirror.Record) (cfvfleet.Change, error) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.changes[r.Key], nil
+	}})
+	f.apply(cfvfleet.Change{Config: &cfvfleet.Config{Version: 1, Services: []cfvfleet.Service{{Name: "s"}}, Routes: []cfvfleet.Route{
+		{Name: "ask", Host: "h", PathPrefix: "/ask/", Kind: cfvfleet.Streaming, Service: "s", MaxAttempts: 2},
+		{Name: "look", Host: "h", PathPrefix: "/look/", Kind: cfvfleet.Streaming, Resumable: true, Service: "s", MaxAttempts: 2},
+	}}})
+	for id, version := range versions {
+		f.apply(cfvfleet.Change{Endpoint: &cfvfleet.EndpointChange{ID: id, Endpoint: &cfvfleet.Endpoint{
+			ID: id, Service: "s", Addr: id + ":1", Slots: 4, Weights: map[string]int64{"m": version},
+		}}})
+	}
+	f.entry = New(Config{
+		Name: "entry", State: f.state, Now: f.now, Random: func() float64 { return 0.5 }, Log: cfvlog.Discard(), Metrics: cfvmetric.New(), Dial: f.dial,
+		PeerLoads: func() (map[string]cfvdispatch.Load, map[string]cfvdispatch.Demand) { return nil, nil },
+		Limits:    Limits{MaxVersionDelay: 8 * time.Second, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second},
+		Codec: Codec{
+			ReadRequestMeta: func(h http.Header) (cfvcall.RequestMeta, error) {
+				return cfvcall.RequestMeta{ID: h.Get(testRequestID), Timeout: 20 * time.Second, Prompt: cfvcall.Prompt{Model: "m"}}, nil
+			},
+			RequestHeader: func(h http.Header, opts cfvcall.ForwardOptions) http.Header {
+				out := h.Clone()
+				out.Set(testExpectVersion, strconv.FormatInt(opts.WeightVersion, 10))
+				return out
+			},
+			ReadResponseMeta: func(_ int, h http.Header) cfvcall.ResponseMeta {
+				return cfvcall.ResponseMeta{RequestID: h.Get(testRequestID), FromEndpoint: h.Get(testStamp) != "", NotRun: h.Get(testNotRun) != ""}
+			},
+			PassesResponseHeader: func(string) bool { return true },
+		},
+	})
+	f.entry.startLoops(ctx)
+	return f
+}
+
+// apply applies a change to the state, which is complete before and after it.
+func (f *weightsFleet) apply(c cfvfleet.Change) {
+	f.mu.Lock()
+	f.revision++
+	key, revision := strconv.FormatInt(f.revision, 10), f.revision
+	f.changes[key] = c
+	f.mu.Unlock()
+	f.state.Apply("test", []cfvmirror.Record{{Key: key, Revision: revision}}, revision, false)
+	f.state.Confirm(revision, f.now())
+}
+
+// name sets the desired version of the weights.
+func (f *weightsFleet) name(version int64) {
+	f.state.Confirm(f.revision, f.now())
+	f.apply(cfvfleet.Change{Weights: &cfvfleet.DesiredWeights{Model: "m", Version: version}})
+}
+
+func (f *weightsFleet) dial(_ context.Context, _, addr string) (net.Conn, error) {
+	near, far := net.Pipe()
+	f.mu.Lock()
+	f.conns = append(f.conns, near, far)
+	f.mu.Unlock()
+	go func() {
+		r := bufio.NewReader(far)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			f.mu.Lock()
+			f.seen[addr]++
+			f.mu.Unlock()
+			f.answer(far, req, addr)
+		}
+	}()
+	return near, nil
+}
+
+// close ends the entry's work and the endpoints.
+func (f *weightsFleet) close() {
+	f.cancel()
+	f.mu.Lock()
+	for _, c := range f.conns {
+		_ = c.Close()
+	}
+	f.mu.Unlock()
+	f.entry.connPools.retain(nil)
+	time.Sleep(time.Minute) // lets the endpoints end
+}
+
+// writeStream answers a request with a stream of one event.
+func writeStream(w io.Writer, r *http.Request) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nid:1\n\n\r\n0\r\n\r\n", r.Header.Get(testRequestID))
+}
+
+// Guards against requests on weights whose bound has passed: when a version was named soon after another,
+// only the newest one's time counted, and the endpoints with the oldest version got requests again.
+func TestEachReplacedVersionHasItsOwnBound(t *testing.T) {
+	tests := map[string]struct {
+		loaded int64
+		named  []time.Duration // times at which the versions 2, 3 and so on are named
+		at     time.Duration   // time of the request
+		status int
+	}{
+		"not replaced":                  {loaded: 2, named: []time.Duration{0}, at: 9 * time.Second, status: http.StatusOK},
+		"replaced just now":             {loaded: 1, named: []time.Duration{0}, at: 5 * time.Second, status: http.StatusOK},
+		"replaced long ago":             {loaded: 1, named: []time.Duration{0}, at: 9 * time.Second, status: http.StatusServiceUnavailable},
+		"replaced again before that":    {loaded: 1, named: []time.Duration{0, 5 * time.Second}, at: 9 * time.Second, status: http.StatusServiceUnavailable},
+		"replaced again after that":     {loaded: 1, named: []time.Duration{0, 9 * time.Second}, at: 9 * time.Second, status: http.StatusServiceUnavailable},
+		"replaced again and again":      {loaded: 1, named: []time.Duration{0, 3 * time.Second, 6 * time.Second, 9 * time.Second}, at: 9 * time.Second, status: http.StatusServiceUnavailable},
+		"the version that came between": {loaded: 2, named: []time.Duration{0, 5 * time.Second}, at: 9 * time.Second, status: http.StatusOK},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newWeightsFleet(t, map[string]int64{"e": tt.loaded})
+				defer f.close()
+				f.name(1)
+				begin := f.now()
+				for i, at := range tt.named {
+					time.Sleep(begin + at - f.now())
+					f.name(int64(i + 2))
+				}
+				time.Sleep(begin + tt.at - f.now())
+				assert.Equal(t, ask(f.entry, "/ask/", "r").Code, tt.status)
+			})
+		})
+	}
+}
