Cancel attempts that wait until their weights are outdated

What callers saw: none reported this alone.

Cause: the age of replaced weights was checked only when a request was sent, though the bound is on when it begins. A request sent before the weights were replaced was never checked.

Change: an entry keeps the attempts whose endpoints have not begun to respond, and every 100 ms cancels those that expect a version that was replaced longer ago than the bound less 0.4 s. An attempt that was not sent goes to another endpoint, or is refused as not run; one that was sent may have run, so it is sent again only if the request is retryable. An attempt whose head has arrived, or on the desired weights, is left alone. The endpoint isn't held at fault.

Evidence: TestWaitingRequestDoesNotBeginOnOutdatedWeights failed before in four of seven cases (the endpoint began at 8 and 9 s).

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -158,7 +158,12 @@
 	var sent sendTracker
 	dog := &watchdog{cancel: cancel}
 	defer dog.stop()
+	pending := e.pending.add(q.meta.Prompt.Model, opts.WeightVersion, cancel)
 	resp, err := q.send(dog.watchHead(sent.trace(ctx)), ep, opts)
+	e.pending.remove(pending)
+	if err != nil && pending.outdated.Load() && !q.callerGone() {
+		return q.handleOutdated(ep, sent.mayHaveSent())
+	}
 	if err != nil {
 		return q.handleSendError(ep, &sent, hedge.fired() || dog.fired(), err)
 	}
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -76,6 +76,7 @@
 type Entry struct {
 	cfg          Config
 	connPools    *connPools
+	pending      *pendingAttempts
 	probeClient  *http.Client
 	callerServer *http.Server
 	readyServer  *http.Server
@@ -102,6 +103,7 @@
 		retryBudgets: make(map[string]*cfvlimit.RetryWindow), baselines: make(map[string]*cfvdispatch.FailureBaseline),
 		keepAlives: make(map[string]time.Duration), poolSizers: make(map[string]*cfvdispatch.PoolSizer), admissions: make(map[string]*cfvdispatch.Admission), entryCount: 1, grantTable: cfvdispatch.NewGrantTable(),
 	}
+	e.pending = newPendingAttempts()
 	e.connPools = newConnPools(func() { cfg.Metrics.Count("endpoints.dials", 1) }, cfg.Dial)
 	e.probeClient = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext, DisableKeepAlives: true,
@@ -154,6 +156,7 @@
 func (e *Entry) startLoops(ctx context.Context) {
 	go cfvclock.Every(ctx, cleanupInterval, func(context.Context) { e.cleanUp() })
 	go cfvclock.Every(ctx, peerLoadInterval, func(context.Context) { e.updatePeerLoads() })
+	go cfvclock.Every(ctx, pendingCheckInterval, func(context.Context) { e.cancelOutdated() })
 }
 
 // Stop shuts the entry down gracefully. It reports not ready, keeps serving until the load
--- a/io/cfventry/weights_test.go
+++ b/io/cfventry/weights_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,14 +42,14 @@
 	changes  map[string]cfvfleet.Change
 	revision int64
 	conns    []net.Conn
-	seen     map[string]int // requests received by endpoint
+	seen     map[string][]string // IDs of the requests received by endpoint
 }
 
 func newWeightsFleet(t *testing.T, versions map[string]int64) *weightsFleet {
 	start := time.Now()
 	ctx, cancel := context.WithCancel(t.Context())
 	f := &weightsFleet{
-		changes: make(map[string]cfvfleet.Change), seen: make(map[string]int), now: func() time.Duration { return time.Since(start) + time.Hour }, cancel: cancel,
+		changes: make(map[string]cfvfleet.Change), seen: make(map[string][]string), now: func() time.Duration { return time.Since(start) + time.Hour }, cancel: cancel,
 		answer: func(w io.Writer, r *http.Request, _ string) { writeStream(w, r) },
 	}
 	f.state = cfvstate.New(cfvstate.Config{Now: f.now, Log: cfvlog.Discard(), Decode: func(r cfvmirror.Record) (cfvfleet.Change, error) {
@@ -118,7 +120,7 @@
 			}
 			_, _ = io.Copy(io.Discard, req.Body)
 			f.mu.Lock()
-			f.seen[addr]++
+			f.seen[addr] = append(f.seen[addr], req.Header.Get(testRequestID))
 			f.mu.Unlock()
 			f.answer(far, req, addr)
 		}
@@ -126,6 +128,13 @@
 	return near, nil
 }
 
+// received returns the IDs of the requests that an endpoint has received.
+func (f *weightsFleet) received(addr string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.seen[addr])
+}
+
 // close ends the entry's work and the endpoints.
 func (f *weightsFleet) close() {
 	f.cancel()
@@ -177,3 +186,94 @@
 		})
 	}
 }
+
+// Guards against requests that begin on weights whose bound has passed: the bound was checked when a request
+// was sent, and the request then waited in the endpoint's queue until after it.
+func TestWaitingRequestDoesNotBeginOnOutdatedWeights(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		loaded int64
+		named  []time.Duration // times at which the versions 2, 3 and so on are named
+		sentAt time.Duration
+		headAt time.Duration // when the endpoint begins the response
+		endAt  time.Duration // when it sends the event and ends
+		helper time.Duration // when a second endpoint with the desired version appears; 0: never
+		status int
+		begins bool // the first endpoint begins
+	}{
+		"sent after the weights were replaced":  {path: "/ask/", loaded: 1, named: []time.Duration{0}, sentAt: 5 * time.Second, headAt: 8 * time.Second, status: http.StatusBadGateway},
+		"sent before the weights were replaced": {path: "/ask/", loaded: 1, named: []time.Duration{time.Second}, headAt: 9 * time.Second, status: http.StatusBadGateway},
+		"weights replaced twice":                {path: "/ask/", loaded: 1, named: []time.Duration{0, 5 * time.Second}, sentAt: 5500 * time.Millisecond, headAt: 8 * time.Second, status: http.StatusBadGateway},
+		"begins in time":                        {path: "/ask/", loaded: 1, named: []time.Duration{0}, sentAt: 5 * time.Second, headAt: 7 * time.Second, status: http.StatusOK, begins: true},
+		"goes on after the bound":               {path: "/ask/", loaded: 1, named: []time.Duration{0}, sentAt: 5 * time.Second, headAt: 7 * time.Second, endAt: 12 * time.Second, status: http.StatusOK, begins: true},
+		"desired weights":                       {path: "/ask/", loaded: 2, named: []time.Duration{0}, sentAt: 5 * time.Second, headAt: 15 * time.Second, status: http.StatusOK, begins: true},
+		"resumable, with another endpoint":      {path: "/look/", loaded: 1, named: []time.Duration{0}, sentAt: 5 * time.Second, headAt: 8 * time.Second, helper: 6 * time.Second, status: http.StatusOK},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newWeightsFleet(t, map[string]int64{"a": tt.loaded})
+				defer f.close()
+				f.name(1)
+				begin := f.now()
+				var begun atomic.Bool
+				f.answer = func(w io.Writer, r *http.Request, addr string) {
+					if addr != "a:1" {
+						writeStream(w, r)
+						return
+					}
+					time.Sleep(begin + tt.headAt - f.now())
+					_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get(testRequestID))
+					begun.Store(err == nil)
+					time.Sleep(begin + tt.endAt - f.now())
+					_, _ = io.WriteString(w, "6\r\nid:1\n\n\r\n0\r\n\r\n")
+				}
+				for i, at := range tt.named {
+					time.AfterFunc(at, func() { f.name(int64(i + 2)) })
+				}
+				if tt.helper > 0 {
+					time.AfterFunc(tt.helper, func() {
+						f.apply(cfvfleet.Change{Endpoint: &cfvfleet.EndpointChange{ID: "b", Endpoint: &cfvfleet.Endpoint{
+							ID: "b", Service: "s", Addr: "b:1", Slots: 4, Weights: map[string]int64{"m": 2},
+						}}})
+					})
+				}
+				time.Sleep(tt.sentAt)
+				r := ask(f.entry, tt.path, "r")
+				time.Sleep(10 * time.Second)
+				assert.Equal(t, r.Code, tt.status)
+				assert.Equal(t, begun.Load(), tt.begins)
+				assert.Equal(t, len(f.received("a:1")), 1)
+			})
+		})
+	}
+}
+
+// Guards against a lost request: one that waited for a connection until its weights were outdated was not sent,
+// so the caller is told to come back.
+func TestRequestWithoutAConnectionIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWeightsFleet(t, map[string]int64{"a": 1})
+		defer f.close()
+		f.name(1)
+		f.answer = func(io.Writer, *http.Request, string) { time.Sleep(time.Minute) }
+		f.name(2)
+		time.Sleep(5 * time.Second)
+		var wg sync.WaitGroup
+		status := make([]int, 80) // the entry uses at most 64 connections
+		for i := range status {
+			wg.Go(func() { status[i] = ask(f.entry, "/ask/", strconv.Itoa(i)).Code })
+		}
+		wg.Wait()
+		received, notRun := f.received("a:1"), 0
+		for i, s := range status {
+			if s == http.StatusServiceUnavailable {
+				notRun++
+				assert.Assert(t, !slices.Contains(received, strconv.Itoa(i)), "request %d was sent", i)
+			} else {
+				assert.Equal(t, s, http.StatusBadGateway)
+			}
+		}
+		assert.Assert(t, notRun > 0)
+	})
+}
