Count the ages of weights from the receipt of a pull

What callers saw: nothing yet. Cause: an entry took a version to be as old as its peer said when it had sent the pull, not when it got the response, and kept the earlier time. Entries that pulled from each other made the age grow by the time of each pull. Ages are documented as never too high, and parts of replaced weights are freed by them.

TestAgesOfWeightsDoNotGrowByPulls failed before (3.98 s after 200 pulls of 40 ms).

--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -195,8 +195,9 @@
 	if msg.GetAgeMillis() >= 0 {
 		x.cfg.State.Confirm(msg.GetAsOf(), sentAt-time.Duration(msg.GetAgeMillis())*time.Millisecond)
 	}
+	receivedAt := x.cfg.Now() // not when the pull was sent: an age must not grow by the time of each pull
 	for _, w := range msg.GetWeights() {
-		x.cfg.State.SetWeightsSince(w.GetModel(), w.GetVersion(), sentAt-time.Duration(w.GetAgeMillis())*time.Millisecond)
+		x.cfg.State.SetWeightsSince(w.GetModel(), w.GetVersion(), receivedAt-time.Duration(w.GetAgeMillis())*time.Millisecond)
 	}
 	for _, l := range msg.GetLoads() {
 		x.applyLoad(l)
