Count the bound on replaced weights from the earliest time at which they can have been replaced

Cause: the bound counted from when an entry heard of the new version, though its state may have been up to 3.6 s old and still count as certain: requests were sent until 5.6 s later, 9.2 s after the version was acknowledged, and waited on. An entry that did not know the age at all (a start, a long cut) used old weights for 5.6 s while no endpoint had loaded the desired ones.

Change: a version has the earliest time at which it can have been set, by the age of the state that learned of it; a peer's age allows for that much error. No request starts, and none waits, on weights replaced longer than the bound less 0.4 s before that time, or by a version of unknown age for more than a quarter of the bound (2 s), for peers and the leader to act.

The wanted values of TestWeightsSince and TestOlderConfigurationsAndWeightsChangeNothing have the new field; a row is new.

--- a/core/cfvfleet/view.go
+++ b/core/cfvfleet/view.go
@@ -128,7 +128,7 @@
 		if v.weights[c.Weights.Model].Version >= c.Weights.Version {
 			return false
 		}
-		v.weights[c.Weights.Model] = v.weights[c.Weights.Model].add(WeightsVersion{Version: c.Weights.Version, Since: now, Certain: true})
+		v.weights[c.Weights.Model] = v.weights[c.Weights.Model].add(WeightsVersion{Version: c.Weights.Version, Since: now, NotBefore: now, Certain: true})
 	case c.Domain != nil:
 		if v.drained[c.Domain.Domain] == c.Domain.Drained {
 			return false
--- a/core/cfvfleet/view_test.go
+++ b/core/cfvfleet/view_test.go
@@ -107,7 +107,7 @@
 	assert.Assert(t, !v.Apply(0, Change{Config: &Config{Version: 7}}))
 	assert.Assert(t, v.Apply(5, Change{Weights: &DesiredWeights{"m", 2}}))
 	assert.Assert(t, !v.Apply(9, Change{Weights: &DesiredWeights{"m", 1}}))
-	assert.Equal(t, v.Desired("m").WeightsVersion, WeightsVersion{Version: 2, Since: 5, Certain: true})
+	assert.Equal(t, v.Desired("m").WeightsVersion, WeightsVersion{Version: 2, Since: 5, NotBefore: 5, Certain: true})
 	assert.Equal(t, v.Index().Config().Version, int64(7))
 }
 
--- a/core/cfvfleet/weights.go
+++ b/core/cfvfleet/weights.go
@@ -9,11 +9,15 @@
 // maxWeightsHistory limits the versions of a model's weights that are remembered.
 const maxWeightsHistory = 8
 
+// MaxWeightsLag is the age of a state from which a version that it learns of may have been set long before.
+const MaxWeightsLag = 3600 * time.Millisecond
+
 // WeightsVersion is a version of a model's weights and the time at which it was set.
 type WeightsVersion struct {
-	Version int64
-	Since   time.Duration // on the process's clock; a later time than the real one, or the same
-	Certain bool          // Since is about the real time; otherwise the version may have been set long before
+	Version   int64
+	Since     time.Duration // on the process's clock; a later time than the real one, or the same
+	NotBefore time.Duration // an earlier time than the real one, or the same, if Certain is set
+	Certain   bool          // Since is at most MaxWeightsLag after the real time; otherwise the version may have been set long before
 }
 
 // DesiredVersion is the desired version of a model's weights.
@@ -58,10 +62,12 @@
 	history := slices.Clone(d.history)
 	i, known := slices.BinarySearchFunc(history, version, func(v WeightsVersion, version int64) int { return cmp.Compare(v.Version, version) })
 	switch {
-	case known && (since < history[i].Since || !history[i].Certain):
-		history[i].Since, history[i].Certain = min(since, history[i].Since), true
-	case !known && version < d.Version && len(history) < maxWeightsHistory:
-		history = slices.Insert(history, i, WeightsVersion{Version: version, Since: since, Certain: true})
+	case known && !history[i].Certain:
+		history[i] = WeightsVersion{Version: version, Since: min(since, history[i].Since), NotBefore: since - MaxWeightsLag, Certain: true}
+	case known:
+		history[i].Since = min(since, history[i].Since)
+	case version < d.Version && len(history) < maxWeightsHistory:
+		history = slices.Insert(history, i, WeightsVersion{Version: version, Since: since, NotBefore: since - MaxWeightsLag, Certain: true})
 	}
 	d.history = history
 	if n := len(history); n > 0 {
@@ -79,17 +85,31 @@
 	}
 }
 
+// SetWeightsNotBefore records that the versions that this process learned of at time now were not set before
+// the given time.
+func (v *View) SetWeightsNotBefore(now, notBefore time.Duration) {
+	v.updateLearned(now, func(w *WeightsVersion) { w.NotBefore = notBefore })
+}
+
 // MarkWeightsUncertain records that the versions that this process learned of at time now may have been set
 // long before.
 func (v *View) MarkWeightsUncertain(now time.Duration) {
+	v.updateLearned(now, func(w *WeightsVersion) { w.Certain, w.NotBefore = false, 0 })
+}
+
+// updateLearned calls f with the versions that this process learned of at time now.
+func (v *View) updateLearned(now time.Duration, f func(*WeightsVersion)) {
 	for model, d := range v.weights {
-		if d.Since == now && d.Certain {
-			d.history = slices.Clone(d.history)
-			for i := range d.history {
-				d.history[i].Certain = d.history[i].Certain && d.history[i].Since != now
+		if d.Since != now || !d.Certain {
+			continue
+		}
+		d.history = slices.Clone(d.history)
+		for i := range d.history {
+			if w := &d.history[i]; w.Since == now && w.Certain {
+				f(w)
 			}
-			d.Certain = false
-			v.weights[model] = d
 		}
+		d.WeightsVersion = d.history[len(d.history)-1]
+		v.weights[model] = d
 	}
 }
--- a/core/cfvfleet/weights_test.go
+++ b/core/cfvfleet/weights_test.go
@@ -20,7 +20,11 @@
 	}{
 		"heard when they were set": {
 			events: func(v *View) { set(v, 5*time.Second, 2) },
-			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, Certain: true},
+			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, NotBefore: 5 * time.Second, Certain: true},
+		},
+		"heard with a state that was not recent": {
+			events: func(v *View) { set(v, 5*time.Second, 2); v.SetWeightsNotBefore(5*time.Second, 3*time.Second) },
+			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, NotBefore: 3 * time.Second, Certain: true},
 		},
 		"heard at the start of the process": {
 			events: func(v *View) { set(v, 5*time.Second, 2); v.MarkWeightsUncertain(5 * time.Second) },
@@ -32,19 +36,19 @@
 				v.MarkWeightsUncertain(5 * time.Second)
 				v.SetWeightsSince("m", 2, time.Second)
 			},
-			want: WeightsVersion{Version: 2, Since: time.Second, Certain: true},
+			want: WeightsVersion{Version: 2, Since: time.Second, NotBefore: time.Second - MaxWeightsLag, Certain: true},
 		},
 		"a peer heard later": {
 			events: func(v *View) { set(v, 5*time.Second, 2); v.SetWeightsSince("m", 2, 6*time.Second) },
-			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, Certain: true},
+			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, NotBefore: 5 * time.Second, Certain: true},
 		},
 		"a peer knows another version": {
 			events: func(v *View) { set(v, 5*time.Second, 2); v.SetWeightsSince("m", 3, time.Second) },
-			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, Certain: true},
+			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, NotBefore: 5 * time.Second, Certain: true},
 		},
 		"a peer knows an older version": {
 			events: func(v *View) { set(v, 5*time.Second, 2); v.SetWeightsSince("m", 1, time.Second) },
-			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, Certain: true},
+			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, NotBefore: 5 * time.Second, Certain: true},
 		},
 		"newer ones later": {
 			events: func(v *View) {
@@ -53,7 +57,7 @@
 				set(v, 9*time.Second, 3)
 				v.MarkWeightsUncertain(8 * time.Second)
 			},
-			want: WeightsVersion{Version: 3, Since: 9 * time.Second, Certain: true},
+			want: WeightsVersion{Version: 3, Since: 9 * time.Second, NotBefore: 9 * time.Second, Certain: true},
 		},
 	}
 	for name, tt := range tests {
--- a/io/cfventry/pending.go
+++ b/io/cfventry/pending.go
@@ -68,15 +68,14 @@
 // cancelOutdated cancels the attempts that might begin on weights that were replaced too long ago. A request
 // begins when the endpoint gets to it, which may be long after it was sent.
 func (e *Entry) cancelOutdated() {
-	limit := e.cfg.Limits.MaxVersionDelay
-	if limit <= 0 {
+	if e.cfg.Limits.MaxVersionDelay <= 0 {
 		return
 	}
 	now := e.cfg.Now()
 	oldest := make(map[string]int64)
 	e.cfg.State.Read(func(v *cfvfleet.View) {
 		for _, model := range v.Models() {
-			oldest[model] = v.Desired(model).Oldest(func(w cfvfleet.WeightsVersion) bool { return now-w.Since > limit-pendingMargin })
+			oldest[model] = v.Desired(model).Oldest(func(w cfvfleet.WeightsVersion) bool { return e.boundNear(now, w) })
 		}
 	})
 	e.pending.cancelOutdated(oldest)
--- a/io/cfventry/weights.go
+++ b/io/cfventry/weights.go
@@ -7,22 +7,35 @@
 	"coltsfootvalve/core/cfvfleet"
 )
 
+// uncertainWeightsShare is the share of MaxVersionDelay after which no request starts on weights that were
+// replaced by a version of unknown age.
+const uncertainWeightsShare = 0.25
+
 // oldestWeights returns the oldest version of a model's weights on which requests may start; 0 means any. Each
 // replaced version has its own time limit. If this entry does not know for how long a version has been set, it
-// uses older ones only while no endpoint has loaded that version or a newer one.
+// uses older ones only for a short time, and only while no endpoint has loaded that version or a newer one.
 func (e *Entry) oldestWeights(now time.Duration, desired cfvfleet.DesiredVersion, model string, endpoints []*cfvfleet.Endpoint) int64 {
 	limit := e.cfg.Limits.MaxVersionDelay
 	if limit <= 0 {
 		return 0
 	}
 	return desired.Oldest(func(v cfvfleet.WeightsVersion) bool {
-		if now-v.Since > time.Duration(refuseOldWeightsShare*float64(limit)) {
+		if e.boundNear(now, v) || now-v.Since > time.Duration(refuseOldWeightsShare*float64(limit)) {
 			return true
 		}
 		return !v.Certain && slices.ContainsFunc(endpoints, func(ep *cfvfleet.Endpoint) bool { return ep.Weights[model] >= v.Version })
 	})
 }
 
+// boundNear reports whether the bound on requests that begin on weights that a version replaced may pass soon.
+func (e *Entry) boundNear(now time.Duration, v cfvfleet.WeightsVersion) bool {
+	limit := e.cfg.Limits.MaxVersionDelay
+	if !v.Certain {
+		return now-v.Since > time.Duration(uncertainWeightsShare*float64(limit))
+	}
+	return now-v.NotBefore > limit-pendingMargin
+}
+
 // recordBegin counts a request that began on replaced weights, and logs it if requests should no longer
 // have been sent there.
 func (q *request) recordBegin(ep *cfvfleet.Endpoint, version int64) {
--- a/io/cfventry/weights_test.go
+++ b/io/cfventry/weights_test.go
@@ -277,3 +277,41 @@
 		assert.Assert(t, notRun > 0)
 	})
 }
+
+// Guards against requests on weights whose bound has passed: an entry counted it from when it heard of the new
+// version, although its state was seconds old then, or it had just started.
+func TestBoundCountsFromTheEarliestTime(t *testing.T) {
+	tests := map[string]struct {
+		age    time.Duration // of the state when the version was heard of
+		after  time.Duration // from then to the request
+		wait   time.Duration // of the request in the endpoint's queue
+		status int
+	}{
+		"recent state":                               {age: time.Second, after: 5 * time.Second, status: http.StatusOK},
+		"recent state, the request waits":            {age: time.Second, after: 5 * time.Second, wait: time.Second, status: http.StatusOK},
+		"recent state, the request waits too long":   {age: time.Second, after: 5 * time.Second, wait: 2 * time.Second, status: http.StatusBadGateway},
+		"older state":                                {age: 3500 * time.Millisecond, after: 4 * time.Second, status: http.StatusOK},
+		"older state, long ago":                      {age: 3500 * time.Millisecond, after: 4500 * time.Millisecond, status: http.StatusServiceUnavailable},
+		"older state, the request waits too long":    {age: 3500 * time.Millisecond, after: 4 * time.Second, wait: 500 * time.Millisecond, status: http.StatusBadGateway},
+		"outdated state":                             {age: time.Hour, after: time.Second, status: http.StatusOK},
+		"outdated state, long ago":                   {age: time.Hour, after: 3 * time.Second, status: http.StatusServiceUnavailable},
+		"outdated state, the request waits too long": {age: time.Hour, after: time.Second, wait: 2 * time.Second, status: http.StatusBadGateway},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newWeightsFleet(t, map[string]int64{"a": 1})
+				defer f.close()
+				f.name(1)
+				f.answer = func(w io.Writer, r *http.Request, _ string) {
+					time.Sleep(tt.wait)
+					writeStream(w, r)
+				}
+				time.Sleep(tt.age)
+				f.apply(cfvfleet.Change{Weights: &cfvfleet.DesiredWeights{Model: "m", Version: 2}})
+				time.Sleep(tt.after)
+				assert.Equal(t, ask(f.entry, "/ask/", "r").Code, tt.status)
+			})
+		})
+	}
+}
--- a/io/cfvstate/state.go
+++ b/io/cfvstate/state.go
@@ -12,9 +12,6 @@
 	"coltsfootvalve/core/cfvmirror"
 )
 
-// outdatedAge is the age of a state from which the weights that it learns of may have been set long before.
-const outdatedAge = 3600 * time.Millisecond
-
 // Config configures a State.
 type Config struct {
 	Decode   func(cfvmirror.Record) (cfvfleet.Change, error)
@@ -67,7 +64,9 @@
 			s.logChange(from, c, age, known)
 		}
 	}
-	if !known || age > outdatedAge {
+	if known && age <= cfvfleet.MaxWeightsLag {
+		s.view.SetWeightsNotBefore(now, now-age)
+	} else {
 		s.view.MarkWeightsUncertain(now)
 	}
 	s.mu.Unlock()
