Break off streams that end inside an event on every route

What callers saw: a stream that its endpoint cut inside an event was forwarded with the rest of the event and ended in good order, unless the request is retryable. It looked complete.

Cause: only retryable requests checked what was left after the last complete event. Change: all do. The caller's connection is aborted, or gets 502 before the first event; a retryable stream goes on at another endpoint as before.

--- a/io/cfventry/stream.go
+++ b/io/cfventry/stream.go
@@ -141,10 +141,10 @@
 	}
 }
 
-// finishStream ends a stream whose endpoint closed the response. An incomplete last event counts
-// as a failure if the request can be retried.
+// finishStream ends a stream whose endpoint closed the response. A stream that ends inside an event was
+// broken off, with or without chunks.
 func (q *request) finishStream(ep *cfvfleet.Endpoint, resp *http.Response, remainder []byte) outcome {
-	if len(remainder) > 0 && q.route.Retryable() {
+	if len(remainder) > 0 {
 		return q.handleStreamError(ep, false, errors.New("the stream ended in the middle of an event"))
 	}
 	if !q.stream.started {
@@ -152,9 +152,6 @@
 		q.w.WriteHeader(resp.StatusCode)
 		q.stream.started = true
 	}
-	if _, err := q.w.Write(remainder); err != nil {
-		return outcomeCallerGone
-	}
 	q.recordOutcome(ep, false)
 	q.entry.cfg.Metrics.Observe("longestPause."+q.route.Name, q.stream.longestPause)
 	q.recordServed(ep, resp.StatusCode, "events", q.stream.batches, "longestPauseMillis", q.stream.longestPause.Milliseconds())
--- a/io/cfventry/weights_test.go
+++ b/io/cfventry/weights_test.go
@@ -26,17 +26,21 @@
 	"gotest.tools/v3/assert"
 )
 
-// Header of the test's requests that has the version of the weights that the entry expects.
-const testExpectVersion = "Expect-Version"
+// Headers of the requests that the entry sends in these tests.
+const (
+	testExpectVersion = "Expect-Version" // of the weights
+	testResumeAfter   = "Resume-After"
+)
 
 // weightsFleet is an entry with endpoints that run a version of the weights of model m each, on connections
-// in memory. The route /ask/ streams, and /look/ streams and may be resumed.
+// in memory. The route /book/ is unsafe, /ask/ streams, and /look/ streams and may be resumed.
 type weightsFleet struct {
 	entry  *Entry
 	state  *cfvstate.State
 	now    func() time.Duration
 	cancel context.CancelFunc
-	answer func(w io.Writer, r *http.Request, addr string)
+	answer func(w io.Writer, r *http.Request, addr string) // w is the connection
+	wrap   func(net.Conn) net.Conn                         // wraps the entry's end of a connection; nil: it stays as it is
 
 	mu       sync.Mutex
 	changes  map[string]cfvfleet.Change
@@ -58,6 +62,7 @@
 		return f.changes[r.Key], nil
 	}})
 	f.apply(cfvfleet.Change{Config: &cfvfleet.Config{Version: 1, Services: []cfvfleet.Service{{Name: "s"}}, Routes: []cfvfleet.Route{
+		{Name: "book", Host: "h", PathPrefix: "/book/", Kind: cfvfleet.Unsafe, Service: "s", MaxAttempts: 2},
 		{Name: "ask", Host: "h", PathPrefix: "/ask/", Kind: cfvfleet.Streaming, Service: "s", MaxAttempts: 2},
 		{Name: "look", Host: "h", PathPrefix: "/look/", Kind: cfvfleet.Streaming, Resumable: true, Service: "s", MaxAttempts: 2},
 	}}})
@@ -77,6 +82,7 @@
 			RequestHeader: func(h http.Header, opts cfvcall.ForwardOptions) http.Header {
 				out := h.Clone()
 				out.Set(testExpectVersion, strconv.FormatInt(opts.WeightVersion, 10))
+				out.Set(testResumeAfter, opts.ResumeAfter)
 				return out
 			},
 			ReadResponseMeta: func(_ int, h http.Header) cfvcall.ResponseMeta {
@@ -125,6 +131,9 @@
 			f.answer(far, req, addr)
 		}
 	}()
+	if f.wrap != nil {
+		return f.wrap(near), nil
+	}
 	return near, nil
 }
 
