Cancel attempts that wait for a connection to an endpoint which may not be used any more

What callers saw: none reported. Found by looking for the cause of the requests on replaced weights elsewhere: whether an endpoint leaves, is gone or is in a drained failure domain was checked when it was chosen, though the bounds (DRAIN, EVAC) are on when a request reaches it. A request that waited for one of the 64 connections of an entry (or fewer) was sent seconds later.

Change: the check of pending attempts also cancels those that have no connection yet and whose endpoint may not be used any more. They were not sent, so they go to another endpoint or are refused as not run. An attempt is cancelled only while its endpoint has not responded. The counter is attempts.obsolete for both reasons; versionNotLoaded counted the first one before.

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -158,11 +158,15 @@
 	var sent sendTracker
 	dog := &watchdog{cancel: cancel}
 	defer dog.stop()
-	pending := e.pending.add(q.meta.Prompt.Model, opts.WeightVersion, cancel)
+	pending := &pendingAttempt{service: q.service.Name, endpoint: ep.ID, model: q.meta.Prompt.Model, version: opts.WeightVersion, sent: &sent, cancel: cancel}
+	e.pending.add(pending)
 	resp, err := q.send(dog.watchHead(sent.trace(ctx)), ep, opts)
 	e.pending.remove(pending)
-	if err != nil && pending.outdated.Load() && !q.callerGone() {
-		return q.handleOutdated(ep, sent.mayHaveSent())
+	if reason, ok := pending.cancelled(); ok && !q.callerGone() {
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return q.handleObsolete(ep, reason, sent.mayHaveSent())
 	}
 	if err != nil {
 		return q.handleSendError(ep, &sent, hedge.fired() || dog.fired(), err)
--- a/io/cfventry/connpool.go
+++ b/io/cfventry/connpool.go
@@ -172,6 +172,13 @@
 	}})
 }
 
+// hasConn reports whether the request has a connection.
+func (s *sendTracker) hasConn() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn != nil
+}
+
 // mayHaveSent reports whether any byte of the request may have been sent.
 func (s *sendTracker) mayHaveSent() bool {
 	s.mu.Lock()
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -156,7 +156,7 @@
 func (e *Entry) startLoops(ctx context.Context) {
 	go cfvclock.Every(ctx, cleanupInterval, func(context.Context) { e.cleanUp() })
 	go cfvclock.Every(ctx, peerLoadInterval, func(context.Context) { e.updatePeerLoads() })
-	go cfvclock.Every(ctx, pendingCheckInterval, func(context.Context) { e.cancelOutdated() })
+	go cfvclock.Every(ctx, pendingCheckInterval, func(context.Context) { e.cancelObsolete() })
 }
 
 // Stop shuts the entry down gracefully. It reports not ready, keeps serving until the load
--- a/io/cfventry/pending.go
+++ b/io/cfventry/pending.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"coltsfootvalve/common/cfverror"
 	"coltsfootvalve/core/cfvfleet"
 )
 
-// Limits for attempts that wait at an endpoint with replaced weights.
+// Limits for pending attempts.
 const (
 	pendingCheckInterval = 100 * time.Millisecond
 	pendingMargin        = 400 * time.Millisecond // before MaxVersionDelay: for the check interval, and until the endpoint sees that the connection is closed
@@ -18,10 +19,19 @@
 
 // pendingAttempt is an attempt whose endpoint has not begun to respond.
 type pendingAttempt struct {
+	service  string
+	endpoint string
 	model    string
-	version  int64 // of the weights that the endpoint is expected to run
+	version  int64        // of the weights that the endpoint is expected to run; 0: none
+	sent     *sendTracker // whether the attempt has a connection
 	cancel   context.CancelFunc
-	outdated atomic.Bool // cancelled, since no request may start on the version any more
+	reason   atomic.Value // why the attempt was cancelled; a string, or unset
+}
+
+// cancelled returns why the attempt was cancelled, and false if it was not.
+func (a *pendingAttempt) cancelled() (reason string, ok bool) {
+	reason, ok = a.reason.Load().(string)
+	return reason, ok
 }
 
 // pendingAttempts holds the attempts of an entry whose endpoints have not begun to respond. It is safe for
@@ -35,15 +45,11 @@
 	return &pendingAttempts{set: make(map[*pendingAttempt]struct{})}
 }
 
-// add adds an attempt. Attempts without a version of weights are never cancelled.
-func (p *pendingAttempts) add(model string, version int64, cancel context.CancelFunc) *pendingAttempt {
-	a := &pendingAttempt{model: model, version: version, cancel: cancel}
-	if version > 0 {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.set[a] = struct{}{}
-	}
-	return a
+// add adds an attempt.
+func (p *pendingAttempts) add(a *pendingAttempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.set[a] = struct{}{}
 }
 
 // remove removes an attempt once its endpoint responds.
@@ -53,39 +59,72 @@
 	delete(p.set, a)
 }
 
-// cancelOutdated cancels the attempts that expect an older version of a model's weights than the given one.
-func (p *pendingAttempts) cancelOutdated(oldest map[string]int64) {
+// cancel cancels an attempt, unless its endpoint responds by now.
+func (p *pendingAttempts) cancel(a *pendingAttempt, reason string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for a := range p.set {
-		if a.version < oldest[a.model] {
-			a.outdated.Store(true)
-			a.cancel()
-		}
+	if _, ok := p.set[a]; ok {
+		a.reason.Store(reason)
+		a.cancel()
 	}
 }
 
-// cancelOutdated cancels the attempts that might begin on weights that were replaced too long ago. A request
-// begins when the endpoint gets to it, which may be long after it was sent.
-func (e *Entry) cancelOutdated() {
-	if e.cfg.Limits.MaxVersionDelay <= 0 {
+// list returns the attempts.
+func (p *pendingAttempts) list() []*pendingAttempt {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.set))
+}
+
+// cancelObsolete cancels the attempts that would not be made any more. An endpoint may have started to leave
+// while an attempt waits for a connection, and a request begins when the endpoint gets to it, which may be so
+// long after it was sent that its weights were replaced too long ago.
+func (e *Entry) cancelObsolete() {
+	list := e.pending.list()
+	if len(list) == 0 {
 		return
 	}
 	now := e.cfg.Now()
-	oldest := make(map[string]int64)
+	reasons := make([]string, len(list))
 	e.cfg.State.Read(func(v *cfvfleet.View) {
-		for _, model := range v.Models() {
-			oldest[model] = v.Desired(model).Oldest(func(w cfvfleet.WeightsVersion) bool { return e.boundNear(now, w) })
+		oldest := e.oldestPending(now, v)
+		for i, a := range list {
+			switch {
+			case a.version > 0 && a.version < oldest[a.model]:
+				reasons[i] = "the weights are outdated"
+			case !a.sent.hasConn() && !usable(v, a.service, a.endpoint):
+				reasons[i] = "the endpoint may not be used any more"
+			}
 		}
 	})
-	e.pending.cancelOutdated(oldest)
+	for i, a := range list {
+		if reasons[i] != "" {
+			e.pending.cancel(a, reasons[i])
+		}
+	}
+}
+
+// oldestPending returns the oldest version of each model's weights on which requests may still begin.
+func (e *Entry) oldestPending(now time.Duration, v *cfvfleet.View) map[string]int64 {
+	oldest := make(map[string]int64)
+	if e.cfg.Limits.MaxVersionDelay <= 0 {
+		return oldest
+	}
+	for _, model := range v.Models() {
+		oldest[model] = v.Desired(model).Oldest(func(w cfvfleet.WeightsVersion) bool { return e.boundNear(now, w) })
+	}
+	return oldest
+}
+
+// usable reports whether an endpoint of a service may receive requests.
+func usable(v *cfvfleet.View, service, id string) bool {
+	return slices.ContainsFunc(v.Usable(service), func(ep *cfvfleet.Endpoint) bool { return ep.ID == id })
 }
 
-// handleOutdated handles an attempt that was cancelled because its weights are outdated. The endpoint is not
-// at fault.
-func (q *request) handleOutdated(ep *cfvfleet.Endpoint, wasSent bool) outcome {
-	q.entry.cfg.Metrics.CountRefusal(cfverror.ReasonVersionMissing)
-	q.logAttempt(ep, "a request waited until its weights were outdated", "wasSent", wasSent)
+// handleObsolete handles an attempt that was cancelled for a reason other than the endpoint's failure.
+func (q *request) handleObsolete(ep *cfvfleet.Endpoint, reason string, wasSent bool) outcome {
+	q.entry.cfg.Metrics.Count("attempts.obsolete", 1)
+	q.logAttempt(ep, "an attempt was cancelled while it waited", "why", reason, "wasSent", wasSent)
 	q.excluded[ep.ID] = true
 	if !wasSent {
 		return outcomeNotRun
