Take a rejection that names no weights as the next version, not the newest

What callers saw: 503 (versionNotLoaded) from endpoints that could serve. When weights were named several times, an endpoint that had loaded a version in between rejected requests for an older one, was then taken to run the newest, and rejected these too; the leader, which asks its own entry, could believe that such an endpoint needed no order.

Cause: a 421 without a version counted as the desired version. Change: it counts as the version after the one that the request expected, so that beliefs approach the truth from below; also when several requests are rejected at once.

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -186,7 +186,7 @@
 	case meta.NotRun || meta.Misdirected:
 		dog.start(rejectBodyTimeout)
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxRejectBodyBytes)) // so that the connection can be reused; the body carries no information
-		return q.handleRejection(ep, meta, resp.StatusCode)
+		return q.handleRejection(ep, meta, resp.StatusCode, opts.WeightVersion)
 	case !meta.FromEndpoint:
 		q.logAttempt(ep, "the response does not come from the endpoint", "status", resp.StatusCode)
 		q.possibleRuns++
@@ -263,8 +263,9 @@
 	return outcomeFailed
 }
 
-// handleRejection handles a response that marks the request as not run.
-func (q *request) handleRejection(ep *cfvfleet.Endpoint, meta cfvcall.ResponseMeta, status int) outcome {
+// handleRejection handles a response that marks the request as not run. The request expected a version of the
+// weights; 0 means none.
+func (q *request) handleRejection(ep *cfvfleet.Endpoint, meta cfvcall.ResponseMeta, status int, expected int64) outcome {
 	e := q.entry
 	q.excluded[ep.ID] = true
 	q.logAttempt(ep, "an endpoint rejected the request", "status", status, "endpointSeen", meta.EndpointID, "weightVersion", meta.WeightVersion)
@@ -275,7 +276,7 @@
 	case meta.Misdirected && meta.WeightVersion > 0:
 		delete(q.excluded, ep.ID) // the response reported which weights the endpoint runs, so it can be tried again
 	case meta.Misdirected:
-		q.handleWeightsMismatch(ep)
+		q.handleWeightsMismatch(ep, expected)
 	case q.meta.Prompt.Model != "":
 		e.mu.Lock()
 		e.dispatcher.RecordWeightsLoading(ep, now+weightsLoadTime)
@@ -286,15 +287,15 @@
 
 // handleWeightsMismatch handles an endpoint that does not run the expected weights and does not
 // report which it runs. If older weights than the desired ones were expected, the endpoint must
-// have loaded the desired ones by now.
-func (q *request) handleWeightsMismatch(ep *cfvfleet.Endpoint) {
+// have loaded at least the next version by now.
+func (q *request) handleWeightsMismatch(ep *cfvfleet.Endpoint, expected int64) {
 	e, model := q.entry, q.meta.Prompt.Model
-	var desired int64
-	e.cfg.State.Read(func(v *cfvfleet.View) { desired = v.Desired(model).Version })
+	var desired cfvfleet.DesiredVersion
+	e.cfg.State.Read(func(v *cfvfleet.View) { desired = v.Desired(model) })
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.dispatcher.WeightsVersion(ep, model) < desired {
-		e.dispatcher.RecordWeights(ep, model, desired)
+	if next, ok := desired.ReplacedBy(expected); ok {
+		e.dispatcher.RecordWeights(ep, model, next.Version)
 		delete(q.excluded, ep.ID)
 		return
 	}
--- a/io/cfventry/weights_test.go
+++ b/io/cfventry/weights_test.go
@@ -85,8 +85,8 @@
 				out.Set(testResumeAfter, opts.ResumeAfter)
 				return out
 			},
-			ReadResponseMeta: func(_ int, h http.Header) cfvcall.ResponseMeta {
-				return cfvcall.ResponseMeta{RequestID: h.Get(testRequestID), FromEndpoint: h.Get(testStamp) != "", NotRun: h.Get(testNotRun) != ""}
+			ReadResponseMeta: func(status int, h http.Header) cfvcall.ResponseMeta {
+				return cfvcall.ResponseMeta{RequestID: h.Get(testRequestID), FromEndpoint: h.Get(testStamp) != "", NotRun: h.Get(testNotRun) != "", Misdirected: status == http.StatusMisdirectedRequest}
 			},
 			PassesResponseHeader: func(string) bool { return true },
 		},
@@ -324,3 +324,42 @@
 		})
 	}
 }
+
+// Guards against an endpoint that is taken to run newer weights than it does: a rejection that names no version
+// counted as the newest one, although the endpoint had loaded the version in between, and was then avoided.
+func TestRejectionTellsTheNextVersionOnly(t *testing.T) {
+	tests := map[string]int64{ // loaded version; the endpoint announced version 1, and the versions 2 to 4 were named since
+		"the first of them":  2,
+		"the second of them": 3,
+		"the desired one":    4,
+	}
+	for name, loaded := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newWeightsFleet(t, map[string]int64{"a": 1})
+				defer f.close()
+				for version := range int64(4) {
+					f.name(version + 1)
+				}
+				f.answer = func(w io.Writer, r *http.Request, _ string) {
+					time.Sleep(10 * time.Millisecond) // several requests expect the same version
+					if r.Header.Get(testExpectVersion) == strconv.FormatInt(loaded, 10) {
+						writeStream(w, r)
+						return
+					}
+					_, _ = fmt.Fprintf(w, "HTTP/1.1 421 Misdirected\r\nId: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get(testRequestID))
+				}
+				var wg sync.WaitGroup
+				status := make([]int, 3)
+				for i := range status {
+					wg.Go(func() { status[i] = ask(f.entry, "/ask/", strconv.Itoa(i)).Code })
+				}
+				wg.Wait()
+				assert.DeepEqual(t, status, []int{http.StatusOK, http.StatusOK, http.StatusOK})
+				var ep *cfvfleet.Endpoint
+				f.state.Read(func(v *cfvfleet.View) { ep = v.Endpoint("a") })
+				assert.Equal(t, f.entry.WeightsVersion(ep, "m"), loaded)
+			})
+		})
+	}
+}
