--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -159,7 +159,16 @@
 	var sent sendTracker
 	dog := cfvhttp.NewWatchdog(cancel)
 	defer dog.Stop()
+	pending := &pendingAttempt{service: q.service.Name, endpoint: ep.ID, model: q.meta.Prompt.Model, version: opts.WeightVersion, sent: &sent, cancel: cancel}
+	e.pending.add(pending)
 	resp, err := q.send(dog.WatchHead(sent.trace(ctx)), ep, opts)
+	e.pending.remove(pending)
+	if reason, ok := pending.cancelled(); ok && !q.callerGone() {
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return q.handleObsolete(ep, reason, sent.mayHaveSent())
+	}
 	if err != nil {
 		return q.handleSendError(ep, &sent, hedge.fired() || dog.Expired(), err)
 	}
@@ -178,7 +187,7 @@
 	case meta.NotRun || meta.Misdirected:
 		dog.Start(rejectBodyTimeout)
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxRejectBodyBytes)) // so that the connection can be reused; the body carries no information
-		return q.handleRejection(ep, meta, resp.StatusCode)
+		return q.handleRejection(ep, meta, resp.StatusCode, opts.WeightVersion)
 	case !meta.FromEndpoint:
 		q.logAttempt(ep, "the response does not come from the endpoint", "status", resp.StatusCode)
 		q.possibleRuns++
@@ -186,6 +195,7 @@
 		return outcomeFailed
 	}
 	q.possibleRuns++
+	q.recordBegin(ep, max(meta.WeightVersion, opts.WeightVersion))
 	if resp.StatusCode/100 == 2 && q.route.Kind == cfvfleet.Streaming {
 		return q.forwardStream(ep, resp, hedge, dog, prefillDone)
 	}
@@ -254,8 +264,9 @@
 	return outcomeFailed
 }
 
-// handleRejection handles a response that marks the request as not run.
-func (q *request) handleRejection(ep *cfvfleet.Endpoint, meta cfvcall.ResponseMeta, status int) outcome {
+// handleRejection handles a response that marks the request as not run. The request expected a version of the
+// weights; 0 means none.
+func (q *request) handleRejection(ep *cfvfleet.Endpoint, meta cfvcall.ResponseMeta, status int, expected int64) outcome {
 	e := q.entry
 	q.excluded[ep.ID] = true
 	q.logAttempt(ep, "an endpoint rejected the request", "status", status, "endpointSeen", meta.EndpointID, "weightVersion", meta.WeightVersion)
@@ -266,7 +277,7 @@
 	case meta.Misdirected && meta.WeightVersion > 0:
 		delete(q.excluded, ep.ID) // the response reported which weights the endpoint runs, so it can be tried again
 	case meta.Misdirected:
-		q.handleWeightsMismatch(ep)
+		q.handleWeightsMismatch(ep, expected)
 	case q.meta.Prompt.Model != "":
 		e.mu.Lock()
 		e.dispatcher.RecordWeightsLoading(ep, now+weightsLoadTime)
@@ -277,15 +288,15 @@
 
 // handleWeightsMismatch handles an endpoint that does not run the expected weights and does not
 // report which it runs. If older weights than the desired ones were expected, the endpoint must
-// have loaded the desired ones by now.
-func (q *request) handleWeightsMismatch(ep *cfvfleet.Endpoint) {
+// have loaded at least the next version by now.
+func (q *request) handleWeightsMismatch(ep *cfvfleet.Endpoint, expected int64) {
 	e, model := q.entry, q.meta.Prompt.Model
-	var desired int64
-	e.cfg.State.Read(func(v *cfvfleet.View) { desired = v.Desired(model).Version })
+	var desired cfvfleet.DesiredVersion
+	e.cfg.State.Read(func(v *cfvfleet.View) { desired = v.Desired(model) })
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.dispatcher.WeightsVersion(ep, model) < desired {
-		e.dispatcher.RecordWeights(ep, model, desired)
+	if next, ok := desired.ReplacedBy(expected); ok {
+		e.dispatcher.RecordWeights(ep, model, next.Version)
 		delete(q.excluded, ep.ID)
 		return
 	}
