Log which parts a crashed request had

The logs name the endpoint and the request, not the parts of its prompt, so a deadly part, a deadly kind of request and a failing service look alike.

Change: one line and one counter for each request that an endpoint went down under, with the incarnation of the endpoint, the shared parts of the prompt and the batches of events that had been forwarded. No decision changes.

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -332,7 +332,9 @@
 
 // recordCrash records that an endpoint went down while it ran the request.
 func (q *request) recordCrash(ep *cfvfleet.Endpoint) {
+	incarnation := fmt.Sprintf("%s/%d", ep.ID, ep.StartMillis)
+	q.logCrash(ep, incarnation)
 	q.entry.mu.Lock()
 	defer q.entry.mu.Unlock()
-	q.entry.quarantine.RecordCrash(time.Now(), q.fingerprint, fmt.Sprintf("%s/%d", ep.ID, ep.StartMillis))
+	q.entry.quarantine.RecordCrash(time.Now(), q.fingerprint, incarnation)
 }
