Stop requests with a part that crashes endpoints

Cause: the quarantine knows whole requests by a hash of method, path, key and body. No two of these were alike, so none was ever suspected twice. Class of fault: evidence is kept under a key that is finer than its cause.

Change: core/cfvlimit/parts.go counts crashes by service and shared part, in distinct incarnations of endpoints. An answer that began after a crash and went on clears it: by identity, so that no clock is compared. A part with three uncleared crashes at least a second apart is refused at once and before each further send, unless a part that the request lacks explains them all (never answered before, or with more crashes). Entries exchange crashes and answers with each pull, in both directions. A block ends after three minutes; one crash afterwards blocks for twice as long.

Not covered: a load under which all endpoints fall within a second looks like a mass failure, and the part is found only once they are back.

--- a/common/cfverror/refusal.go
+++ b/common/cfverror/refusal.go
@@ -29,6 +29,7 @@
 	ReasonConcurrency       Reason = "concurrencyLimited"
 	ReasonRetryBudget       Reason = "retryBudgetSpent"
 	ReasonQuarantined       Reason = "quarantined"
+	ReasonPartQuarantined   Reason = "partQuarantined"
 	ReasonConnect           Reason = "connectFailed"
 	ReasonVersionMissing    Reason = "versionNotLoaded"
 	ReasonEndpointFailed    Reason = "endpointFailed"
--- /dev/null
+++ b/core/cfvlimit/parts.go
@@ -0,0 +1,442 @@
+package cfvlimit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// PartKey names a part of the prompts that a service's endpoints run.
+type PartKey struct {
+	Service string
+	Part    string
+}
+
+// PartCrash is the crash of an endpoint while it ran a request with a part.
+type PartCrash struct {
+	Endpoint  string // with its incarnation
+	Age       time.Duration
+	Answering bool // each such request had got several events before
+	Cleared   bool // an answer on the part began later and went on
+}
+
+// PartSuspicion lists the crashes with a part.
+type PartSuspicion struct {
+	PartKey
+	Crashes  []PartCrash
+	Answered bool // the part has been answered at some time
+}
+
+// PartUpdate is what an entry tells its peers about parts.
+type PartUpdate struct {
+	Suspicions []PartSuspicion
+	Served     map[string]time.Duration // time since the newest answer of each service began
+}
+
+// PartConfig configures a PartQuarantine.
+type PartConfig struct {
+	Crashes          int           // crashed endpoints from which a part is blocked
+	AnsweringCrashes int           // the same, if requests count that had got several events
+	CrashesInOutage  int           // the same, while nothing else of the service is answered either
+	Spread           time.Duration // least time between the first and the last of these crashes
+	BlockTime        time.Duration // how long a part is blocked after its last crash; doubled each time it crashes again afterwards
+	MaxBlockTime     time.Duration
+	Retention        time.Duration // how long the crashes of a part that was never blocked are kept
+	ResendTime       time.Duration // how long a change is sent to every peer
+}
+
+// DefaultPartConfig returns the configuration for a fleet of entries.
+func DefaultPartConfig() PartConfig {
+	return PartConfig{
+		Crashes: 3, AnsweringCrashes: 5, CrashesInOutage: 5, Spread: time.Second, BlockTime: 3 * time.Minute, MaxBlockTime: time.Hour,
+		Retention: 10 * time.Minute, ResendTime: 3 * time.Second,
+	}
+}
+
+// Limits of the tables and messages about parts.
+const (
+	maxSuspectParts     = 512
+	maxCrashesPerPart   = 16
+	maxAnsweredParts    = 4096 // in each generation
+	maxServedServices   = 256
+	maxUrgentPerUpdate  = 16
+	maxRecentPerUpdate  = 48
+	maxRotatedPerUpdate = 4
+)
+
+// PartQuarantine finds the parts of prompts that crash the endpoints that begin to answer
+// on them. It counts the crashes of each part until an answer on the part clears them. It
+// is not safe for concurrent use.
+type PartQuarantine struct {
+	cfg      PartConfig
+	parts    map[PartKey]*suspectPart
+	served   map[string]time.Duration // when the newest answer of each service began
+	answered map[PartKey]time.Duration
+	older    map[PartKey]time.Duration // the generation of answered before this one
+	rotation int
+}
+
+// suspectPart is the merged evidence against a part.
+type suspectPart struct {
+	crashes   map[string]*partCrash // by endpoint incarnation
+	open      int                   // crashes that no answer has cleared
+	answered  bool
+	changedAt time.Duration
+}
+
+type partCrash struct {
+	at        time.Duration
+	answering bool
+	cleared   bool
+}
+
+// NewPartQuarantine returns an empty quarantine.
+func NewPartQuarantine(cfg PartConfig) *PartQuarantine {
+	return &PartQuarantine{
+		cfg: cfg, parts: make(map[PartKey]*suspectPart), served: make(map[string]time.Duration), answered: make(map[PartKey]time.Duration),
+	}
+}
+
+// RecordCrash records that an incarnation of an endpoint crashed while it ran a request
+// with the given parts.
+func (q *PartQuarantine) RecordCrash(now time.Duration, service string, parts []string, endpoint string, answering bool) {
+	for _, part := range parts {
+		q.addCrash(now, PartKey{service, part}, endpoint, partCrash{at: now, answering: answering})
+	}
+}
+
+// RecordAnswer records that an answer on the given parts began at a time and went on. An
+// endpoint does not survive the begin of an answer on a part that crashes endpoints, so the
+// crashes before are cleared.
+func (q *PartQuarantine) RecordAnswer(now, began time.Duration, service string, parts []string) {
+	q.recordServed(service, began)
+	for _, part := range parts {
+		key := PartKey{service, part}
+		q.recordAnswered(key, began)
+		s := q.parts[key]
+		if s == nil {
+			continue
+		}
+		s.answered = true
+		for _, c := range s.crashes {
+			if !c.cleared && c.at < began {
+				c.cleared = true
+				s.open--
+				s.changedAt = now
+			}
+		}
+	}
+}
+
+// Merge adds what a peer reported. A crash is dated by its age at the arrival of the report
+// and thus never before it happened.
+func (q *PartQuarantine) Merge(now time.Duration, u PartUpdate) {
+	for service, age := range u.Served {
+		q.recordServed(service, now-max(age, 0))
+	}
+	for _, s := range u.Suspicions {
+		for _, c := range s.Crashes {
+			q.addCrash(now, s.PartKey, c.Endpoint, partCrash{at: now - max(c.Age, 0), answering: c.Answering, cleared: c.Cleared})
+		}
+		if have := q.parts[s.PartKey]; have != nil && s.Answered && !have.answered {
+			have.answered = true
+			have.changedAt = now
+		}
+	}
+}
+
+// addCrash merges a crash into the evidence against a part.
+func (q *PartQuarantine) addCrash(now time.Duration, key PartKey, endpoint string, c partCrash) {
+	if now-c.at > q.cfg.MaxBlockTime {
+		return
+	}
+	s := q.parts[key]
+	if s == nil {
+		q.evictPart()
+		s = &suspectPart{crashes: make(map[string]*partCrash), changedAt: now}
+		_, s.answered = q.lastAnswer(key)
+		q.parts[key] = s
+	}
+	have := s.crashes[endpoint]
+	if have == nil {
+		if began, ok := q.lastAnswer(key); ok && c.at < began {
+			c.cleared = true
+		}
+		s.insert(endpoint, c)
+		s.changedAt = now
+		return
+	}
+	have.at = min(have.at, c.at)
+	if have.answering && !c.answering {
+		have.answering = false
+		s.changedAt = now
+	}
+	if !have.cleared && c.cleared {
+		have.cleared = true
+		s.open--
+		s.changedAt = now
+	}
+}
+
+// insert adds a crash and deletes the least important one if there are too many.
+func (s *suspectPart) insert(endpoint string, c partCrash) {
+	s.crashes[endpoint] = &c
+	if !c.cleared {
+		s.open++
+	}
+	if len(s.crashes) > maxCrashesPerPart {
+		s.remove(s.leastImportant())
+	}
+}
+
+// leastImportant returns the oldest of the crashes that are cleared. If none is, it returns one from the
+// middle, since the first and the last ones tell when and for how long the part is blocked.
+func (s *suspectPart) leastImportant() string {
+	endpoints := slices.Collect(maps.Keys(s.crashes))
+	slices.SortFunc(endpoints, func(a, b string) int {
+		return cmp.Or(cmp.Compare(s.crashes[a].at, s.crashes[b].at), cmp.Compare(a, b))
+	})
+	for _, e := range endpoints {
+		if s.crashes[e].cleared {
+			return e
+		}
+	}
+	return endpoints[len(endpoints)/2]
+}
+
+// remove deletes the crash of an endpoint.
+func (s *suspectPart) remove(endpoint string) {
+	if !s.crashes[endpoint].cleared {
+		s.open--
+	}
+	delete(s.crashes, endpoint)
+}
+
+// recordServed records when an answer of a service began.
+func (q *PartQuarantine) recordServed(service string, began time.Duration) {
+	if at, ok := q.served[service]; ok && began > at || !ok && len(q.served) < maxServedServices {
+		q.served[service] = began
+	}
+}
+
+// recordAnswered records when an answer on a part began. It keeps two generations, so that
+// the table stays bounded.
+func (q *PartQuarantine) recordAnswered(key PartKey, began time.Duration) {
+	if at, ok := q.lastAnswer(key); ok && at > began {
+		began = at
+	}
+	if _, ok := q.answered[key]; !ok && len(q.answered) >= maxAnsweredParts {
+		q.older, q.answered = q.answered, make(map[PartKey]time.Duration)
+	}
+	q.answered[key] = began
+}
+
+// lastAnswer returns when the newest answer on a part began at this entry.
+func (q *PartQuarantine) lastAnswer(key PartKey) (at time.Duration, ok bool) {
+	if at, ok = q.answered[key]; ok {
+		return at, true
+	}
+	at, ok = q.older[key]
+	return at, ok
+}
+
+// Blocked returns the first of a request's parts because of which it is refused.
+func (q *PartQuarantine) Blocked(now time.Duration, service string, parts []string) (part string, blocked bool) {
+	for _, part := range parts {
+		key := PartKey{service, part}
+		if q.parts[key] != nil && q.suspected(now, key) && !q.explained(now, key, parts) {
+			return part, true
+		}
+	}
+	return "", false
+}
+
+// suspected reports whether the crashes with a part suffice to block it. While nothing of the service is
+// answered, other parts look alike; then only more crashes with a part that was never answered do.
+func (q *PartQuarantine) suspected(now time.Duration, key PartKey) bool {
+	s := q.parts[key]
+	if s.open < q.cfg.Crashes {
+		return false
+	}
+	list := s.uncleared()
+	served, ok := q.served[key.Service]
+	if !ok || served <= list[0].at && (s.answered || len(list) < q.cfg.CrashesInOutage) {
+		return false
+	}
+	until, ok := q.blockedUntil(list)
+	return ok && now < until
+}
+
+// blockedUntil returns the end of the block that crashes in the order of their times lead to.
+func (q *PartQuarantine) blockedUntil(list []partCrash) (until time.Duration, ok bool) {
+	waiting := 0
+	blockTime := q.cfg.BlockTime
+	for i, c := range list {
+		if !c.answering {
+			waiting++
+		}
+		switch enough := waiting >= q.cfg.Crashes || i+1 >= q.cfg.AnsweringCrashes; {
+		case !enough || c.at-list[0].at < q.cfg.Spread:
+			continue
+		case ok && c.at > until:
+			blockTime = min(2*blockTime, q.cfg.MaxBlockTime)
+		}
+		until, ok = c.at+blockTime, true
+	}
+	return until, ok
+}
+
+// explained reports whether other parts, which the request doesn't have, explain each crash
+// with a part: each was also a crash with one of these, and they are at least as suspect.
+// Parts that were never answered are more suspect than the others, and of parts that are alike
+// in this the one with more crashes is.
+func (q *PartQuarantine) explained(now time.Duration, key PartKey, request []string) bool {
+	s := q.parts[key]
+	left := s.unclearedByEndpoint()
+	for other, o := range q.parts {
+		if other.Service != key.Service || slices.Contains(request, other.Part) || !q.suspected(now, other) {
+			continue
+		}
+		if o.answered && !s.answered || o.answered == s.answered && o.open < s.open {
+			continue
+		}
+		for e := range o.unclearedByEndpoint() {
+			delete(left, e)
+		}
+	}
+	return len(left) == 0
+}
+
+// uncleared returns the crashes that no answer has cleared, in the order of their times.
+func (s *suspectPart) uncleared() (out []partCrash) {
+	for _, c := range s.crashes {
+		if !c.cleared {
+			out = append(out, *c)
+		}
+	}
+	slices.SortFunc(out, func(a, b partCrash) int { return cmp.Compare(a.at, b.at) })
+	return out
+}
+
+func (s *suspectPart) unclearedByEndpoint() map[string]bool {
+	out := make(map[string]bool, len(s.crashes))
+	for e, c := range s.crashes {
+		if !c.cleared {
+			out[e] = true
+		}
+	}
+	return out
+}
+
+// evictPart deletes the part with the fewest crashes, of these the one that changed first,
+// if the table is full.
+func (q *PartQuarantine) evictPart() {
+	if len(q.parts) < maxSuspectParts {
+		return
+	}
+	var least PartKey
+	fewest := -1
+	for key, s := range q.parts {
+		if fewest < 0 || s.open < fewest || s.open == fewest && s.changedAt < q.parts[least].changedAt {
+			least, fewest = key, s.open
+		}
+	}
+	delete(q.parts, least)
+}
+
+// Expire deletes evidence that no longer counts.
+func (q *PartQuarantine) Expire(now time.Duration) {
+	for key, s := range q.parts {
+		list := s.uncleared()
+		until, blocked := q.blockedUntil(list)
+		for e, c := range s.crashes {
+			if now-c.at > q.cfg.Retention && (c.cleared || !blocked) {
+				s.remove(e)
+			}
+		}
+		probation := min(2*q.cfg.BlockTime, q.cfg.MaxBlockTime)
+		if len(s.crashes) == 0 || blocked && now > until+probation {
+			delete(q.parts, key)
+		}
+	}
+}
+
+// Update returns what a peer should know: the parts with several crashes, the parts that
+// changed of late, and of the others a few in turn, for peers that missed them before.
+func (q *PartQuarantine) Update(now time.Duration) PartUpdate {
+	var urgent, recent, rest []PartKey
+	for key, s := range q.parts {
+		switch {
+		case s.open >= q.cfg.Crashes:
+			urgent = append(urgent, key)
+		case now-s.changedAt < q.cfg.ResendTime:
+			recent = append(recent, key)
+		case s.open > 0:
+			rest = append(rest, key)
+		}
+	}
+	if len(q.parts) == 0 {
+		return PartUpdate{}
+	}
+	keys := append(q.mostCrashes(urgent, maxUrgentPerUpdate), q.mostCrashes(recent, maxRecentPerUpdate)...)
+	slices.SortFunc(rest, compareKeys)
+	for range min(len(rest), maxRotatedPerUpdate) {
+		keys = append(keys, rest[q.rotation%len(rest)])
+		q.rotation++
+	}
+	out := PartUpdate{Served: make(map[string]time.Duration)}
+	for _, key := range keys {
+		out.Suspicions = append(out.Suspicions, q.suspicion(now, key))
+		if at, ok := q.served[key.Service]; ok {
+			out.Served[key.Service] = now - at
+		}
+	}
+	return out
+}
+
+// mostCrashes returns the n parts with most crashes, of these the ones that changed last.
+func (q *PartQuarantine) mostCrashes(keys []PartKey, n int) []PartKey {
+	if len(keys) <= n {
+		return keys
+	}
+	slices.SortFunc(keys, func(a, b PartKey) int {
+		x, y := q.parts[a], q.parts[b]
+		return cmp.Or(cmp.Compare(y.open, x.open), cmp.Compare(y.changedAt, x.changedAt), compareKeys(a, b))
+	})
+	return keys[:n]
+}
+
+func compareKeys(a, b PartKey) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Part, b.Part))
+}
+
+// suspicion returns the evidence against a part, in the order of the endpoints.
+func (q *PartQuarantine) suspicion(now time.Duration, key PartKey) PartSuspicion {
+	s := q.parts[key]
+	out := PartSuspicion{PartKey: key, Answered: s.answered}
+	for e, c := range s.crashes {
+		out.Crashes = append(out.Crashes, PartCrash{Endpoint: e, Age: now - c.at, Answering: c.answering, Cleared: c.cleared})
+	}
+	slices.SortFunc(out.Crashes, func(a, b PartCrash) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
+// Evidence returns what is known against a part.
+func (q *PartQuarantine) Evidence(now time.Duration, key PartKey) PartSuspicion {
+	if q.parts[key] == nil {
+		return PartSuspicion{PartKey: key}
+	}
+	return q.suspicion(now, key)
+}
+
+// BlockedParts returns the evidence against the parts that are blocked, in the order of their names.
+func (q *PartQuarantine) BlockedParts(now time.Duration) (out []PartSuspicion) {
+	for key := range q.parts {
+		if _, blocked := q.Blocked(now, key.Service, []string{key.Part}); blocked {
+			out = append(out, q.suspicion(now, key))
+		}
+	}
+	slices.SortFunc(out, func(a, b PartSuspicion) int { return compareKeys(a.PartKey, b.PartKey) })
+	return out
+}
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -51,6 +51,10 @@
 			q.expire()
 			return
 		}
+		if refusal := q.partRefusal(); refusal != nil {
+			q.refuse(refusal)
+			return
+		}
 		if q.attempts > 0 && !e.takeRetry(q.service.Name, q.retryReason()) {
 			q.giveUp(cfverror.ReasonRetryBudget, "the budget of repeats is spent")
 			return
@@ -134,6 +138,7 @@
 func (q *request) attempt(choice cfvdispatch.Choice, opts cfvcall.ForwardOptions) outcome {
 	e, ep := q.entry, choice.Endpoint
 	q.attempts++
+	q.answer = answerProgress{}
 	pendingTokens := q.promptTokens()
 	prefillDone := func() {
 		if pendingTokens > 0 {
@@ -332,9 +337,8 @@
 
 // recordCrash records that an endpoint went down while it ran the request.
 func (q *request) recordCrash(ep *cfvfleet.Endpoint) {
-	incarnation := fmt.Sprintf("%s/%d", ep.ID, ep.StartMillis)
-	q.logCrash(ep, incarnation)
+	q.recordPartsCrash(ep)
 	q.entry.mu.Lock()
 	defer q.entry.mu.Unlock()
-	q.entry.quarantine.RecordCrash(time.Now(), q.fingerprint, incarnation)
+	q.entry.quarantine.RecordCrash(time.Now(), q.fingerprint, incarnation(ep))
 }
--- a/io/cfventry/choose.go
+++ b/io/cfventry/choose.go
@@ -23,6 +23,9 @@
 	now := e.cfg.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if refusal := q.partRefusalLocked(); refusal != nil { // a part may have been blocked while the request was held
+		return choice, opts, refusal
+	}
 	choice, reason := e.dispatcher.Choose(now, restricted, e.cfg.Random())
 	if reason != cfvdispatch.Chosen && q.grant != nil {
 		choice, reason = e.dispatcher.Choose(now, query, e.cfg.Random())
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -86,6 +86,8 @@
 	mu           sync.Mutex
 	dispatcher   *cfvdispatch.Dispatcher
 	quarantine   *cfvlimit.Quarantine
+	parts        *cfvlimit.PartQuarantine
+	blockedParts map[cfvlimit.PartKey]bool               // as last logged
 	retryBudgets map[string]*cfvlimit.RetryWindow        // by service
 	baselines    map[string]*cfvdispatch.FailureBaseline // by route
 	keepAlives   map[string]time.Duration                // idle timeout that endpoints announced, by service
@@ -99,6 +101,7 @@
 func New(cfg Config) *Entry {
 	e := &Entry{
 		cfg: cfg, dispatcher: cfvdispatch.New(cfg.Name), quarantine: cfvlimit.NewQuarantineWith(cfvlimit.QuarantineConfig{CrashThreshold: quarantineCrashes, Duration: suspicionTTL}),
+		parts:        cfvlimit.NewPartQuarantine(cfvlimit.DefaultPartConfig()),
 		retryBudgets: make(map[string]*cfvlimit.RetryWindow), baselines: make(map[string]*cfvdispatch.FailureBaseline),
 		keepAlives: make(map[string]time.Duration), poolSizers: make(map[string]*cfvdispatch.PoolSizer), admissions: make(map[string]*cfvdispatch.Admission), entryCount: 1, grantTable: cfvdispatch.NewGrantTable(),
 	}
@@ -216,6 +219,7 @@
 		b.SetSlack(e.retrySlack())
 	}
 	e.mu.Unlock()
+	e.cleanUpParts()
 	e.connPools.retain(all)
 }
 
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -38,6 +38,7 @@
 	counted      bool            // the request is counted in the demand
 	held         bool            // the request was held
 	stream       *streamState
+	answer       answerProgress    // of the present attempt
 	grant        *cfvreserve.Grant // placement of a long prompt; nil if there is none
 	stateAge     time.Duration     // age of the state at admission
 }
--- a/io/cfventry/response.go
+++ b/io/cfventry/response.go
@@ -14,6 +14,7 @@
 // forwardResponse reads the whole response and sends it to the caller. A longer one than
 // maxBufferedResponse is forwarded while it arrives.
 func (q *request) forwardResponse(ep *cfvfleet.Endpoint, resp *http.Response, hedge *hedgeTimer) outcome {
+	q.answer.began = q.entry.cfg.Now()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
 	if err != nil {
 		q.logAttempt(ep, "a response was incomplete", "status", resp.StatusCode, "error", err.Error())
@@ -24,11 +25,14 @@
 		case errors.Is(err, context.DeadlineExceeded):
 			q.recordFailure(ep)
 			return outcomeExpired
+		default:
+			q.recordPartsCrash(ep)
 		}
 		q.excluded[ep.ID] = true
 		q.recordFailure(ep)
 		return outcomeFailed
 	}
+	q.recordPlainResponse(resp)
 	serverError := resp.StatusCode >= http.StatusInternalServerError
 	q.recordOutcome(ep, serverError)
 	if serverError && q.canRetryElsewhere(ep) {
--- a/io/cfventry/stream.go
+++ b/io/cfventry/stream.go
@@ -114,6 +114,7 @@
 		}
 		hedge.stop()
 		prefillDone()
+		q.recordEvents()
 		if !q.stream.started {
 			q.copyHeaders(resp)
 			q.w.WriteHeader(resp.StatusCode)
@@ -147,6 +148,7 @@
 	if len(remainder) > 0 && q.route.Retryable() {
 		return q.handleStreamError(ep, false, errors.New("the stream ended in the middle of an event"))
 	}
+	q.recordStreamEnd(ep, resp, remainder)
 	if !q.stream.started {
 		q.copyHeaders(resp)
 		q.w.WriteHeader(resp.StatusCode)
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -48,6 +48,8 @@
 	Parts        func(func(c *cfvparts.Catalog))
 	Suspicions   func() []cfvlimit.Suspicion
 	AddSuspicion func(cfvlimit.Suspicion)
+	PartUpdate   func() cfvlimit.PartUpdate // what peers should know about parts of prompts that crash endpoints
+	MergeParts   func(cfvlimit.PartUpdate)
 	Log          cfvlog.Logger
 	Count        func(name string, n int64)
 	StartMillis  int64
@@ -183,7 +185,7 @@
 	sentAt := x.cfg.Now()
 	client := cfvwireentryconnect.NewExchangeClient(x.client, "http://"+addr, connect.WithReadMaxBytes(maxMessageBytes))
 	resp, err := client.Pull(ctx, connect.NewRequest(&cfvwireentry.PullRequest{
-		Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(),
+		Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(), Parts: partsToWire(x.cfg.PartUpdate()),
 	}))
 	if err != nil {
 		return err
@@ -206,6 +208,7 @@
 			c.Merge(sentAt, storeUpdateFromWire(update))
 		}
 	})
+	x.cfg.MergeParts(partsFromWire(msg.GetParts()))
 	for _, s := range msg.GetSuspicions() {
 		x.cfg.AddSuspicion(cfvlimit.Suspicion{
 			Fingerprint: s.GetFingerprint(), Endpoints: s.GetEndpoints(),
@@ -221,6 +224,7 @@
 	if l := req.Msg.GetLoad(); l != nil {
 		x.applyLoad(l)
 	}
+	x.cfg.MergeParts(partsFromWire(req.Msg.GetParts()))
 	records, asOf, full := x.cfg.State.Delta(req.Msg.GetAsOf())
 	out := &cfvwireentry.PullResponse{AsOf: asOf, AgeMillis: -1, Full: full, Records: recordsToWire(records)}
 	if age, ok := x.cfg.State.Age(); ok {
@@ -238,6 +242,7 @@
 			Fingerprint: s.Fingerprint, Endpoints: s.Endpoints, LeftMillis: time.Until(s.Until).Milliseconds(),
 		})
 	}
+	out.Parts = partsToWire(x.cfg.PartUpdate())
 	return connect.NewResponse(out), nil
 }
 
