Tell each peer of every part that changed

Callers saw: with two deadly parts at once, eight requests with the rarer one crashed endpoints, though three crashes were known by 6.8 s: entries refused the part between 9.7 and 13.7 s.

Cause: an update held the 16 parts with most crashes and 48 that had changed within three seconds, chosen anew by the same order each time. After a storm of crashes there were hundreds; the same ones were sent again and again, the others never. Logs show it: 4.5 s after the third crash one entry knew crashes 1, 2, 4, another 1, 2, 3.

Change: an entry keeps for each peer how far it has told it of the changes, sends them in their order, and once more a second or two later, since an update may get lost. A peer that started again counts as a new one.

--- a/core/cfvlimit/parts.go
+++ b/core/cfvlimit/parts.go
@@ -43,26 +43,28 @@
 	BlockTime        time.Duration // how long a part is blocked after its last crash; doubled each time it crashes again afterwards
 	MaxBlockTime     time.Duration
 	Retention        time.Duration // how long the crashes of a part that was never blocked are kept
-	ResendTime       time.Duration // how long a change is sent to every peer
 }
 
 // DefaultPartConfig returns the configuration for a fleet of entries.
 func DefaultPartConfig() PartConfig {
 	return PartConfig{
 		Crashes: 3, AnsweringCrashes: 5, CrashesInOutage: 5, Spread: time.Second, BlockTime: 3 * time.Minute, MaxBlockTime: time.Hour,
-		Retention: 10 * time.Minute, ResendTime: 3 * time.Second,
+		Retention: 10 * time.Minute,
 	}
 }
 
 // Limits of the tables and messages about parts.
 const (
-	maxSuspectParts     = 512
+	maxSuspectParts     = 2048
 	maxCrashesPerPart   = 16
 	maxAnsweredParts    = 4096 // in each generation
 	maxServedServices   = 256
 	maxUrgentPerUpdate  = 16
-	maxRecentPerUpdate  = 48
+	maxChangedPerUpdate = 128
+	maxRepeatsPerUpdate = 64
 	maxRotatedPerUpdate = 4
+	resendTime          = time.Second // after which a change is sent once more, or after twice as long
+	peerRetention       = time.Minute
 )
 
 // PartQuarantine finds the parts of prompts that crash the endpoints that begin to answer
@@ -74,7 +76,19 @@
 	served   map[string]time.Duration // when the newest answer of each service began
 	answered map[PartKey]time.Duration
 	older    map[PartKey]time.Duration // the generation of answered before this one
-	rotation int
+	changes  uint64                    // number of changes so far
+	order    []PartKey                 // the parts in the order in which they are sent again
+	peers    map[string]*peerProgress  // by peer
+}
+
+// peerProgress is how far a peer has been told of the changes.
+type peerProgress struct {
+	sent    uint64
+	marked  uint64 // sent at markedAt
+	settled uint64 // sent at least resendTime ago
+	resent  uint64
+	markAt  time.Duration
+	usedAt  time.Duration
 }
 
 // suspectPart is the merged evidence against a part.
@@ -83,6 +97,7 @@
 	open      int                   // crashes that no answer has cleared
 	answered  bool
 	changedAt time.Duration
+	change    uint64 // number of the last change of any part, at this one's last change
 }
 
 type partCrash struct {
@@ -95,6 +110,7 @@
 func NewPartQuarantine(cfg PartConfig) *PartQuarantine {
 	return &PartQuarantine{
 		cfg: cfg, parts: make(map[PartKey]*suspectPart), served: make(map[string]time.Duration), answered: make(map[PartKey]time.Duration),
+		peers: make(map[string]*peerProgress),
 	}
 }
 
@@ -123,7 +139,7 @@
 			if !c.cleared && c.at < began {
 				c.cleared = true
 				s.open--
-				s.changedAt = now
+				q.markChanged(now, s)
 			}
 		}
 	}
@@ -141,7 +157,7 @@
 		}
 		if have := q.parts[s.PartKey]; have != nil && s.Answered && !have.answered {
 			have.answered = true
-			have.changedAt = now
+			q.markChanged(now, have)
 		}
 	}
 }
@@ -154,9 +170,10 @@
 	s := q.parts[key]
 	if s == nil {
 		q.evictPart()
-		s = &suspectPart{crashes: make(map[string]*partCrash), changedAt: now}
+		s = &suspectPart{crashes: make(map[string]*partCrash)}
 		_, s.answered = q.lastAnswer(key)
 		q.parts[key] = s
+		q.order = append(q.order, key)
 	}
 	have := s.crashes[endpoint]
 	if have == nil {
@@ -164,21 +181,28 @@
 			c.cleared = true
 		}
 		s.insert(endpoint, c)
-		s.changedAt = now
+		q.markChanged(now, s)
 		return
 	}
 	have.at = min(have.at, c.at)
 	if have.answering && !c.answering {
 		have.answering = false
-		s.changedAt = now
+		q.markChanged(now, s)
 	}
 	if !have.cleared && c.cleared {
 		have.cleared = true
 		s.open--
-		s.changedAt = now
+		q.markChanged(now, s)
 	}
 }
 
+// markChanged records that the evidence against a part changed, so that peers are told.
+func (q *PartQuarantine) markChanged(now time.Duration, s *suspectPart) {
+	q.changes++
+	s.change = q.changes
+	s.changedAt = now
+}
+
 // insert adds a crash and deletes the least important one if there are too many.
 func (s *suspectPart) insert(endpoint string, c partCrash) {
 	s.crashes[endpoint] = &c
@@ -360,31 +384,39 @@
 			delete(q.parts, key)
 		}
 	}
+	if len(q.order) > 2*maxSuspectParts {
+		q.order = slices.SortedFunc(maps.Keys(q.parts), compareKeys)
+	}
+	for name, p := range q.peers {
+		if now-p.usedAt > peerRetention {
+			delete(q.peers, name)
+		}
+	}
 }
 
-// Update returns what a peer should know: the parts with several crashes, the parts that
-// changed of late, and of the others a few in turn, for peers that missed them before.
-func (q *PartQuarantine) Update(now time.Duration) PartUpdate {
-	var urgent, recent, rest []PartKey
+// Update returns what a peer should know: the parts with several crashes, the changes since the
+// last update for this peer, and of the other parts a few in turn. A change is sent twice, since an
+// update may get lost.
+func (q *PartQuarantine) Update(now time.Duration, peer string) PartUpdate {
+	if len(q.parts) == 0 {
+		return PartUpdate{}
+	}
+	p := q.progress(now, peer)
+	var urgent, changed, repeated []PartKey
 	for key, s := range q.parts {
 		switch {
 		case s.open >= q.cfg.Crashes:
 			urgent = append(urgent, key)
-		case now-s.changedAt < q.cfg.ResendTime:
-			recent = append(recent, key)
-		case s.open > 0:
-			rest = append(rest, key)
+		case s.change > p.sent:
+			changed = append(changed, key)
+		case s.change > p.resent && s.change <= p.settled:
+			repeated = append(repeated, key)
 		}
 	}
-	if len(q.parts) == 0 {
-		return PartUpdate{}
-	}
-	keys := append(q.mostCrashes(urgent, maxUrgentPerUpdate), q.mostCrashes(recent, maxRecentPerUpdate)...)
-	slices.SortFunc(rest, compareKeys)
-	for range min(len(rest), maxRotatedPerUpdate) {
-		keys = append(keys, rest[q.rotation%len(rest)])
-		q.rotation++
-	}
+	urgent, rest := q.mostCrashes(urgent, maxUrgentPerUpdate)
+	changed, p.sent = q.firstChanged(append(changed, q.changedSince(rest, p.sent)...), maxChangedPerUpdate, q.changes)
+	repeated, p.resent = q.firstChanged(repeated, maxRepeatsPerUpdate, p.settled)
+	keys := slices.Concat(urgent, changed, repeated, q.rotate(maxRotatedPerUpdate))
 	out := PartUpdate{Served: make(map[string]time.Duration)}
 	for _, key := range keys {
 		out.Suspicions = append(out.Suspicions, q.suspicion(now, key))
@@ -395,16 +427,65 @@
 	return out
 }
 
-// mostCrashes returns the n parts with most crashes, of these the ones that changed last.
-func (q *PartQuarantine) mostCrashes(keys []PartKey, n int) []PartKey {
+// progress returns how far a peer has been told of the changes.
+func (q *PartQuarantine) progress(now time.Duration, peer string) *peerProgress {
+	p := q.peers[peer]
+	if p == nil {
+		p = &peerProgress{markAt: now}
+		q.peers[peer] = p
+	}
+	p.usedAt = now
+	if now-p.markAt >= resendTime {
+		p.settled, p.marked, p.markAt = p.marked, p.sent, now
+	}
+	return p
+}
+
+// rotate returns the next n parts of all that have uncleared crashes, in turn.
+func (q *PartQuarantine) rotate(n int) (out []PartKey) {
+	for range min(n, len(q.order)) {
+		key := q.order[0]
+		q.order = q.order[1:]
+		if s := q.parts[key]; s != nil {
+			q.order = append(q.order, key)
+			if s.open > 0 {
+				out = append(out, key)
+			}
+		}
+	}
+	return out
+}
+
+// firstChanged returns the n parts that changed first, and the last change up to which they are complete;
+// last if all parts are among them.
+func (q *PartQuarantine) firstChanged(keys []PartKey, n int, last uint64) ([]PartKey, uint64) {
+	if len(keys) <= n {
+		return keys, last
+	}
+	slices.SortFunc(keys, func(a, b PartKey) int { return cmp.Compare(q.parts[a].change, q.parts[b].change) })
+	return keys[:n], q.parts[keys[n-1]].change
+}
+
+// changedSince returns the parts that changed after a change.
+func (q *PartQuarantine) changedSince(keys []PartKey, change uint64) (out []PartKey) {
+	for _, key := range keys {
+		if q.parts[key].change > change {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// mostCrashes returns the n parts with most crashes, of these the ones that changed last, and the rest.
+func (q *PartQuarantine) mostCrashes(keys []PartKey, n int) (most, rest []PartKey) {
 	if len(keys) <= n {
-		return keys
+		return keys, nil
 	}
 	slices.SortFunc(keys, func(a, b PartKey) int {
 		x, y := q.parts[a], q.parts[b]
-		return cmp.Or(cmp.Compare(y.open, x.open), cmp.Compare(y.changedAt, x.changedAt), compareKeys(a, b))
+		return cmp.Or(cmp.Compare(y.open, x.open), cmp.Compare(y.change, x.change))
 	})
-	return keys[:n]
+	return keys[:n], keys[n:]
 }
 
 func compareKeys(a, b PartKey) int {
--- a/core/cfvlimit/parts_test.go
+++ b/core/cfvlimit/parts_test.go
@@ -1,6 +1,7 @@
 package cfvlimit
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -26,7 +27,7 @@
 			q.RecordCrash(now, "s", []string{"p"}, endpoint, rapid.Bool().Draw(t, "answering"))
 			q.RecordAnswer(now, now, "s", []string{"other"})
 		}
-		report := q.Update(now)
+		report := q.Update(now, "peer")
 		now += ms
 		q.RecordAnswer(now, now, "s", []string{"p"})
 		_, blocked := q.Blocked(now, "s", []string{"p"})
@@ -54,14 +55,14 @@
 				}
 				q.RecordCrash(at, "s", parts, fmt.Sprint("e", rapid.IntRange(0, 7).Draw(t, "endpoint")), i%2 == 0)
 			}
-			reports = append(reports, q.Update(now))
+			reports = append(reports, q.Update(now, "peer"))
 		}
 		merge := func(order []PartUpdate) PartUpdate {
 			q := NewPartQuarantine(DefaultPartConfig())
 			for _, r := range order {
 				q.Merge(now, r)
 			}
-			return q.Update(now)
+			return q.Update(now, "peer")
 		}
 		want := merge(reports)
 		shuffled := append(rapid.Permutation(reports).Draw(t, "order"), rapid.SliceOfN(rapid.SampledFrom(reports), 0, 4).Draw(t, "again")...)
@@ -188,8 +189,8 @@
 		q.RecordCrash(now, "s", []string{fmt.Sprint("p", i%1000)}, fmt.Sprint("e", i), false)
 		q.RecordAnswer(now, now, "s", []string{fmt.Sprint("answered", i)})
 	}
-	u := q.Update(now)
-	assert.Assert(t, len(u.Suspicions) <= maxUrgentPerUpdate+maxRecentPerUpdate+maxRotatedPerUpdate)
+	u := q.Update(now, "peer")
+	assert.Assert(t, len(u.Suspicions) <= maxUrgentPerUpdate+maxChangedPerUpdate+maxRepeatsPerUpdate+maxRotatedPerUpdate)
 	for _, s := range u.Suspicions {
 		assert.Assert(t, len(s.Crashes) <= maxCrashesPerPart)
 	}
@@ -216,6 +217,8 @@
 	perSecond   float64       // requests
 	shares      []float64     // of the requests, with each deadly part
 	sameParts   bool          // the requests with a deadly part have all other parts in common, else they vary
+	firsts      int           // first parts of prompts
+	subjects    int           // second parts
 	broken      float64       // share of the answers whose connection breaks though their endpoint is well
 	otherCrash  time.Duration // interval of crashes for other reasons; 0: none
 	massFailure time.Duration // when half of the endpoints crash at once; 0: never
@@ -229,8 +232,8 @@
 	simDeadlyAt  = 4 * time.Second
 	simDownTime  = 3 * time.Second
 	simEndpoints = 24
-	simFirsts    = 5   // first parts of prompts
-	simSubjects  = 200 // second parts, so that each is rare
+	simFirsts    = 5   // first parts of prompts, if the load names no other number
+	simSubjects  = 200 // second parts, so that each is rare, if the load names no other number
 )
 
 type simRequest struct {
@@ -296,7 +299,7 @@
 
 // arrive lets a request arrive at a random entry.
 func (f *simFleet) arrive(deadly bool) {
-	parts := []string{fmt.Sprint("first", f.random.IntN(simFirsts)), fmt.Sprint("subject", f.random.IntN(simSubjects))}
+	parts := []string{fmt.Sprint("first", f.random.IntN(cmp.Or(f.load.firsts, simFirsts))), fmt.Sprint("subject", f.random.IntN(cmp.Or(f.load.subjects, simSubjects)))}
 	deadlyPart := ""
 	x := f.random.Float64()
 	for i, share := range f.load.shares {
@@ -422,8 +425,8 @@
 	if q == peer {
 		return
 	}
-	peer.Merge(f.now, q.Update(f.now))
-	q.Merge(f.now, peer.Update(f.now))
+	peer.Merge(f.now, q.Update(f.now, fmt.Sprintf("%p", peer)))
+	q.Merge(f.now, peer.Update(f.now, fmt.Sprintf("%p", q)))
 }
 
 // Failure: requests of which no two were alike but in one part of their prompts crashed one endpoint after the
@@ -442,6 +445,8 @@
 		"half, all other parts the same, 88 entries":     {entries: 88, perSecond: 12, shares: []float64{0.5}, sameParts: true},
 		"two at once, 8 entries":                         {entries: 8, perSecond: 40, shares: []float64{0.04, 0.06}},
 		"two at once with the same parts, 88 entries":    {entries: 88, perSecond: 100, shares: []float64{0.05, 0.05}, sameParts: true},
+		"a rare one in a storm of crashes, 8 entries":    {entries: 8, perSecond: 400, shares: []float64{0.02, 0.002}, firsts: 30, subjects: 3000},
+		"a rare one in a storm of crashes, 88 entries":   {entries: 88, perSecond: 400, shares: []float64{0.02, 0.002}, firsts: 30, subjects: 3000},
 		"broken connections, 8 entries":                  {entries: 8, perSecond: 40, shares: []float64{0.05}, sameParts: true, broken: 0.02},
 		"broken connections, 295 entries":                {entries: 295, perSecond: 100, shares: []float64{0.05}, broken: 0.02},
 		"endpoints crash for other reasons, 8 entries":   {entries: 8, perSecond: 40, shares: []float64{0.05}, sameParts: true, otherCrash: 2 * time.Second},
@@ -496,3 +501,33 @@
 		assert.Assert(t, count < enoughSound || 2*sent >= count, "%d of %d sound requests were sent (%s)", sent, count, group)
 	}
 }
+
+// Failure: after a storm of crashes, updates held only the parts with most crashes, the same ones again and
+// again, and peers never learned of the others.
+func TestPeersLearnOfAllParts(t *testing.T) {
+	const updates, lost = 30, 3
+	q, peer := NewPartQuarantine(DefaultPartConfig()), NewPartQuarantine(DefaultPartConfig())
+	now := time.Minute
+	for i := range 800 {
+		part := fmt.Sprint("rare", i)
+		if i%2 == 0 {
+			part = fmt.Sprint("frequent", i%60)
+		}
+		q.RecordCrash(now, "s", []string{part}, fmt.Sprint("e", i), false)
+		now += ms
+	}
+	for i := range 3 {
+		q.RecordCrash(now, "s", []string{"deadly"}, fmt.Sprint("d", i), false)
+	}
+	for i := range updates {
+		u := q.Update(now, "peer")
+		if i >= lost {
+			peer.Merge(now, u)
+		}
+		now += 200 * ms
+	}
+	for key, s := range q.parts {
+		assert.Assert(t, peer.parts[key] != nil, "%s is not known", key.Part)
+		assert.Equal(t, peer.parts[key].open, s.open, "crashes with %s", key.Part)
+	}
+}
--- a/io/cfventry/parts.go
+++ b/io/cfventry/parts.go
@@ -161,10 +161,10 @@
 }
 
 // PartUpdate returns what a peer should know about parts of prompts that crash endpoints.
-func (e *Entry) PartUpdate() cfvlimit.PartUpdate {
+func (e *Entry) PartUpdate(peer string) cfvlimit.PartUpdate {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.parts.Update(e.cfg.Now())
+	return e.parts.Update(e.cfg.Now(), peer)
 }
 
 // MergeParts merges what a peer reported about parts of prompts.
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -48,7 +49,7 @@
 	Parts        func(func(c *cfvparts.Catalog))
 	Suspicions   func() []cfvlimit.Suspicion
 	AddSuspicion func(cfvlimit.Suspicion)
-	PartUpdate   func() cfvlimit.PartUpdate // what peers should know about parts of prompts that crash endpoints
+	PartUpdate   func(peer string) cfvlimit.PartUpdate // what a peer should know about parts of prompts that crash endpoints
 	MergeParts   func(cfvlimit.PartUpdate)
 	Log          cfvlog.Logger
 	Count        func(name string, n int64)
@@ -185,7 +186,7 @@
 	sentAt := x.cfg.Now()
 	client := cfvwireentryconnect.NewExchangeClient(x.client, "http://"+addr, connect.WithReadMaxBytes(maxMessageBytes))
 	resp, err := client.Pull(ctx, connect.NewRequest(&cfvwireentry.PullRequest{
-		Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(), Parts: partsToWire(x.cfg.PartUpdate()),
+		Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(), Parts: partsToWire(x.cfg.PartUpdate(addr)),
 	}))
 	if err != nil {
 		return err
@@ -242,7 +243,7 @@
 			Fingerprint: s.Fingerprint, Endpoints: s.Endpoints, LeftMillis: time.Until(s.Until).Milliseconds(),
 		})
 	}
-	out.Parts = partsToWire(x.cfg.PartUpdate())
+	out.Parts = partsToWire(x.cfg.PartUpdate(fmt.Sprintf("%s/%d", req.Msg.GetEntry(), req.Msg.GetLoad().GetStarted())))
 	return connect.NewResponse(out), nil
 }
 
