Block a part sooner if it was never answered

Callers saw: with a deadly part in a frequent kind of request, 14 of 18 endpoints went down within 1.2 s.

Cause: a part was blocked only once its crashes were a second apart, so that a mass failure blocks none; and a request that may be resumed crashed a second endpoint, each time.

Change: a part that was never answered is blocked from 0.3 s on, since a mass failure hits requests with parts that had been answered. A request that waited for its first event when its endpoint went down isn't sent again if it has such a part with two crashes.

--- a/core/cfvlimit/parts.go
+++ b/core/cfvlimit/parts.go
@@ -40,6 +40,8 @@
 	AnsweringCrashes int           // the same, if requests count that had got several events
 	CrashesInOutage  int           // the same, while nothing else of the service is answered either
 	Spread           time.Duration // least time between the first and the last of these crashes
+	UnansweredSpread time.Duration // the same for a part that was never answered
+	RetryCrashes     int           // crashed endpoints from which a request with a part that was never answered isn't sent again
 	BlockTime        time.Duration // how long a part is blocked after its last crash; doubled each time it crashes again afterwards
 	MaxBlockTime     time.Duration
 	Retention        time.Duration // how long the crashes of a part that was never blocked are kept
@@ -48,7 +50,8 @@
 // DefaultPartConfig returns the configuration for a fleet of entries.
 func DefaultPartConfig() PartConfig {
 	return PartConfig{
-		Crashes: 3, AnsweringCrashes: 5, CrashesInOutage: 5, Spread: time.Second, BlockTime: 3 * time.Minute, MaxBlockTime: time.Hour,
+		Crashes: 3, AnsweringCrashes: 5, CrashesInOutage: 5, Spread: time.Second, UnansweredSpread: 300 * time.Millisecond, RetryCrashes: 2,
+		BlockTime: 3 * time.Minute, MaxBlockTime: time.Hour,
 		Retention: 10 * time.Minute,
 	}
 }
@@ -276,6 +279,17 @@
 	return "", false
 }
 
+// MaySendAgain reports whether a request that an endpoint crashed under may be sent to another one. It
+// returns the part because of which it may not.
+func (q *PartQuarantine) MaySendAgain(service string, parts []string) (part string, ok bool) {
+	for _, part := range parts {
+		if s := q.parts[PartKey{service, part}]; s != nil && !s.answered && s.open >= q.cfg.RetryCrashes {
+			return part, false
+		}
+	}
+	return "", true
+}
+
 // suspected reports whether the crashes with a part suffice to block it. While nothing of the service is
 // answered, other parts look alike; then only more crashes with a part that was never answered do.
 func (q *PartQuarantine) suspected(now time.Duration, key PartKey) bool {
@@ -288,12 +302,17 @@
 	if !ok || served <= list[0].at && (s.answered || len(list) < q.cfg.CrashesInOutage) {
 		return false
 	}
-	until, ok := q.blockedUntil(list)
+	until, ok := q.blockedUntil(s, list)
 	return ok && now < until
 }
 
-// blockedUntil returns the end of the block that crashes in the order of their times lead to.
-func (q *PartQuarantine) blockedUntil(list []partCrash) (until time.Duration, ok bool) {
+// blockedUntil returns the end of the block that the uncleared crashes of a part, in the order of their
+// times, lead to.
+func (q *PartQuarantine) blockedUntil(s *suspectPart, list []partCrash) (until time.Duration, ok bool) {
+	spread := q.cfg.Spread
+	if !s.answered {
+		spread = q.cfg.UnansweredSpread
+	}
 	waiting := 0
 	blockTime := q.cfg.BlockTime
 	for i, c := range list {
@@ -301,7 +320,7 @@
 			waiting++
 		}
 		switch enough := waiting >= q.cfg.Crashes || i+1 >= q.cfg.AnsweringCrashes; {
-		case !enough || c.at-list[0].at < q.cfg.Spread:
+		case !enough || c.at-list[0].at < spread:
 			continue
 		case ok && c.at > until:
 			blockTime = min(2*blockTime, q.cfg.MaxBlockTime)
@@ -373,7 +392,7 @@
 func (q *PartQuarantine) Expire(now time.Duration) {
 	for key, s := range q.parts {
 		list := s.uncleared()
-		until, blocked := q.blockedUntil(list)
+		until, blocked := q.blockedUntil(s, list)
 		for e, c := range s.crashes {
 			if now-c.at > q.cfg.Retention && (c.cleared || !blocked) {
 				s.remove(e)
--- a/io/cfventry/parts.go
+++ b/io/cfventry/parts.go
@@ -18,6 +18,7 @@
 	began    time.Duration
 	batches  int  // batches of events
 	recorded bool // the answer has cleared the parts of the prompt
+	crashed  bool // the endpoint went down before the answer had gone on
 }
 
 // sharedPartIDs returns the IDs of the parts of the prompt that other requests may have.
@@ -46,7 +47,8 @@
 	e := q.entry
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.parts.RecordCrash(e.cfg.Now(), q.service.Name, q.sharedPartIDs(), incarnation(ep), q.answer.batches > 1)
+	q.answer.crashed = q.answer.batches <= 1
+	e.parts.RecordCrash(e.cfg.Now(), q.service.Name, q.sharedPartIDs(), incarnation(ep), !q.answer.crashed)
 }
 
 // recordPartsAnswered records that the endpoint survived the begin of its answer.
@@ -112,6 +114,10 @@
 	}
 	e, now := q.entry, q.entry.cfg.Now()
 	part, blocked := e.parts.Blocked(now, q.service.Name, q.sharedPartIDs())
+	if !blocked && q.answer.crashed {
+		suspect, ok := e.parts.MaySendAgain(q.service.Name, q.sharedPartIDs())
+		part, blocked = suspect, !ok
+	}
 	if !blocked {
 		return nil
 	}
