Tell peers of suspect requests in each pull

Relays pull from a random entry once in sixteen pulls, so on a fleet of 295 entries that takes most of a minute; and a relay stopped sending a suspicion after 24 sends, fewer than the 41 peers that pull from a relay there.

Change: an entry sends its suspicions with the request of each pull too, and doesn't stop before they expire; the ones that were sent least often come first.

Failed before: TestSuspicionReachesEachPeer (peer 24 gets none). TestEntryTellsOfSuspectRequestsWhenItPulls needs the new function; before, the request of a pull held no suspicion.

--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -298,11 +299,15 @@
 	return e.dispatcher.LocalLoads()
 }
 
-// Suspicions returns suspicions against requests that crash endpoints, for a peer.
+// SuspicionTTL returns how long a request stays suspect after its last crash.
+func (e *Entry) SuspicionTTL() time.Duration { return suspicionTTL }
+
+// Suspicions returns suspicions against requests that crash endpoints, for a peer. The ones that were sent
+// least often come first, so that all peers learn of a new one, however many they are.
 func (e *Entry) Suspicions() []cfvlimit.Suspicion {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.quarantine.Updates(maxSuspicionsPerUpdate, maxSuspicionSends)
+	return e.quarantine.Updates(maxSuspicionsPerUpdate, math.MaxInt)
 }
 
 // Limits on suspicions. Identical requests share a fingerprint (method, path, API key and body),
@@ -310,8 +315,7 @@
 const (
 	quarantineCrashes      = 3 // the platform tolerates three crashes
 	suspicionTTL           = time.Minute
-	maxSuspicionsPerUpdate = 16
-	maxSuspicionSends      = 24
+	maxSuspicionsPerUpdate = 32
 )
 
 // AddSuspicion merges a suspicion that a peer reported.
--- a/io/cfventry/parts_test.go
+++ b/io/cfventry/parts_test.go
@@ -19,6 +19,7 @@
 	"coltsfootvalve/common/cfvmetric"
 	"coltsfootvalve/core/cfvcall"
 	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvlimit"
 	"coltsfootvalve/core/cfvmirror"
 	"coltsfootvalve/io/cfvstate"
 
@@ -237,3 +238,14 @@
 		assert.Equal(t, refusal.status, http.StatusBadGateway, "a request that may have run")
 	})
 }
+
+// Failure: a suspicion against a request was sent 24 times and then no more, fewer than the peers that pull from
+// one relay of a large fleet.
+func TestSuspicionReachesEachPeer(t *testing.T) {
+	const peers = 41
+	e := newPartEntry(newPartFleet(""))
+	e.AddSuspicion(cfvlimit.Suspicion{Fingerprint: "f", Endpoints: []string{"a"}, Until: time.Now().Add(time.Minute)})
+	for i := range peers {
+		assert.Equal(t, len(e.Suspicions()), 1, "peer %d", i)
+	}
+}
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -49,6 +49,7 @@
 	Parts        func(func(c *cfvparts.Catalog))
 	Suspicions   func() []cfvlimit.Suspicion
 	AddSuspicion func(cfvlimit.Suspicion)
+	SuspicionTTL time.Duration                         // of a suspicion, from its newest crash on
 	PartUpdate   func(peer string) cfvlimit.PartUpdate // what a peer should know about parts of prompts that crash endpoints
 	MergeParts   func(cfvlimit.PartUpdate)
 	Log          cfvlog.Logger
@@ -185,9 +186,7 @@
 	defer cancel()
 	sentAt := x.cfg.Now()
 	client := cfvwireentryconnect.NewExchangeClient(x.client, "http://"+addr, connect.WithReadMaxBytes(maxMessageBytes))
-	resp, err := client.Pull(ctx, connect.NewRequest(&cfvwireentry.PullRequest{
-		Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(), Parts: partsToWire(x.cfg.PartUpdate(addr)),
-	}))
+	resp, err := client.Pull(ctx, connect.NewRequest(x.pullRequest(addr)))
 	if err != nil {
 		return err
 	}
@@ -219,6 +218,13 @@
 	return nil
 }
 
+// pullRequest returns the request of a pull from the peer at addr. It also tells the peer what this entry
+// has seen, since a relay seldom pulls from an entry that is none.
+func (x *Exchange) pullRequest(addr string) *cfvwireentry.PullRequest {
+	parts := append(partsToWire(x.cfg.PartUpdate(addr)), requestsToWire(time.Now(), x.cfg.SuspicionTTL, x.cfg.Suspicions())...)
+	return &cfvwireentry.PullRequest{Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(), Parts: parts}
+}
+
 // Pull serves a pull of a peer: it records the peer's load and returns the updates that the peer
 // lacks.
 func (x *Exchange) Pull(_ context.Context, req *connect.Request[cfvwireentry.PullRequest]) (*connect.Response[cfvwireentry.PullResponse], error) {
@@ -226,6 +232,9 @@
 		x.applyLoad(l)
 	}
 	x.cfg.MergeParts(partsFromWire(req.Msg.GetParts()))
+	for _, s := range requestsFromWire(time.Now(), x.cfg.SuspicionTTL, req.Msg.GetParts()) {
+		x.cfg.AddSuspicion(s)
+	}
 	records, asOf, full := x.cfg.State.Delta(req.Msg.GetAsOf())
 	out := &cfvwireentry.PullResponse{AsOf: asOf, AgeMillis: -1, Full: full, Records: recordsToWire(records)}
 	if age, ok := x.cfg.State.Age(); ok {
--- a/io/cfvexchange/parts.go
+++ b/io/cfvexchange/parts.go
@@ -58,6 +58,9 @@
 	u.Served = make(map[string]time.Duration)
 	for _, w := range list {
 		served := w.GetServedAgeMillis()
+		if w.GetService() == "" {
+			continue // suspects a whole request
+		}
 		if w.GetPart() == "" {
 			u.Served[w.GetService()] = time.Duration(served) * time.Millisecond
 			continue
@@ -74,3 +77,33 @@
 	}
 	return u
 }
+
+// requestsToWire converts suspicions against whole requests, for the request of a pull. They are messages
+// without a service, whose part is the fingerprint.
+func requestsToWire(now time.Time, ttl time.Duration, list []cfvlimit.Suspicion) (out []*cfvwireentry.PartSuspicion) {
+	for _, s := range list {
+		w := &cfvwireentry.PartSuspicion{Part: s.Fingerprint, ServedAgeMillis: -1}
+		age := max(ttl-s.Until.Sub(now), 0)
+		for _, e := range s.Endpoints {
+			w.Crashes = append(w.Crashes, &cfvwireentry.PartCrash{Endpoint: e, AgeMillis: age.Milliseconds()})
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func requestsFromWire(now time.Time, ttl time.Duration, list []*cfvwireentry.PartSuspicion) (out []cfvlimit.Suspicion) {
+	for _, w := range list {
+		if w.GetService() != "" || len(w.GetCrashes()) == 0 {
+			continue
+		}
+		s := cfvlimit.Suspicion{Fingerprint: w.GetPart()}
+		age := max(time.Duration(w.GetCrashes()[0].GetAgeMillis())*time.Millisecond, 0)
+		for _, c := range w.GetCrashes() {
+			s.Endpoints = append(s.Endpoints, c.GetEndpoint())
+		}
+		s.Until = now.Add(ttl - age)
+		out = append(out, s)
+	}
+	return out
+}
--- /dev/null
+++ b/io/cfvexchange/parts_test.go
@@ -0,0 +1,81 @@
+package cfvexchange
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"coltsfootvalve/common/cfvlog"
+	"coltsfootvalve/core/cfvdispatch"
+	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvlimit"
+	"coltsfootvalve/core/cfvmirror"
+	"coltsfootvalve/core/cfvparts"
+	"coltsfootvalve/io/cfvstate"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+)
+
+func TestPartsKeepTheirEvidenceOnTheWire(t *testing.T) {
+	key := cfvlimit.PartKey{Service: "s", Part: "p"}
+	tests := map[string][]cfvlimit.PartSuspicion{
+		"uncleared":       {{PartKey: key, Crashes: []cfvlimit.PartCrash{{Endpoint: "a", Age: time.Second}, {Endpoint: "b", Answering: true}}}},
+		"answered before": {{PartKey: key, Answered: true, Crashes: []cfvlimit.PartCrash{{Endpoint: "a", Age: time.Second}, {Endpoint: "b", Age: 2 * time.Second}}}},
+		"cleared": {{PartKey: key, Answered: true, Crashes: []cfvlimit.PartCrash{
+			{Endpoint: "a", Age: time.Millisecond, Cleared: true}, {Endpoint: "b", Age: 3 * time.Second, Cleared: true, Answering: true},
+		}}},
+		"some cleared, though they are newer": {
+			{PartKey: key, Answered: true, Crashes: []cfvlimit.PartCrash{{Endpoint: "a", Age: 5 * time.Second}}},
+			{PartKey: key, Answered: true, Crashes: []cfvlimit.PartCrash{{Endpoint: "b", Age: time.Second, Cleared: true}}},
+		},
+	}
+	for name, want := range tests {
+		t.Run(name, func(t *testing.T) {
+			merged := cfvlimit.PartSuspicion{PartKey: key, Answered: want[0].Answered}
+			for _, s := range want {
+				merged.Crashes = append(merged.Crashes, s.Crashes...)
+			}
+			got := partsFromWire(partsToWire(cfvlimit.PartUpdate{Served: map[string]time.Duration{"s": time.Second}, Suspicions: []cfvlimit.PartSuspicion{merged}}))
+			assert.Equal(t, got.Served["s"], time.Second+time.Millisecond)
+			for i := range got.Suspicions {
+				for j, c := range got.Suspicions[i].Crashes {
+					if c.Cleared {
+						got.Suspicions[i].Crashes[j].Age -= time.Millisecond // rounded up
+					}
+				}
+			}
+			assert.DeepEqual(t, got.Suspicions, want)
+		})
+	}
+}
+
+// newSuspectingExchange returns an exchange whose entry suspects some requests, and the suspicions that it receives.
+func newSuspectingExchange(name string, suspected ...cfvlimit.Suspicion) (*Exchange, *[]cfvlimit.Suspicion) {
+	now := func() time.Duration { return time.Hour }
+	received := new([]cfvlimit.Suspicion)
+	return New(Config{
+		Self: name, Now: now, Log: cfvlog.Discard(), SuspicionTTL: time.Minute,
+		State: cfvstate.New(cfvstate.Config{Now: now, Log: cfvlog.Discard(), Decode: func(cfvmirror.Record) (c cfvfleet.Change, err error) { return c, nil }}),
+		Loads: func() map[string]cfvdispatch.Load { return nil }, Demands: func() map[string]cfvdispatch.Demand { return nil },
+		Parts:      func(f func(*cfvparts.Catalog)) { f(cfvparts.NewCatalog()) },
+		PartUpdate: func(string) (u cfvlimit.PartUpdate) { return u }, MergeParts: func(cfvlimit.PartUpdate) {},
+		Suspicions:   func() []cfvlimit.Suspicion { return suspected },
+		AddSuspicion: func(s cfvlimit.Suspicion) { *received = append(*received, s) },
+	}), received
+}
+
+// Failure: a request that crashed an endpoint at an entry that is no relay was unknown to all others until a
+// relay happened to pull from that entry, at most once in sixteen pulls and from any of the fleet.
+func TestEntryTellsOfSuspectRequestsWhenItPulls(t *testing.T) {
+	until := time.Now().Add(40 * time.Second)
+	entry, _ := newSuspectingExchange("entry", cfvlimit.Suspicion{Fingerprint: "f", Endpoints: []string{"a/1", "b/2"}, Until: until})
+	relay, received := newSuspectingExchange("relay")
+	_, err := relay.Pull(context.Background(), connect.NewRequest(entry.pullRequest("relay:1")))
+	assert.NilError(t, err)
+	assert.Equal(t, len(*received), 1)
+	got := (*received)[0]
+	assert.Equal(t, got.Fingerprint, "f")
+	assert.DeepEqual(t, got.Endpoints, []string{"a/1", "b/2"})
+	assert.Assert(t, got.Until.Sub(until).Abs() < 10*time.Second, "until %s", got.Until.Sub(until))
+}
