Repeat parts with several crashes once a second

Cause: each update held up to 16 parts with several crashes, changed or not, up to 16 crashes each. On links of 10 Mbit/s a relay that 60 pulls a second reach could spend most of its link on them after a storm of crashes.

Change: they are repeated about once a second for each peer; a change still goes out with the next update.

--- a/core/cfvlimit/parts.go
+++ b/core/cfvlimit/parts.go
@@ -413,18 +413,18 @@
 	}
 }
 
-// Update returns what a peer should know: the parts with several crashes, the changes since the
-// last update for this peer, and of the other parts a few in turn. A change is sent twice, since an
+// Update returns what a peer should know: the changes since the last update for this peer, about
+// once a second the parts with several crashes, and of the other parts a few in turn. A change is sent twice, since an
 // update may get lost.
 func (q *PartQuarantine) Update(now time.Duration, peer string) PartUpdate {
 	if len(q.parts) == 0 {
 		return PartUpdate{}
 	}
-	p := q.progress(now, peer)
+	p, due := q.progress(now, peer)
 	var urgent, changed, repeated []PartKey
 	for key, s := range q.parts {
 		switch {
-		case s.open >= q.cfg.Crashes:
+		case s.open >= q.cfg.Crashes && (due || s.change > p.sent):
 			urgent = append(urgent, key)
 		case s.change > p.sent:
 			changed = append(changed, key)
@@ -446,18 +446,19 @@
 	return out
 }
 
-// progress returns how far a peer has been told of the changes.
-func (q *PartQuarantine) progress(now time.Duration, peer string) *peerProgress {
-	p := q.peers[peer]
+// progress returns how far a peer has been told of the changes, and whether it is due to be told of the
+// parts with several crashes again.
+func (q *PartQuarantine) progress(now time.Duration, peer string) (p *peerProgress, due bool) {
+	p = q.peers[peer]
 	if p == nil {
 		p = &peerProgress{markAt: now}
 		q.peers[peer] = p
 	}
 	p.usedAt = now
-	if now-p.markAt >= resendTime {
+	if due = now-p.markAt >= resendTime; due {
 		p.settled, p.marked, p.markAt = p.marked, p.sent, now
 	}
-	return p
+	return p, due
 }
 
 // rotate returns the next n parts of all that have uncleared crashes, in turn.
