--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -87,6 +88,8 @@
 	mu           sync.Mutex
 	dispatcher   *cfvdispatch.Dispatcher
 	quarantine   *cfvlimit.Quarantine
+	parts        *cfvlimit.PartQuarantine
+	blockedParts map[cfvlimit.PartKey]bool               // as last logged
 	retryBudgets map[string]*cfvlimit.RetryWindow        // by service
 	baselines    map[string]*cfvdispatch.FailureBaseline // by route
 	keepAlives   map[string]time.Duration                // idle timeout that endpoints announced, by service
@@ -100,6 +103,7 @@
 func New(cfg Config) *Entry {
 	e := &Entry{
 		cfg: cfg, dispatcher: cfvdispatch.New(cfg.Name), quarantine: cfvlimit.NewQuarantineWith(cfvlimit.QuarantineConfig{CrashThreshold: quarantineCrashes, Duration: suspicionTTL}),
+		parts:        cfvlimit.NewPartQuarantine(cfvlimit.DefaultPartConfig()),
 		retryBudgets: make(map[string]*cfvlimit.RetryWindow), baselines: make(map[string]*cfvdispatch.FailureBaseline),
 		keepAlives: make(map[string]time.Duration), poolSizers: make(map[string]*cfvdispatch.PoolSizer), admissions: make(map[string]*cfvdispatch.Admission), entryCount: 1, grantTable: cfvdispatch.NewGrantTable(),
 	}
@@ -224,6 +228,7 @@
 		b.SetSlack(e.retrySlack())
 	}
 	e.mu.Unlock()
+	e.cleanUpParts()
 	e.connPools.retain(all)
 }
 
@@ -302,11 +307,15 @@
 	return e.dispatcher.LocalLoads()
 }
 
-// Suspicions returns suspicions against requests that crash endpoints, for a peer.
+// SuspicionTTL returns how long a request stays suspect after its last crash.
+func (e *Entry) SuspicionTTL() time.Duration { return suspicionTTL }
+
+// Suspicions returns suspicions against requests that crash endpoints, for a peer. The ones that were sent
+// least often come first, so that all peers learn of a new one, however many they are.
 func (e *Entry) Suspicions() []cfvlimit.Suspicion {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.quarantine.Updates(maxSuspicionsPerUpdate, maxSuspicionSends)
+	return e.quarantine.Updates(maxSuspicionsPerUpdate, math.MaxInt)
 }
 
 // Limits on suspicions. Identical requests share a fingerprint (method, path, API key and body),
@@ -314,8 +323,7 @@
 const (
 	quarantineCrashes      = 3 // the platform tolerates three crashes
 	suspicionTTL           = time.Minute
-	maxSuspicionsPerUpdate = 16
-	maxSuspicionSends      = 24
+	maxSuspicionsPerUpdate = 32
 )
 
 // AddSuspicion merges a suspicion that a peer reported.
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -48,6 +49,9 @@
 	Parts        func(func(c *cfvparts.Catalog))
 	Suspicions   func() []cfvlimit.Suspicion
 	AddSuspicion func(cfvlimit.Suspicion)
+	SuspicionTTL time.Duration                         // of a suspicion, from its newest crash on
+	PartUpdate   func(peer string) cfvlimit.PartUpdate // what a peer should know about parts of prompts that crash endpoints
+	MergeParts   func(cfvlimit.PartUpdate)
 	Log          cfvlog.Logger
 	Count        func(name string, n int64)
 	StartMillis  int64
@@ -182,9 +186,7 @@
 	defer cancel()
 	sentAt := x.cfg.Now()
 	client := cfvwireentryconnect.NewExchangeClient(x.client, "http://"+addr, connect.WithReadMaxBytes(maxMessageBytes))
-	resp, err := client.Pull(ctx, connect.NewRequest(&cfvwireentry.PullRequest{
-		Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(),
-	}))
+	resp, err := client.Pull(ctx, connect.NewRequest(x.pullRequest(addr)))
 	if err != nil {
 		return err
 	}
@@ -207,6 +209,7 @@
 			c.Merge(sentAt, storeUpdateFromWire(update))
 		}
 	})
+	x.cfg.MergeParts(partsFromWire(msg.GetParts()))
 	for _, s := range msg.GetSuspicions() {
 		x.cfg.AddSuspicion(cfvlimit.Suspicion{
 			Fingerprint: s.GetFingerprint(), Endpoints: s.GetEndpoints(),
@@ -216,12 +219,23 @@
 	return nil
 }
 
+// pullRequest returns the request of a pull from the peer at addr. It also tells the peer what this entry
+// has seen, since a relay seldom pulls from an entry that is none.
+func (x *Exchange) pullRequest(addr string) *cfvwireentry.PullRequest {
+	parts := append(partsToWire(x.cfg.PartUpdate(addr)), requestsToWire(time.Now(), x.cfg.SuspicionTTL, x.cfg.Suspicions())...)
+	return &cfvwireentry.PullRequest{Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(), Parts: parts}
+}
+
 // Pull serves a pull of a peer: it records the peer's load and returns the updates that the peer
 // lacks.
 func (x *Exchange) Pull(_ context.Context, req *connect.Request[cfvwireentry.PullRequest]) (*connect.Response[cfvwireentry.PullResponse], error) {
 	if l := req.Msg.GetLoad(); l != nil {
 		x.applyLoad(l)
 	}
+	x.cfg.MergeParts(partsFromWire(req.Msg.GetParts()))
+	for _, s := range requestsFromWire(time.Now(), x.cfg.SuspicionTTL, req.Msg.GetParts()) {
+		x.cfg.AddSuspicion(s)
+	}
 	records, asOf, full := x.cfg.State.Delta(req.Msg.GetAsOf())
 	out := &cfvwireentry.PullResponse{AsOf: asOf, AgeMillis: -1, Full: full, Records: recordsToWire(records)}
 	if age, ok := x.cfg.State.Age(); ok {
@@ -239,6 +253,7 @@
 			Fingerprint: s.Fingerprint, Endpoints: s.Endpoints, LeftMillis: time.Until(s.Until).Milliseconds(),
 		})
 	}
+	out.Parts = partsToWire(x.cfg.PartUpdate(fmt.Sprintf("%s/%d", req.Msg.GetEntry(), req.Msg.GetLoad().GetStarted())))
 	return connect.NewResponse(out), nil
 }
 
