Send a version that is rolled out only its share

Cause: entries did not read the order of a roll-out, and every usable endpoint of a service served alike.

A request now goes to the candidates of a running roll-out with the probability that the leader recorded, decided once, and only in its first attempt; whatever a candidate does not serve goes on at the stable endpoints. One place, View.Serving, yields the endpoints of a request, for the choice, the placer, retries and the pools. Candidates have pools of their own in proportion, since a good version's short prompts waited for long ones there.

Ruled out: endpoints that appear before their order; a state applies its records at once, and the order is older.

--- a/core/cfvdispatch/pools.go
+++ b/core/cfvdispatch/pools.go
@@ -122,6 +122,17 @@
 	return p.pool.ids
 }
 
+// CandidatePool returns those of a few other endpoints that are for short prompts, in the proportion of the last
+// pools; nil if there are none.
+func (p *PoolSizer) CandidatePool(candidates []*cfvfleet.Endpoint) map[string]bool {
+	n := len(candidates)
+	if p.shortPoolSize == 0 || n < 2 {
+		return nil
+	}
+	size := int(math.Round(float64(n*p.shortPoolSize) / float64(p.endpoints)))
+	return ShortPool(candidates, min(max(size, 1), n-1))
+}
+
 // ShortPool returns the endpoints of the short-prompt pool. All entries order the endpoints
 // alike, and the order alternates between failure domains, so that both pools have endpoints
 // in each of them.
--- a/core/cfvfleet/view.go
+++ b/core/cfvfleet/view.go
@@ -96,8 +96,9 @@
 	graceUntil time.Duration // until then, removals may result from a store outage
 	hasRemoved bool          // some removed endpoints are kept until graceUntil
 
-	usable map[string][]*Endpoint // results of Usable by service; nil after a change
-	roster *Roster                // nil after a change of the entries
+	usable  map[string][]*Endpoint      // results of Usable by service; nil after a change
+	serving map[string]servingEndpoints // the same, split by the roll-outs
+	roster  *Roster                     // nil after a change of the entries
 }
 
 // RemovalGracePeriod is how long a removed endpoint stays usable after the key-value store
@@ -115,7 +116,7 @@
 // Apply applies a change and reports whether the view changed. It ignores configurations
 // and weight versions that are not newer than the current ones.
 func (v *View) Apply(now time.Duration, c Change) bool {
-	v.usable = nil
+	v.usable, v.serving = nil, nil
 	switch {
 	case c.Config != nil:
 		if v.index != nil && v.index.cfg.Version >= c.Config.Version {
@@ -183,7 +184,7 @@
 	if !v.hasRemoved || now < v.graceUntil {
 		return
 	}
-	v.hasRemoved, v.usable = false, nil
+	v.hasRemoved, v.usable, v.serving = false, nil, nil
 	for id, s := range v.endpoints {
 		if s.removed {
 			delete(v.endpoints, id)
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -43,6 +43,7 @@
 	e := q.entry
 	defer q.settle(true)
 	q.pickService()
+	q.pickVersion()
 	e.mu.Lock()
 	e.retryBudget(q.service.Name).CountRequest(e.cfg.Now())
 	e.mu.Unlock()
--- a/io/cfventry/choose.go
+++ b/io/cfventry/choose.go
@@ -12,9 +12,20 @@
 	"coltsfootvalve/core/cfvparts"
 )
 
-// choose chooses the endpoint of the next attempt and the options that are sent to it. If a long
-// prompt cannot go to the endpoint that the placer chose, all endpoints are considered.
+// choose chooses the endpoint of the next attempt and the options that are sent to it. A request that no
+// candidate of a roll-out can take goes on at the stable endpoints.
 func (q *request) choose() (choice cfvdispatch.Choice, opts cfvcall.ForwardOptions, refusal *httpRefusal) {
+	choice, opts, refusal = q.chooseEndpoint()
+	if refusal == nil || !q.candidate {
+		return choice, opts, refusal
+	}
+	q.leaveCandidate("rollout.noCandidate")
+	return q.chooseEndpoint()
+}
+
+// chooseEndpoint does the same among the stable endpoints or among the candidates. If a long prompt cannot
+// go to the endpoint that the placer chose, all of these are considered.
+func (q *request) chooseEndpoint() (choice cfvdispatch.Choice, opts cfvcall.ForwardOptions, refusal *httpRefusal) {
 	e := q.entry
 	query, restricted, refusal := q.awaitPlacement()
 	if refusal != nil {
@@ -44,6 +55,10 @@
 		query = q.dispatchQuery(e.cfg.Now())
 		restricted = query
 		hold, refusal := q.reserve(&restricted)
+		if q.candidate && hold > 0 {
+			q.leaveCandidate("rollout.candidatesBusy")
+			continue
+		}
 		if hold == 0 || refusal != nil {
 			return query, restricted, refusal
 		}
@@ -120,7 +135,7 @@
 func (q *request) dispatchQuery(now time.Duration) cfvdispatch.Query {
 	e := q.entry
 	p := &q.meta.Prompt
-	query := e.baseQuery(now, q.service, p)
+	query := e.baseQuery(now, q.service, q.usesCandidate(), p)
 	query.PromptTokens, query.SharedTokens, query.Affinity, query.Exclude = p.Tokens, p.SharedTokens(), p.AffinityKey(), q.excluded
 	if q.service.Engine != nil && p.Tokens > 0 {
 		query.ShortPool, query.LongTokens = e.shortPool(now, q, query.Endpoints)
@@ -139,6 +154,9 @@
 		q.counted = true
 		sizer.RecordRequest(now, q.route.Name, q.meta.Prompt.Tokens, q.service.Engine.Slots)
 	}
+	if q.candidate {
+		return sizer.CandidatePool(endpoints), sizer.LongTokens()
+	}
 	return sizer.ShortPool(endpoints), sizer.LongTokens()
 }
 
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -261,7 +261,7 @@
 	e.cfg.State.Read(func(v *cfvfleet.View) {
 		for _, ep := range v.All() {
 			if usable[ep.Service] == nil {
-				usable[ep.Service] = v.Usable(ep.Service)
+				usable[ep.Service] = v.Serving(ep.Service, false)
 			}
 		}
 	})
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -24,7 +24,7 @@
 	for _, id := range req.Exclude {
 		exclude[id] = true
 	}
-	q := e.baseQuery(now, index.Service(req.Service), &cfvcall.Prompt{Model: req.Model})
+	q := e.baseQuery(now, index.Service(req.Service), req.Candidate, &cfvcall.Prompt{Model: req.Model})
 	q.PromptTokens, q.SharedTokens, q.Affinity, q.Exclude, q.Domain = req.Tokens, req.SharedTokens, req.Affinity, exclude, req.Domain
 	q.ColdRequestsPerSecond = 0 // the entry that sends the request enforces its own share of the limit
 	workspace := &cfvfleet.Workspace{Name: req.Isolated, Isolated: req.Isolated != ""}
@@ -37,7 +37,12 @@
 		}
 	}
 	sizer := e.poolSizer(req.Service)
-	q.ShortPool, q.LongTokens = sizer.ShortPool(q.Endpoints), sizer.LongTokens()
+	q.LongTokens = sizer.LongTokens()
+	if req.Candidate {
+		q.ShortPool = sizer.CandidatePool(q.Endpoints)
+	} else {
+		q.ShortPool = sizer.ShortPool(q.Endpoints)
+	}
 	q.Restrict(cfvdispatch.EndpointsInGroup(q.Endpoints, req.Group, req.GroupCount))
 	q.Grants, q.Slowness = e.grantTable, e.admission(req.Service).Slowness()
 	if engine := index.Service(req.Service).Engine; engine != nil {
@@ -152,7 +157,7 @@
 	}
 	req := cfvreserve.Request{
 		RequestID: q.meta.ID, Service: q.service.Name, Model: query.Model, Affinity: query.Affinity, Tokens: query.PromptTokens,
-		SharedTokens: query.SharedTokens, Domain: query.Domain, Entry: e.cfg.Name, Parts: q.meta.Prompt.SharedParts(),
+		SharedTokens: query.SharedTokens, Domain: query.Domain, Entry: e.cfg.Name, Parts: q.meta.Prompt.SharedParts(), Candidate: q.candidate,
 	}
 	if q.workspace != nil && q.workspace.Isolated {
 		req.Isolated = q.workspace.Name
@@ -214,12 +219,13 @@
 	}
 }
 
-// baseQuery returns the inputs to the choice that do not depend on the single request.
-func (e *Entry) baseQuery(now time.Duration, service *cfvfleet.Service, p *cfvcall.Prompt) cfvdispatch.Query {
+// baseQuery returns the inputs to the choice that do not depend on the single request. The argument candidate
+// selects the endpoints that serve the share of a roll-out.
+func (e *Entry) baseQuery(now time.Duration, service *cfvfleet.Service, candidate bool, p *cfvcall.Prompt) cfvdispatch.Query {
 	q := cfvdispatch.Query{ColdRequestsPerSecond: service.ColdRequestsPerSecond, Model: p.Model, Domain: e.cfg.Domain}
 	cold := make(map[string]time.Duration)
 	e.cfg.State.Read(func(v *cfvfleet.View) {
-		q.Endpoints = v.Usable(service.Name)
+		q.Endpoints = v.Serving(service.Name, candidate)
 		for _, ep := range q.Endpoints {
 			if until := v.ColdUntil(ep.ID); until > now {
 				cold[ep.ID] = until
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -40,6 +40,7 @@
 	stream       *streamState
 	grant        *cfvreserve.Grant // placement of a long prompt; nil if there is none
 	stateAge     time.Duration     // age of the state at admission
+	candidate    bool              // the next attempt goes to the software version that is rolled out
 }
 
 // Timeouts and limits of requests.
--- a/io/cfventry/response.go
+++ b/io/cfventry/response.go
@@ -57,7 +57,7 @@
 	q.excluded[ep.ID] = true
 	candidates := 0
 	q.entry.cfg.State.Read(func(v *cfvfleet.View) {
-		for _, candidate := range v.Usable(q.service.Name) {
+		for _, candidate := range v.Serving(q.service.Name, false) { // a retry never goes to the candidates of a roll-out
 			if !q.excluded[candidate.ID] {
 				candidates++
 			}
--- a/io/cfvreserve/codec.go
+++ b/io/cfvreserve/codec.go
@@ -13,6 +13,7 @@
 		Request: req.RequestID, Service: req.Service, Model: req.Model, Affinity: req.Affinity, Tokens: uint32(req.Tokens), Shared: uint32(req.SharedTokens),
 		Group: uint32(req.Group), Groups: uint32(req.GroupCount), Exclude: req.Exclude, Domain: req.Domain, Isolated: req.Isolated,
 		Entry: req.Entry, ObjectiveMillis: toMillis(req.Objective), ElapsedMillis: toMillis(req.Elapsed), PatienceMillis: toMillis(req.Patience),
+		Candidate: req.Candidate,
 	}
 	for _, p := range req.Parts {
 		out.Parts = append(out.Parts, &cfvwireentry.Part{Id: p.ID, Tokens: uint32(p.Tokens)})
@@ -25,6 +26,7 @@
 		RequestID: w.GetRequest(), Service: w.GetService(), Model: w.GetModel(), Affinity: w.GetAffinity(), Tokens: int(w.GetTokens()),
 		SharedTokens: int(w.GetShared()), Group: int(w.GetGroup()), GroupCount: int(w.GetGroups()), Exclude: w.GetExclude(), Domain: w.GetDomain(),
 		Isolated: w.GetIsolated(), Entry: w.GetEntry(), Objective: millis(w.GetObjectiveMillis()), Elapsed: millis(w.GetElapsedMillis()), Patience: millis(w.GetPatienceMillis()),
+		Candidate: w.GetCandidate(),
 	}
 	for _, p := range w.GetParts() {
 		req.Parts = append(req.Parts, cfvcall.Part{ID: p.GetId(), Tokens: int(p.GetTokens())})
--- a/io/cfvreserve/reserve.go
+++ b/io/cfvreserve/reserve.go
@@ -54,6 +54,7 @@
 	Elapsed      time.Duration  // since the request arrived
 	Patience     time.Duration  // how long after its arrival the caller waits for the first event
 	Isolated     string         // workspace that shares no parts with others; empty if the parts are shared
+	Candidate    bool           // the prompt goes to endpoints of the software version that is rolled out
 }
 
 // Placement is the endpoint that a placer chose for a prompt, and the transfers of the shared
