Begin the baseline of request times at the quantile of its first samples

One slow first request hid slow ones for hundreds of others: the estimate began at the first sample, and each later one lowers it by half a percent. The first twenty samples, which were not used for comparisons before either, now give the first estimate.

TestBaselineRecoversFromABadStart failed before for one and two long first requests and for a short one. The other tests of core/cfvmove passed before and after.

--- a/core/cfvmove/evidence.go
+++ b/core/cfvmove/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -33,8 +34,9 @@
 // quantileEstimate is a running estimate of the 90th percentile. Each sample moves it up or
 // down by a small step.
 type quantileEstimate struct {
-	seconds float64 // estimated time in seconds
+	seconds float64 // estimated time in seconds; 0 until there are enough samples
 	samples int
+	first   []float64 // the first samples
 }
 
 // Parameters of the estimate.
@@ -62,15 +64,28 @@
 	bucket := bits.Len(uint(size))
 	estimate, ok := b.bySize[bucket]
 	if !ok {
-		estimate = &quantileEstimate{seconds: took.Seconds()}
+		estimate = &quantileEstimate{}
 		b.bySize[bucket] = estimate
 	}
-	estimate.samples++
-	step := quantileStep * estimate.seconds
-	if took.Seconds() > estimate.seconds {
-		estimate.seconds += step * estimatedQuantile
+	estimate.record(took.Seconds())
+}
+
+// record adds a sample. The estimate starts as the quantile of the first samples, since it moves too slowly to
+// recover from a bad start.
+func (e *quantileEstimate) record(seconds float64) {
+	if e.samples++; e.samples <= minBaselineSamples {
+		e.first = append(e.first, seconds)
+		if e.samples == minBaselineSamples {
+			slices.Sort(e.first)
+			e.seconds, e.first = e.first[int(estimatedQuantile*minBaselineSamples)-1], nil
+		}
+		return
+	}
+	step := quantileStep * e.seconds
+	if seconds > e.seconds {
+		e.seconds += step * estimatedQuantile
 	} else {
-		estimate.seconds -= step * (1 - estimatedQuantile)
+		e.seconds -= step * (1 - estimatedQuantile)
 	}
 }
 
