Count the evidence about a version that is rolled out

Each entry now counts requests, failures and slow answers by order, version and route. The time counts from when the endpoint got the request; of a stream, the time to the first event and the rest count. Left out are cold endpoints and those announced less than 3 s ago. The time for which other prompts are known to be prefilled there is allowed for. A stream that ends inside an event now counts as a failure of its endpoint.

An entry whose own evidence is enough for a verdict stops sending to the version at once, until it is ordered anew; so it does without a leader or a key-value store.

--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -368,6 +368,16 @@
 	return wait > milliseconds(objective)
 }
 
+// PrefillWait returns how long an endpoint prefills prompts of this entry and its peers, without a request of
+// the given number of prompt tokens.
+func (d *Dispatcher) PrefillWait(id string, tokens int) time.Duration {
+	s := d.states[id]
+	if s == nil {
+		return 0
+	}
+	return prefillTime(max(s.pendingTokens+s.peerLoad.PendingTokens-tokens, 0))
+}
+
 // LocalLoads returns the load of this entry by endpoint, without endpoints that have none.
 func (d *Dispatcher) LocalLoads() map[string]Load {
 	out := make(map[string]Load)
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -156,7 +156,8 @@
 	defer cancel()
 	hedge := q.startHedgeTimer(ep, cancel)
 	defer hedge.stop()
-	var sent sendTracker
+	q.startTimes(choice)
+	sent := sendTracker{onConn: func() { q.times.sentAt = e.cfg.Now() }}
 	dog := &watchdog{cancel: cancel}
 	defer dog.stop()
 	resp, err := q.send(dog.watchHead(sent.trace(ctx)), ep, opts)
@@ -316,6 +317,7 @@
 // recordOutcome records the result of a request at an endpoint. A success also clears the
 // suspicion against the request.
 func (q *request) recordOutcome(ep *cfvfleet.Endpoint, failed bool) {
+	q.recordSample(ep, failed)
 	e := q.entry
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/io/cfventry/connpool.go
+++ b/io/cfventry/connpool.go
@@ -153,6 +153,7 @@
 
 // sendTracker tracks whether any byte of a request was sent.
 type sendTracker struct {
+	onConn       func() // called when the request has got a connection
 	mu           sync.Mutex
 	conn         *countingConn
 	writesBefore int64
@@ -162,6 +163,7 @@
 // trace returns a context that records which connection the request uses.
 func (s *sendTracker) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		s.onConn()
 		c, ok := info.Conn.(*countingConn)
 		if !ok {
 			return
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -23,6 +23,7 @@
 	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/core/cfvlimit"
 	"coltsfootvalve/core/cfvparts"
+	"coltsfootvalve/core/cfvrollout"
 	"coltsfootvalve/io/cfvreserve"
 	"coltsfootvalve/io/cfvstate"
 
@@ -92,6 +93,7 @@
 	grantTable   *cfvdispatch.GrantTable
 	poolSizers   map[string]*cfvdispatch.PoolSizer // by service
 	admissions   map[string]*cfvdispatch.Admission // by service; used while this entry is the placer
+	rollouts     *cfvrollout.Counter
 	entryCount   int
 }
 
@@ -101,6 +103,7 @@
 		cfg: cfg, dispatcher: cfvdispatch.New(cfg.Name), quarantine: cfvlimit.NewQuarantineWith(cfvlimit.QuarantineConfig{CrashThreshold: quarantineCrashes, Duration: suspicionTTL}),
 		retryBudgets: make(map[string]*cfvlimit.RetryWindow), baselines: make(map[string]*cfvdispatch.FailureBaseline),
 		keepAlives: make(map[string]time.Duration), poolSizers: make(map[string]*cfvdispatch.PoolSizer), admissions: make(map[string]*cfvdispatch.Admission), entryCount: 1, grantTable: cfvdispatch.NewGrantTable(),
+		rollouts: cfvrollout.NewCounter(),
 	}
 	e.connPools = newConnPools(func() { cfg.Metrics.Count("endpoints.dials", 1) }, cfg.Dial)
 	e.probeClient = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -41,6 +41,7 @@
 	grant        *cfvreserve.Grant // placement of a long prompt; nil if there is none
 	stateAge     time.Duration     // age of the state at admission
 	candidate    bool              // the next attempt goes to the software version that is rolled out
+	times        attemptTimes      // of the current attempt
 }
 
 // Timeouts and limits of requests.
--- a/io/cfventry/rollout.go
+++ b/io/cfventry/rollout.go
@@ -3,11 +3,16 @@
 import (
 	"time"
 
+	"coltsfootvalve/core/cfvdispatch"
 	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvrollout"
 )
 
-// maxRolloutStateAge is the age from which a state may lack a rollback for too long.
-const maxRolloutStateAge = 3 * time.Second
+// Limits of roll-outs.
+const (
+	maxRolloutStateAge = 3 * time.Second // an older state may lack the rollback
+	warmUpTime         = 3 * time.Second // from the announcement of an endpoint until its times tell about its version
+)
 
 // pickVersion decides whether the request goes to the software version that is rolled out, once for all
 // attempts.
@@ -41,5 +46,97 @@
 		e.cfg.Metrics.Count("rollout.stateOutdated", 1)
 		return 0
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.rollouts.Rejected(service, r.Revision) {
+		e.cfg.Metrics.Count("rollout.rejectedHere", 1)
+		return 0
+	}
 	return r.Progress.Share
 }
+
+// attemptTimes are the times of an attempt at an endpoint.
+type attemptTimes struct {
+	work    int           // size of what the endpoint does until it answers
+	behind  time.Duration // for which prompts of others are prefilled there
+	sentAt  time.Duration // when the attempt got a connection to the endpoint
+	firstAt time.Duration // when the first events arrived; 0: not yet
+	bytes   int           // of the events
+	batches int
+}
+
+// startTimes starts to measure an attempt.
+func (q *request) startTimes(choice cfvdispatch.Choice) {
+	work := len(q.body)
+	if p := &q.meta.Prompt; p.Tokens > 0 {
+		work = p.Tokens
+		if choice.CachedOn == choice.Endpoint {
+			work -= p.SharedTokens()
+		}
+	}
+	q.times = attemptTimes{work: work, sentAt: q.entry.cfg.Now()}
+	q.recordPrefills(choice.Endpoint)
+}
+
+// recordPrefills records how long the endpoint is expected to prefill prompts of others, as far as is known here.
+func (q *request) recordPrefills(ep *cfvfleet.Endpoint) {
+	if q.meta.Prompt.Tokens == 0 {
+		return
+	}
+	e := q.entry
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	q.times.behind = max(q.times.behind, e.dispatcher.PrefillWait(ep.ID, q.promptTokens()))
+}
+
+// recordEvents records that events of a stream arrived.
+func (q *request) recordEvents(ep *cfvfleet.Endpoint, bytes int) {
+	t := &q.times
+	if t.firstAt == 0 {
+		t.firstAt = q.entry.cfg.Now()
+		q.recordPrefills(ep)
+	}
+	t.bytes += bytes
+	t.batches++
+}
+
+// recordSample counts the outcome of the attempt for the roll-out of the service.
+func (q *request) recordSample(ep *cfvfleet.Endpoint, failed bool) {
+	e, t := q.entry, &q.times
+	if t.firstAt == 0 {
+		q.recordPrefills(ep)
+	}
+	now := e.cfg.Now()
+	s := cfvrollout.Sample{Service: q.service.Name, Route: q.route.Name, Version: ep.SoftwareVersion, Failed: failed, Work: t.work, Behind: t.behind, First: now - t.sentAt}
+	if t.firstAt > 0 {
+		s.First, s.Bytes = t.firstAt-t.sentAt, t.bytes
+	}
+	if t.batches > 1 {
+		s.Rest = now - t.firstAt
+	}
+	var r *cfvfleet.Rollout
+	e.cfg.State.Read(func(v *cfvfleet.View) {
+		r = v.Rollout(s.Service)
+		s.Warm = now-v.KnownSince(now, ep.ID) >= warmUpTime && v.ColdUntil(ep.ID) <= now
+	})
+	e.mu.Lock()
+	cause := e.rollouts.Record(r, s)
+	e.mu.Unlock()
+	if cause == "" {
+		return
+	}
+	e.cfg.Metrics.Count("rollout.rejected", 1)
+	e.cfg.Log.Warnw("the version that is rolled out is worse, and gets no more requests from here", "service", r.Service, "target", r.Target, "order", r.Revision, "cause", cause)
+}
+
+// RolloutEvidence returns the evidence about the roll-outs that are running.
+func (e *Entry) RolloutEvidence() []cfvrollout.Evidence {
+	var rollouts []*cfvfleet.Rollout
+	e.cfg.State.Read(func(v *cfvfleet.View) { rollouts = v.Rollouts() })
+	if len(rollouts) == 0 {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rollouts.Evidence(rollouts)
+}
--- a/io/cfventry/stream.go
+++ b/io/cfventry/stream.go
@@ -121,6 +121,7 @@
 			q.recordFirstEvent(ep)
 		}
 		q.stream.recordBatch(q.entry.cfg.Now())
+		q.recordEvents(ep, len(batch))
 		if id := lastEventID(batch); id != "" {
 			q.stream.lastEventID = id
 		}
@@ -155,7 +156,7 @@
 	if _, err := q.w.Write(remainder); err != nil {
 		return outcomeCallerGone
 	}
-	q.recordOutcome(ep, false)
+	q.recordOutcome(ep, len(remainder) > 0)
 	q.entry.cfg.Metrics.Observe("longestPause."+q.route.Name, q.stream.longestPause)
 	q.recordServed(ep, resp.StatusCode, "events", q.stream.batches, "longestPauseMillis", q.stream.longestPause.Milliseconds())
 	return outcomeDone
