Report the evidence about a roll-out to the leader

Each entry knows only its own requests, while the leader has to judge all of them soon after the first bad answers.

--- a/commands/hosted_loops.go
+++ b/commands/hosted_loops.go
@@ -10,6 +10,7 @@
 	"coltsfootvalve/core/cfvparts"
 	"coltsfootvalve/io/cfvinventory"
 	"coltsfootvalve/io/cfvleader"
+	"coltsfootvalve/io/cfvrollout"
 	"coltsfootvalve/io/cfvwatch"
 	"coltsfootvalve/platform"
 )
@@ -29,9 +30,36 @@
 	go h.exchange.Run(ctx)
 	go h.reserver.Run(ctx)
 	go inventory.Run(ctx)
+	go h.newReporter().Run(ctx)
 	go h.announce(ctx)
 }
 
+// newReporter returns the reporter of the evidence about roll-outs.
+func (h *hostedEntry) newReporter() *cfvrollout.Reporter {
+	return cfvrollout.NewReporter(cfvrollout.ReporterConfig{
+		Self: h.settings.Node, StartMillis: time.Now().UnixMilli(), Evidence: h.entry.RolloutEvidence, Leader: h.currentLeader,
+		Entries: func() int { return len(h.roster().Entries()) }, Send: cfvrollout.SendReports(), Log: h.log.Component("rollout"), Count: h.metrics.Count,
+	})
+}
+
+// currentLeader returns the entry that the key-value store names as the leader, and false if none is known.
+func (h *hostedEntry) currentLeader() (leader cfvrollout.Leader, ok bool) {
+	record, ok := h.state.Record(platform.KeyLeader)
+	if !ok {
+		return leader, false
+	}
+	name, ok := cfvleader.Name(record)
+	if !ok {
+		return leader, false
+	}
+	for _, e := range h.roster().Entries() {
+		if e.Name == name {
+			return cfvrollout.Leader{Name: name, Addr: e.Addr, Term: record.Revision}, true
+		}
+	}
+	return leader, false
+}
+
 // announceRetryInterval is the time between attempts to announce the entry.
 const announceRetryInterval = 500 * time.Millisecond
 
