Let roll-outs go on at the ages of the state that occur

An entry sends nothing to candidates if its state is too old to show a rollback in time. The bound is now 3.5 s.

--- a/io/cfventry/rollout.go
+++ b/io/cfventry/rollout.go
@@ -10,8 +10,8 @@
 
 // Limits of roll-outs.
 const (
-	maxRolloutStateAge = 3 * time.Second // an older state may lack the rollback
-	warmUpTime         = 3 * time.Second // from the announcement of an endpoint until its times tell about its version
+	maxRolloutStateAge = 3500 * time.Millisecond // an older state may lack the rollback; an entry in touch with the store or a relay has a newer one
+	warmUpTime         = 3 * time.Second         // from the announcement of an endpoint until its times tell about its version
 )
 
 // pickVersion decides whether the request goes to the software version that is rolled out, once for all
