Don't take the wait for long prompts for a slow version

Cause: a few candidates serve long and short prompts together, and their caches are empty, so short prompts wait for the prefill of long ones there, and streams pause. The loads of other entries, by which the wait is allowed for, arrive later than the answer.

The time to the first event of a short prompt now counts only where no long ones are served, that is, in the pool for short prompts if there are pools. Streams are compared by the shortest time between two of at least four batches of events: a pause doesn't change it, a version that is several times slower does.

TestPauseOfAStreamIsNoSlowPace failed before (one pause, several, few events).

--- a/core/cfvdispatch/pools.go
+++ b/core/cfvdispatch/pools.go
@@ -123,14 +123,14 @@
 }
 
 // CandidatePool returns those of a few other endpoints that are for short prompts, in the proportion of the last
-// pools; nil if there are none.
-func (p *PoolSizer) CandidatePool(candidates []*cfvfleet.Endpoint) map[string]bool {
+// pools, and whether there are pools. One endpoint serves all prompts.
+func (p *PoolSizer) CandidatePool(candidates []*cfvfleet.Endpoint) (pool map[string]bool, pools bool) {
 	n := len(candidates)
 	if p.shortPoolSize == 0 || n < 2 {
-		return nil
+		return nil, p.shortPoolSize > 0
 	}
 	size := int(math.Round(float64(n*p.shortPoolSize) / float64(p.endpoints)))
-	return ShortPool(candidates, min(max(size, 1), n-1))
+	return ShortPool(candidates, min(max(size, 1), n-1)), true
 }
 
 // ShortPool returns the endpoints of the short-prompt pool. All entries order the endpoints
--- a/core/cfvrollout/counter.go
+++ b/core/cfvrollout/counter.go
@@ -16,12 +16,13 @@
 	Version string // software version of the endpoint
 	Failed  bool
 	Warm    bool // the endpoint has served for a while, so its times tell about its version
+	Mixed   bool // the endpoint also serves much larger requests, so First tells little
 
 	Work   int           // size of what the endpoint does until it answers
 	Behind time.Duration // for which the endpoint is expected to work on other requests before
 	First  time.Duration // until the whole answer, or until the first event of a stream
-	Bytes  int           // of a stream
-	Rest   time.Duration // of a stream, from its first event to its end; 0: not measured
+	Event  int           // mean size of a stream's events
+	Pace   time.Duration // shortest time between events of a stream, which other requests at the endpoint delay least; 0: not measured
 }
 
 // Counter counts the evidence of one entry process. It also keeps baselines of the times of requests while
@@ -41,7 +42,7 @@
 // routeBaseline holds the times of a route's requests at the versions that are not being rolled out.
 type routeBaseline struct {
 	first *cfvmove.Baseline // by work
-	rest  *cfvmove.Baseline // by bytes
+	pace  *cfvmove.Baseline // by event
 }
 
 // NewCounter returns a counter without evidence.
@@ -83,18 +84,18 @@
 	key := routeKey{s.Service, s.Route}
 	b := c.baselines[key]
 	if b == nil {
-		b = &routeBaseline{first: cfvmove.NewBaseline(), rest: cfvmove.NewBaseline()}
+		b = &routeBaseline{first: cfvmove.NewBaseline(), pace: cfvmove.NewBaseline()}
 		c.baselines[key] = b
 	}
-	slow = b.first.IsSlow(s.Work, s.First-time.Duration(behindFactor*float64(s.Behind))) || s.Rest > 0 && b.rest.IsSlow(s.Bytes, s.Rest)
+	slow = !s.Mixed && b.first.IsSlow(s.Work, s.First-time.Duration(behindFactor*float64(s.Behind))) || s.Pace > 0 && b.pace.IsSlow(s.Event, s.Pace)
 	if target {
 		return slow
 	}
-	if s.Behind == 0 {
+	if s.Behind == 0 && !s.Mixed {
 		b.first.Record(s.Work, s.First)
 	}
-	if s.Rest > 0 {
-		b.rest.Record(s.Bytes, s.Rest)
+	if s.Pace > 0 {
+		b.pace.Record(s.Event, s.Pace)
 	}
 	return slow
 }
--- a/io/cfventry/choose.go
+++ b/io/cfventry/choose.go
@@ -41,6 +41,7 @@
 	if reason != cfvdispatch.Chosen {
 		return choice, opts, q.noEndpointRefusal(reason, len(query.Endpoints))
 	}
+	q.mixed = q.sharesWithLongPrompts(query, choice)
 	opts = q.forwardOptions(now, query, choice)
 	e.dispatcher.Start(now, choice.Endpoint, q.promptTokens())
 	q.logPlacement(choice, opts, query)
@@ -155,9 +156,12 @@
 		sizer.RecordRequest(now, q.route.Name, q.meta.Prompt.Tokens, q.service.Engine.Slots)
 	}
 	if q.candidate {
-		return sizer.CandidatePool(endpoints), sizer.LongTokens()
+		pool, q.pools = sizer.CandidatePool(endpoints)
+	} else {
+		pool = sizer.ShortPool(endpoints)
+		q.pools = pool != nil
 	}
-	return sizer.ShortPool(endpoints), sizer.LongTokens()
+	return pool, sizer.LongTokens()
 }
 
 // forwardOptions returns the options that are sent to the endpoint with the request. The caller
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -39,7 +39,7 @@
 	sizer := e.poolSizer(req.Service)
 	q.LongTokens = sizer.LongTokens()
 	if req.Candidate {
-		q.ShortPool = sizer.CandidatePool(q.Endpoints)
+		q.ShortPool, _ = sizer.CandidatePool(q.Endpoints)
 	} else {
 		q.ShortPool = sizer.ShortPool(q.Endpoints)
 	}
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -41,6 +41,8 @@
 	grant        *cfvreserve.Grant // placement of a long prompt; nil if there is none
 	stateAge     time.Duration     // age of the state at admission
 	candidate    bool              // the next attempt goes to the software version that is rolled out
+	pools        bool              // the stable endpoints are in pools for short and long prompts
+	mixed        bool              // the chosen endpoint serves long prompts, and this one is short
 	times        attemptTimes      // of the current attempt
 }
 
--- a/io/cfventry/rollout.go
+++ b/io/cfventry/rollout.go
@@ -11,6 +11,7 @@
 // Limits of roll-outs.
 const (
 	maxRolloutStateAge = 3500 * time.Millisecond // an older state may lack the rollback; an entry in touch with the store or a relay has a newer one
+	minPacedBatches    = 4                       // batches of events from which their pace is measured
 	warmUpTime         = 3 * time.Second         // from the announcement of an endpoint until its times tell about its version
 )
 
@@ -59,10 +60,13 @@
 type attemptTimes struct {
 	work    int           // size of what the endpoint does until it answers
 	behind  time.Duration // for which prompts of others are prefilled there
+	mixed   bool          // the endpoint serves long prompts, this one is short
 	sentAt  time.Duration // when the attempt got a connection to the endpoint
 	firstAt time.Duration // when the first events arrived; 0: not yet
+	lastAt  time.Duration // when the last events arrived
+	pace    time.Duration // shortest time between two batches of events
 	bytes   int           // of the events
-	batches int
+	batches int           // of events that arrived together
 }
 
 // startTimes starts to measure an attempt.
@@ -74,10 +78,16 @@
 			work -= p.SharedTokens()
 		}
 	}
-	q.times = attemptTimes{work: work, sentAt: q.entry.cfg.Now()}
+	q.times = attemptTimes{work: work, mixed: q.mixed, sentAt: q.entry.cfg.Now()}
 	q.recordPrefills(choice.Endpoint)
 }
 
+// sharesWithLongPrompts reports whether a short prompt goes to an endpoint that serves long ones besides. Where
+// there are pools, most don't.
+func (q *request) sharesWithLongPrompts(query cfvdispatch.Query, choice cfvdispatch.Choice) bool {
+	return q.pools && !query.IsLong() && !query.ShortPool[choice.Endpoint.ID]
+}
+
 // recordPrefills records how long the endpoint is expected to prefill prompts of others, as far as is known here.
 func (q *request) recordPrefills(ep *cfvfleet.Endpoint) {
 	if q.meta.Prompt.Tokens == 0 {
@@ -92,10 +102,17 @@
 // recordEvents records that events of a stream arrived.
 func (q *request) recordEvents(ep *cfvfleet.Endpoint, bytes int) {
 	t := &q.times
-	if t.firstAt == 0 {
-		t.firstAt = q.entry.cfg.Now()
+	now := q.entry.cfg.Now()
+	switch t.batches {
+	case 0:
+		t.firstAt = now
 		q.recordPrefills(ep)
+	case 1:
+		t.pace = now - t.lastAt
+	default:
+		t.pace = min(t.pace, now-t.lastAt)
 	}
+	t.lastAt = now
 	t.bytes += bytes
 	t.batches++
 }
@@ -107,12 +124,12 @@
 		q.recordPrefills(ep)
 	}
 	now := e.cfg.Now()
-	s := cfvrollout.Sample{Service: q.service.Name, Route: q.route.Name, Version: ep.SoftwareVersion, Failed: failed, Work: t.work, Behind: t.behind, First: now - t.sentAt}
+	s := cfvrollout.Sample{Service: q.service.Name, Route: q.route.Name, Version: ep.SoftwareVersion, Failed: failed, Work: t.work, Mixed: t.mixed, Behind: t.behind, First: now - t.sentAt}
 	if t.firstAt > 0 {
-		s.First, s.Bytes = t.firstAt-t.sentAt, t.bytes
+		s.First = t.firstAt - t.sentAt
 	}
-	if t.batches > 1 {
-		s.Rest = now - t.firstAt
+	if t.batches >= minPacedBatches {
+		s.Pace, s.Event = t.pace, t.bytes/t.batches
 	}
 	var r *cfvfleet.Rollout
 	e.cfg.State.Read(func(v *cfvfleet.View) {
--- a/io/cfventry/rollout_evidence_test.go
+++ b/io/cfventry/rollout_evidence_test.go
@@ -193,3 +193,58 @@
 		})
 	}
 }
+
+// Failure: a good version was taken for a slow one, since the prefill of a long prompt at the same endpoint made
+// its streams pause.
+func TestPauseOfAStreamIsNoSlowPace(t *testing.T) {
+	const gap = 20 * time.Millisecond
+	tests := map[string]struct {
+		gaps []time.Duration
+		slow bool
+	}{
+		"usual":        {gaps: []time.Duration{gap, gap, gap, gap}},
+		"one pause":    {gaps: []time.Duration{gap, 20 * gap, gap, gap}},
+		"pauses":       {gaps: []time.Duration{5 * gap, 5 * gap, gap, 5 * gap}},
+		"all are long": {gaps: []time.Duration{3 * gap, 4 * gap, 3 * gap, 4 * gap}, slow: true},
+		"few events":   {gaps: []time.Duration{5 * gap, 5 * gap}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tv := newTwoVersions(t, 3, 1)
+				stream := func(gaps []time.Duration) func(io.Writer, string, int) {
+					return func(w io.Writer, id string, _ int) {
+						_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nid:0\n\n\r\n", id)
+						for i, gap := range gaps {
+							time.Sleep(gap)
+							_, _ = fmt.Fprintf(w, "6\r\nid:%d\n\n\r\n", i+1)
+						}
+						_, _ = io.WriteString(w, "0\r\n\r\n")
+					}
+				}
+				for addr, endpoint := range tv.endpoints {
+					endpoint.answer = stream([]time.Duration{gap, gap, gap, gap})
+					if addr == "v2-0:1" {
+						endpoint.answer = stream(tt.gaps)
+					}
+				}
+				order := tv.order()
+				tv.wait(warmUpTime)
+				tv.ask("/ask/", 40)
+				tv.wait(0)
+				tv.progress(order, cfvfleet.RolloutRunning, 1)
+				for range 10 {
+					tv.ask("/ask/", 1)
+					tv.wait(0)
+				}
+				got := tv.evidenceOf("v2")
+				assert.Assert(t, got.Requests >= 5, "%d requests", got.Requests) // fewer than 10: the entry stopped by itself
+				slow := uint64(0)
+				if tt.slow {
+					slow = got.Requests
+				}
+				assert.Equal(t, got.Slow, slow)
+			})
+		})
+	}
+}
