--- /dev/null
+++ b/core/cfvrollout/evidence.go
@@ -0,0 +1,22 @@
+// Package cfvrollout judges the software version that is rolled out on the hosting platform, and decides how
+// much of the traffic it gets.
+package cfvrollout
+
+// Evidence counts the requests that one entry sent to one software version on one route since the order of
+// the roll-out. The counters only grow while the entry's process runs.
+type Evidence struct {
+	Service  string
+	Order    int64 // revision of the order
+	Version  string
+	Route    string
+	Requests uint64 // with an outcome
+	Failures uint64
+	Slow     uint64 // answered, but slower than the baseline for their size
+}
+
+// Report is all the evidence of one entry process about the roll-outs that are running.
+type Report struct {
+	Entry       string
+	StartMillis int64 // when the entry's process started, Unix milliseconds
+	Evidence    []Evidence
+}
