--- a/core/cfvmove/evidence.go
+++ b/core/cfvmove/evidence.go
@@ -83,19 +83,21 @@
 	return tally{t.requests - o.requests, t.failures - o.failures, t.slow - o.slow}
 }
 
-// Thresholds of a verdict. The evidence is tested each second and on several routes, so the
-// chance of a false alarm of a single test must be as low as one in a few million.
+// SignificanceThreshold is the surprise from which a version is condemned. The evidence is tested
+// each second and on several routes, so the chance of a false alarm of a single test must be as
+// low as one in a few million.
+const SignificanceThreshold = 15.0
+
+// Parameters of the comparison of two versions.
 const (
-	minExcessShare        = 0.02  // smaller differences between the shares of bad requests are ignored
-	minExpectedShare      = 0.005 // share of bad requests that every version may have
-	significanceThreshold = 15.0  // negative natural logarithm of the chance that a good version has this many bad requests
-	priorBadRequests      = 1     // bad requests added to those counted for the old version
-	priorRequests         = 2
+	minExcessShare   = 0.02  // smaller differences between the shares of bad requests are ignored
+	minExpectedShare = 0.005 // share of bad requests that every version may have
+	priorBadRequests = 1     // bad requests added to those counted for the old version
+	priorRequests    = 2
 )
 
 // significantlyWorse reports whether bad of n requests are more than chance explains, given
-// the share of bad requests, bad0 of n0, of the other version. It uses the Chernoff bound on
-// the tail of a Poisson distribution.
+// the share of bad requests, bad0 of n0, of the other version.
 func significantlyWorse(bad, n, bad0, n0 float64) bool {
 	if bad < 1 {
 		return false
@@ -104,9 +106,15 @@
 	if n0 == 0 {
 		p0 = minExpectedShare
 	}
-	expected := n * p0
-	if bad <= expected || bad/n-p0 < minExcessShare {
-		return false
+	return bad/n-p0 >= minExcessShare && Surprise(bad, n*p0) > SignificanceThreshold
+}
+
+// Surprise returns the negative natural logarithm of the chance that a version with the given
+// expected number of bad requests has at least this many; 0 if there are no more than expected.
+// It uses the Chernoff bound on the tail of a Poisson distribution.
+func Surprise(bad, expected float64) float64 {
+	if bad <= expected {
+		return 0
 	}
-	return bad*math.Log(bad/expected)-bad+expected > significanceThreshold
+	return bad*math.Log(bad/expected) - bad + expected
 }
