Judge the version of a roll-out and decide its share

It has no clock and no network, and nothing uses it yet.

Measured by its simulation (callers, entries with reports every 0.5 to 1 s, a store, leaders): 21 kinds of good versions are completed in time, 20 kinds of bad ones at 8, 88 and 295 entries are rolled back within the bounds.

--- /dev/null
+++ b/core/cfvrollout/judge.go
@@ -0,0 +1,289 @@
+package cfvrollout
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"coltsfootvalve/core/cfvmove"
+)
+
+// Parameters of a comparison.
+const (
+	minStratumLength = time.Second
+	coldTail         = 2 * time.Second // requests to a cold endpoint are reported within this time
+	maxStrata        = 120
+	minRecentWindow  = 3 * time.Second
+	maxRecentWindow  = 20 * time.Second
+	minFailureExcess = 0.03 // share of failures beyond the expected one that counts as a fault
+	minSlowExcess    = 0.1  // likewise for slow requests
+	minSlowRatio     = 2    // slow requests of a faulty version, as a multiple of the expected ones
+	minExpectedShare = 0.01 // share of bad requests that every version may have
+	priorBad         = 0.5  // bad requests added to those counted for the old versions
+	priorRequests    = 20   // requests added likewise
+	stratumPrior     = 20   // requests of the whole time that are added to each stratum of the old versions
+	suspicion        = 5.0  // surprise from which a version is suspect
+	doubt            = 2.5  // likewise, over the whole time on all routes, if the excess is large
+	minDoubtExcess   = 0.1
+	allRoutes        = ""    // the sum of all routes
+	minRouteRequests = 20    // requests to the target version on one route that show how it does there
+	minRouteShare    = 0.005 // routes with a smaller share of the requests need no evidence of their own
+)
+
+// tally is a sum of evidence.
+type tally struct {
+	requests, failures, slow float64
+}
+
+func (t tally) plus(o tally) tally {
+	return tally{t.requests + o.requests, t.failures + o.failures, t.slow + o.slow}
+}
+
+func (t tally) minus(o tally) tally {
+	return tally{t.requests - o.requests, t.failures - o.failures, t.slow - o.slow}
+}
+
+// pair is the evidence of the target version and that of the versions that it replaces.
+type pair struct {
+	target, old tally
+}
+
+func (p pair) plus(o pair) pair  { return pair{p.target.plus(o.target), p.old.plus(o.old)} }
+func (p pair) minus(o pair) pair { return pair{p.target.minus(o.target), p.old.minus(o.old)} }
+
+// stratum is the evidence of a short time. The versions are compared within each one, so that trouble which
+// hits them alike doesn't count against the version that got more of its requests at that time.
+type stratum struct {
+	at     time.Duration
+	routes map[string]pair
+	cold   bool // requests to cold endpoints of the target version may be among them
+}
+
+// process identifies one run of an entry.
+type process struct {
+	entry       string
+	startMillis int64
+}
+
+// Judge compares the target version of one roll-out with those that it replaces. Times are durations on the
+// clock of its owner. It is not safe for concurrent use.
+type Judge struct {
+	service, target string
+	order           int64
+	window          time.Duration // of the recent evidence, which is also tested alone
+	stratumLength   time.Duration
+	reports         map[process]map[string]pair // the latest by entry process and route
+	closed          map[string]pair             // the sum of all closed strata by route
+	strata          []stratum
+	cold            bool          // requests to cold endpoints of the target version may have ended since the last stratum
+	coldUntil       time.Duration // such requests may end until then
+	firstAt         time.Duration // when the first request of the target version was reported; 0: none was
+	coldGrace       time.Duration // slow requests of cold endpoints don't count for this long
+}
+
+// NewJudge returns a judge without evidence.
+func NewJudge(service, target string, order int64, duration, coldGrace time.Duration) *Judge {
+	return &Judge{
+		service: service, target: target, order: order, coldGrace: coldGrace, window: min(max(duration/5, minRecentWindow), maxRecentWindow),
+		stratumLength: max(duration/maxStrata, minStratumLength), reports: make(map[process]map[string]pair), closed: make(map[string]pair),
+	}
+}
+
+// Add replaces the evidence of an entry's process, unless the report is older than the last one.
+func (j *Judge) Add(r Report) {
+	id := process{r.Entry, r.StartMillis}
+	routes := make(map[string]pair)
+	for _, e := range r.Evidence {
+		if e.Service != j.service || e.Order != j.order {
+			continue
+		}
+		t := tally{float64(e.Requests), float64(e.Failures), float64(e.Slow)}
+		p := pair{old: t}
+		if e.Version == j.target {
+			p = pair{target: t}
+		}
+		routes[allRoutes] = routes[allRoutes].plus(p)
+		if e.Route != allRoutes {
+			routes[e.Route] = routes[e.Route].plus(p)
+		}
+	}
+	have := j.reports[id][allRoutes]
+	got := routes[allRoutes]
+	if got.target.requests >= have.target.requests && got.old.requests >= have.old.requests {
+		j.reports[id] = routes
+	}
+}
+
+// Observe closes the current stratum if it is long enough. cold reports whether endpoints of the target
+// version are cold.
+func (j *Judge) Observe(now time.Duration, cold bool) {
+	if target, _ := j.Requests(); j.firstAt == 0 && target > 0 {
+		j.firstAt = now
+	}
+	if cold && (j.firstAt == 0 || now-j.firstAt < j.coldGrace) {
+		j.coldUntil = now + coldTail
+	}
+	j.cold = j.cold || now < j.coldUntil
+	if n := len(j.strata); n > 0 && now-j.strata[n-1].at < j.stratumLength {
+		return
+	}
+	totals := j.totals()
+	j.strata = append(j.strata, j.open(now, totals))
+	j.closed, j.cold = totals, now < j.coldUntil
+}
+
+// open returns the evidence since the last stratum was closed.
+func (j *Judge) open(now time.Duration, totals map[string]pair) stratum {
+	s := stratum{at: now, routes: make(map[string]pair), cold: j.cold}
+	for route, p := range totals {
+		s.routes[route] = p.minus(j.closed[route])
+	}
+	return s
+}
+
+func (j *Judge) totals() map[string]pair {
+	out := make(map[string]pair)
+	for _, routes := range j.reports {
+		for route, p := range routes {
+			out[route] = out[route].plus(p)
+		}
+	}
+	return out
+}
+
+// Requests returns how many requests the target version and all versions have got.
+func (j *Judge) Requests() (target, all float64) {
+	p := j.totals()[allRoutes]
+	return p.target.requests, p.target.requests + p.old.requests
+}
+
+// Fault returns why the version is bad, or "" if the evidence doesn't show it.
+func (j *Judge) Fault(now time.Duration) string {
+	return j.find(now, cfvmove.SignificanceThreshold)
+}
+
+// Suspicion returns why the version is probably bad, or "". It needs less evidence than a fault.
+func (j *Judge) Suspicion(now time.Duration) string {
+	if cause := j.find(now, suspicion); cause != "" {
+		return cause
+	}
+	totals := j.totals()
+	c := comparer{threshold: doubt, minExcess: minDoubtExcess}
+	return c.compare(append(slices.Clip(j.strata), j.open(now, totals)), allRoutes, totals[allRoutes].old)
+}
+
+// find compares the versions on each route and on all, over the whole time and over the recent window.
+func (j *Judge) find(now time.Duration, threshold float64) string {
+	totals := j.totals()
+	strata := append(slices.Clip(j.strata), j.open(now, totals))
+	recent := strata
+	for len(recent) > 0 && now-recent[0].at > j.window {
+		recent = recent[1:]
+	}
+	c := comparer{threshold: threshold}
+	for _, route := range sortedKeys(totals) {
+		old := totals[route].old
+		if cause := c.compare(strata, route, old); cause != "" {
+			return cause
+		}
+		if cause := c.compare(recent, route, old); cause != "" {
+			return cause + " of late"
+		}
+	}
+	return ""
+}
+
+// Proven reports whether the evidence on each route that the replaced versions serve is enough to show a
+// fault of the target version.
+func (j *Judge) Proven() bool {
+	totals := j.totals()
+	all := totals[allRoutes]
+	if all.target.requests < minRouteRequests {
+		return false
+	}
+	for _, p := range totals {
+		if p.old.requests >= minRouteShare*all.old.requests && p.target.requests < minRouteRequests {
+			return false
+		}
+	}
+	return true
+}
+
+// comparer compares the versions on one route after the other.
+type comparer struct {
+	threshold float64 // surprise that is needed
+	minExcess float64 // smaller excesses are ignored
+}
+
+// compare returns why the target version is worse than the old ones in some strata, or "". old is the evidence
+// of the old ones over the whole time.
+func (c comparer) compare(strata []stratum, route string, old tally) string {
+	var failures, slow comparison
+	for _, s := range strata {
+		p := s.routes[route]
+		failures.add(p.target.failures, p.target.requests, p.old.failures, p.old.requests, expectedShare(old.failures, old.requests))
+		if !s.cold {
+			slow.add(p.target.slow, p.target.requests, p.old.slow, p.old.requests, expectedShare(old.slow, old.requests))
+		}
+	}
+	switch {
+	case failures.worse(c.threshold, max(minFailureExcess, c.minExcess), 1):
+		return failures.describe("failed", route)
+	case slow.worse(c.threshold, max(minSlowExcess, c.minExcess), minSlowRatio):
+		return slow.describe("were slow", route)
+	}
+	return ""
+}
+
+func expectedShare(bad, requests float64) float64 {
+	return max((bad+priorBad)/(requests+priorRequests), minExpectedShare)
+}
+
+// comparison is a count of bad requests of the target version and how many were to be expected, judging by
+// the other versions.
+type comparison struct {
+	bad, requests, expected float64
+	variance                float64 // of the estimate of the expected ones
+}
+
+// add counts a stratum. overall is the share of bad requests of the old versions over the whole time, which
+// stands in where a stratum has few of their requests.
+func (c *comparison) add(bad, n, oldBad, oldRequests, overall float64) {
+	if n <= 0 {
+		return
+	}
+	share := (oldBad + stratumPrior*overall) / (oldRequests + stratumPrior)
+	share = min(max(share, minExpectedShare), 1)
+	c.bad += bad
+	c.requests += n
+	c.expected += n * share
+	c.variance += n * n * share / (oldRequests + stratumPrior)
+}
+
+// plausible returns how many bad requests a good version may well have.
+func (c comparison) plausible() float64 { return c.expected + math.Sqrt(c.variance) }
+
+func (c comparison) worse(threshold, minExcess, minRatio float64) bool {
+	plausible := c.plausible()
+	if c.requests == 0 || (c.bad-plausible)/c.requests < minExcess || c.bad < minRatio*plausible {
+		return false
+	}
+	return cfvmove.Surprise(c.bad, plausible) > threshold
+}
+
+func (c comparison) describe(what, route string) string {
+	if route == allRoutes {
+		route = "all routes"
+	}
+	return fmt.Sprintf("%.0f of %.0f requests on %s %s, at most %.1f plausible", c.bad, c.requests, route, what, c.plausible())
+}
+
+func sortedKeys(m map[string]pair) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/core/cfvrollout/policy_test.go
@@ -0,0 +1,418 @@
+package cfvrollout
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"coltsfootvalve/common/cfvseed"
+	"coltsfootvalve/core/cfvfleet"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) {
+	cfvseed.SetRapidFlags()
+	os.Exit(m.Run())
+}
+
+const (
+	testService  = "assistant"
+	testRevision = 7
+	orderedAt    = 100 * time.Second
+	orderMillis  = 1_800_000_000_000
+)
+
+var testLimits = Limits{ExposureShare: 0.1, ExposureSlack: 50, RollbackDelay: rollbackBound}
+
+// world simulates the callers of a service, its entries, the leader and the key-value store during one
+// roll-out.
+type world struct {
+	duration   time.Duration
+	perSecond  float64
+	entries    int
+	startAfter time.Duration // until the endpoints of the target version are there
+	coldFor    time.Duration // from then on
+	coldSlow   float64       // share of slow requests of the target version while it is cold
+	noise      float64       // share of failures and of slow requests of either version
+	rareRoute  float64       // share of the requests on the second route
+	failures   func(t time.Duration, route string, share float64) float64
+	slow       func(t time.Duration, route string, share float64) float64
+	outage     [2]time.Duration // the store neither reads nor writes, and both versions fail some requests
+	outageFail float64
+	burst      [2]time.Duration // the requests are five times as many, and both versions are slow
+	handovers  []time.Duration  // the leader ends; another one follows
+	clockGap   time.Duration    // difference of the other leader's clock
+	slowWrites time.Duration    // time that a write takes
+}
+
+// handoverTime is the time without a leader.
+const handoverTime = 3 * time.Second
+
+// outcome describes how a simulated roll-out ended.
+type outcome struct {
+	progress       cfvfleet.RolloutProgress
+	endedAt        time.Duration // when the end was recorded
+	target, all    float64       // requests sent until the deadline
+	badAt          time.Duration // when the 50th bad answer was sent; -1: never
+	sentAfterBound float64       // requests to the target version later than the bound after that
+}
+
+const rollbackBound = 5 * time.Second
+
+// sentRequest is a request in progress.
+type sentRequest struct {
+	entry          int
+	version, route string
+	failed, slow   bool
+}
+
+// simulation is the state of a world.
+type simulation struct {
+	world
+	r        *rand.Rand
+	now      time.Duration // since the order
+	records  []recordedProgress
+	delays   []time.Duration // from the store to each entry
+	phases   []time.Duration // of the reports of each entry
+	counters []map[string]*Evidence
+	due      map[time.Duration][]sentRequest
+	policy   *Policy
+	leaderIn time.Duration // when the next leader begins
+	writing  *recordedProgress
+	badCount float64
+	out      outcome
+}
+
+// recordedProgress is a progress and the time of its record.
+type recordedProgress struct {
+	cfvfleet.RolloutProgress
+	at time.Duration
+}
+
+const (
+	simulationStep = 50 * time.Millisecond
+	spread         = 500 * time.Millisecond // longest time from the store to an entry
+	latency        = 300 * time.Millisecond
+)
+
+// reportInterval is the time between two reports of an entry.
+func (w world) reportInterval() time.Duration {
+	if w.entries > 100 {
+		return time.Second
+	}
+	return 500 * time.Millisecond
+}
+
+func (w world) run(seed uint64) outcome {
+	s := &simulation{world: w, r: rand.New(rand.NewPCG(seed, 11)), due: make(map[time.Duration][]sentRequest), out: outcome{badAt: -1}}
+	for range w.entries {
+		s.delays = append(s.delays, time.Duration(s.r.Int64N(int64(spread))))
+		s.phases = append(s.phases, time.Duration(s.r.Int64N(int64(w.reportInterval())))/simulationStep*simulationStep)
+		s.counters = append(s.counters, make(map[string]*Evidence))
+	}
+	for s.now = 0; s.now < w.duration+10*time.Second; s.now += simulationStep {
+		s.send()
+		s.answer()
+		s.report()
+		s.lead()
+	}
+	return s.out
+}
+
+func (s *simulation) during(span [2]time.Duration) bool { return s.now >= span[0] && s.now < span[1] }
+
+// known returns the progress that an entry knows.
+func (s *simulation) known(entry int) cfvfleet.RolloutProgress {
+	for i := len(s.records) - 1; i >= 0; i-- {
+		if s.records[i].at+s.delays[entry] <= s.now {
+			return s.records[i].RolloutProgress
+		}
+	}
+	return cfvfleet.RolloutProgress{}
+}
+
+func (s *simulation) send() {
+	rate := s.perSecond * simulationStep.Seconds()
+	if s.during(s.burst) {
+		rate *= 5
+	}
+	for n := poisson(s.r, rate); n > 0; n-- {
+		q := sentRequest{entry: s.r.IntN(s.entries), version: "v1", route: "chat"}
+		if s.r.Float64() < s.rareRoute {
+			q.route = "text"
+		}
+		p := s.known(q.entry)
+		ended := p.Phase != cfvfleet.RolloutRunning
+		if s.now >= s.startAfter && (!ended && s.r.Float64() < p.Share || p.Phase == cfvfleet.RolloutCompleted) {
+			q.version = "v2"
+		}
+		s.begin(q, p.Share)
+	}
+}
+
+func (s *simulation) begin(q sentRequest, share float64) {
+	fail, slow := s.noise, s.noise
+	if s.during(s.outage) {
+		fail += s.outageFail
+	}
+	if s.during(s.burst) {
+		slow += 0.4
+	}
+	bad := false
+	if q.version == "v2" {
+		f, sl := 0.0, 0.0
+		if s.failures != nil {
+			f = s.failures(s.now, q.route, share)
+		}
+		if s.slow != nil {
+			sl = s.slow(s.now, q.route, share)
+		}
+		q.failed, q.slow = s.r.Float64() < f, s.r.Float64() < sl
+		bad = q.failed || q.slow
+		if s.now < s.startAfter+s.coldFor {
+			slow += s.coldSlow
+		}
+	}
+	s.countSent(q, bad)
+	q.failed = q.failed || s.r.Float64() < fail
+	q.slow = !q.failed && (q.slow || s.r.Float64() < slow)
+	took := latency
+	if q.slow {
+		took *= 4
+	}
+	s.due[s.now+took] = append(s.due[s.now+took], q)
+}
+
+func (s *simulation) countSent(q sentRequest, bad bool) {
+	if s.now < s.duration {
+		s.out.all++
+		if q.version == "v2" {
+			s.out.target++
+		}
+	}
+	if q.version != "v2" {
+		return
+	}
+	if s.out.badAt >= 0 && s.now > s.out.badAt+rollbackBound {
+		s.out.sentAfterBound++
+	}
+	if bad {
+		s.badCount++
+	}
+	if s.badCount == 50 && s.out.badAt < 0 {
+		s.out.badAt = s.now + latency
+	}
+}
+
+func (s *simulation) answer() {
+	for _, q := range s.due[s.now] {
+		key := q.version + " " + q.route
+		e, ok := s.counters[q.entry][key]
+		if !ok {
+			e = &Evidence{Service: testService, Order: testRevision, Version: q.version, Route: q.route}
+			s.counters[q.entry][key] = e
+		}
+		e.Requests++
+		if q.failed {
+			e.Failures++
+		}
+		if q.slow {
+			e.Slow++
+		}
+	}
+	delete(s.due, s.now)
+}
+
+func (s *simulation) report() {
+	for i, phase := range s.phases {
+		if s.policy == nil || s.now%s.reportInterval() != phase {
+			continue
+		}
+		report := Report{Entry: fmt.Sprint(i)}
+		for _, e := range s.counters[i] {
+			report.Evidence = append(report.Evidence, *e)
+		}
+		s.policy.AddReport(report)
+	}
+}
+
+func (s *simulation) lead() {
+	for _, at := range s.handovers {
+		if s.now == at {
+			s.policy, s.leaderIn = nil, s.now+handoverTime
+		}
+	}
+	s.finishWrite()
+	if s.now < s.leaderIn || s.now%(100*time.Millisecond) != 0 {
+		return
+	}
+	r := s.rollout()
+	if s.policy == nil {
+		s.policy = NewPolicy(orderedAt+s.now, orderMillis+(s.now+s.clockGap).Milliseconds(), r, testLimits)
+	}
+	f := Fleet{Stable: 18, OldVersions: []string{"v1"}}
+	if s.now >= s.startAfter {
+		f.Target, f.TargetCold = 18, s.now < s.startAfter+s.coldFor
+	}
+	next, changed := s.policy.Next(orderedAt+s.now, r, f)
+	if changed && s.writing == nil && !s.during(s.outage) {
+		s.writing = &recordedProgress{next, s.now + 20*time.Millisecond + s.slowWrites}
+	}
+}
+
+func (s *simulation) finishWrite() {
+	if s.writing == nil || s.now < s.writing.at {
+		return
+	}
+	s.records = append(s.records, *s.writing)
+	if s.writing.Phase != cfvfleet.RolloutRunning && s.out.endedAt == 0 {
+		s.out.progress, s.out.endedAt = s.writing.RolloutProgress, s.now
+	}
+	s.writing = nil
+	if s.policy != nil {
+		s.policy.RecordWrite(s.slowWrites)
+	}
+}
+
+// rollout returns the roll-out as the leader knows it.
+func (s *simulation) rollout() *cfvfleet.Rollout {
+	r := &cfvfleet.Rollout{
+		RolloutOrder: cfvfleet.RolloutOrder{Service: testService, Target: "v2", Duration: s.duration}, Revision: testRevision, LearnedAt: orderedAt,
+	}
+	if n := len(s.records); n > 0 {
+		r.Progress, r.ProgressAt = s.records[n-1].RolloutProgress, orderedAt+s.records[n-1].at
+	}
+	return r
+}
+
+func poisson(r *rand.Rand, mean float64) int {
+	n, p, limit := 0, r.Float64(), math.Exp(-mean)
+	for p > limit {
+		n++
+		p *= r.Float64()
+	}
+	return n
+}
+
+// steady is a world with many requests.
+func steady() world {
+	return world{duration: 15 * time.Second, perSecond: 300, entries: 8, startAfter: 3 * time.Second, noise: 0.01, rareRoute: 0.1}
+}
+
+func seeds(n int) (out []uint64) {
+	for i := range n {
+		out = append(out, uint64(i)+cfvseed.Seed())
+	}
+	return out
+}
+
+// Guards against a roll-out of a sound version that is taken back, or is not done by its deadline.
+func TestGoodVersionsAreCompletedInTime(t *testing.T) {
+	tests := map[string]func(w *world){
+		"plain":              func(*world) {},
+		"short":              func(w *world) { w.duration = 12 * time.Second },
+		"two minutes":        func(w *world) { w.duration = 2 * time.Minute },
+		"88 entries":         func(w *world) { w.entries = 88 },
+		"295 entries":        func(w *world) { w.entries = 295 },
+		"noise":              func(w *world) { w.noise = 0.05 },
+		"no noise":           func(w *world) { w.noise = 0 },
+		"few callers":        func(w *world) { w.perSecond = 2 },
+		"hardly any callers": func(w *world) { w.perSecond = 0.3 },
+		"cold start":         func(w *world) { w.coldFor, w.coldSlow = 3*time.Second, 0.8 },
+		"burst":              func(w *world) { w.burst = [2]time.Duration{7 * time.Second, 9 * time.Second} },
+		"burst in the ramp":  func(w *world) { w.burst = [2]time.Duration{10 * time.Second, 11 * time.Second} },
+		"outage":             func(w *world) { w.outage, w.outageFail = [2]time.Duration{5 * time.Second, 8 * time.Second}, 0.2 },
+		"outage in the ramp": func(w *world) {
+			w.outage, w.outageFail = [2]time.Duration{9500 * time.Millisecond, 11 * time.Second}, 0.2
+		},
+		"early handover":       func(w *world) { w.handovers = []time.Duration{time.Second} },
+		"handover":             func(w *world) { w.handovers = []time.Duration{7 * time.Second} },
+		"handover in the ramp": func(w *world) { w.handovers = []time.Duration{9 * time.Second} },
+		"two handovers":        func(w *world) { w.handovers = []time.Duration{2 * time.Second, 8 * time.Second} },
+		"clock ahead":          func(w *world) { w.handovers, w.clockGap = []time.Duration{5 * time.Second}, 2*time.Second },
+		"clock behind":         func(w *world) { w.handovers, w.clockGap = []time.Duration{5 * time.Second}, -2*time.Second },
+		"slow writes":          func(w *world) { w.slowWrites = time.Second },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, seed := range seeds(6) {
+				w := steady()
+				change(&w)
+				got := w.run(seed)
+				assert.Equal(t, got.progress.Phase, cfvfleet.RolloutCompleted, "seed %d: %s after %v", seed, got.progress.Cause, got.endedAt)
+				assert.Assert(t, got.endedAt > 0 && got.endedAt <= w.duration, "seed %d: ended after %v", seed, got.endedAt)
+			}
+		})
+	}
+}
+
+// constant returns a share that doesn't change.
+func constant(p float64) func(time.Duration, string, float64) float64 {
+	return func(time.Duration, string, float64) float64 { return p }
+}
+
+// since returns a share that begins at some time.
+func since(at time.Duration, p float64) func(time.Duration, string, float64) float64 {
+	return func(t time.Duration, _ string, _ float64) float64 {
+		if t < at {
+			return 0
+		}
+		return p
+	}
+}
+
+// on returns a share of one route.
+func on(route string, p float64) func(time.Duration, string, float64) float64 {
+	return func(_ time.Duration, r string, _ float64) float64 {
+		if r != route {
+			return 0
+		}
+		return p
+	}
+}
+
+// Guards against the exposure of callers to a bad version.
+func TestBadVersionsAreRolledBackWithinTheExposure(t *testing.T) {
+	tests := map[string]func(w *world){
+		"all fail":           func(w *world) { w.failures = constant(1) },
+		"half fail":          func(w *world) { w.failures = constant(0.5) },
+		"a tenth fails":      func(w *world) { w.failures = constant(0.1) },
+		"all slow":           func(w *world) { w.slow = constant(1) },
+		"half slow":          func(w *world) { w.slow = constant(0.5) },
+		"a third slow":       func(w *world) { w.slow = constant(0.3) },
+		"late":               func(w *world) { w.failures = since(7*time.Second, 0.5) },
+		"late and slow":      func(w *world) { w.slow = since(8*time.Second, 0.5) },
+		"late, a third slow": func(w *world) { w.slow = since(8*time.Second, 0.3) },
+		"before the ramp":    func(w *world) { w.slow = since(9*time.Second, 0.5) },
+		"one route":          func(w *world) { w.failures = on("text", 0.5) },
+		"one route slow":     func(w *world) { w.slow = on("text", 0.5) },
+		"few callers":        func(w *world) { w.perSecond, w.failures = 5, constant(0.5) },
+		"few callers, slow":  func(w *world) { w.perSecond, w.slow = 5, constant(0.5) },
+		"cold":               func(w *world) { w.coldFor, w.coldSlow, w.slow = 3*time.Second, 0.8, constant(0.5) },
+		"noise":              func(w *world) { w.noise, w.slow = 0.05, constant(0.5) },
+		"two minutes":        func(w *world) { w.duration, w.slow = 2*time.Minute, constant(0.5) },
+		"two minutes, late":  func(w *world) { w.duration, w.slow = 2*time.Minute, since(80*time.Second, 0.5) },
+		"handover":           func(w *world) { w.handovers, w.failures = []time.Duration{5 * time.Second}, since(6*time.Second, 0.5) },
+		"slow writes":        func(w *world) { w.slowWrites, w.slow = time.Second, constant(0.5) },
+	}
+	for name, change := range tests {
+		for _, entries := range []int{8, 88, 295} {
+			t.Run(fmt.Sprintf("%s at %d entries", name, entries), func(t *testing.T) {
+				for _, seed := range seeds(2) {
+					w := steady()
+					w.entries = entries
+					change(&w)
+					got := w.run(seed)
+					assert.Equal(t, got.progress.Phase, cfvfleet.RolloutRolledBack, "seed %d: ended after %v", seed, got.endedAt)
+					assert.Assert(t, got.endedAt <= w.duration, "seed %d: ended after %v", seed, got.endedAt)
+					assert.Assert(t, got.target <= testLimits.allowed(got.all), "seed %d: %v of %v requests", seed, got.target, got.all)
+					assert.Assert(t, got.sentAfterBound == 0, "seed %d: %v requests sent too late", seed, got.sentAfterBound)
+				}
+			})
+		}
+	}
+}
