--- a/core/cfvfleet/rollout.go
+++ b/core/cfvfleet/rollout.go
@@ -45,6 +45,8 @@
 	// Progress is that of this order. Until the leader has recorded any, it is running with a share of 0.
 	Progress   RolloutProgress
 	ProgressAt time.Duration // when this process learned of the progress; 0: there is none
+	// RecordRevision is the revision of the service's record of progress, of whichever order; 0: there is none.
+	RecordRevision int64
 }
 
 // Split divides the endpoints of the service into those that serve most requests and the candidates, which
@@ -80,11 +82,12 @@
 
 // rolloutState is the order and the recorded progress of one service. Either may arrive first.
 type rolloutState struct {
-	order      RolloutOrder
-	revision   int64
-	learnedAt  time.Duration
-	progress   *RolloutProgress
-	progressAt time.Duration
+	order          RolloutOrder
+	revision       int64
+	learnedAt      time.Duration
+	progress       *RolloutProgress // nil: not recorded, or removed
+	progressAt     time.Duration
+	recordRevision int64
 }
 
 func (v *View) applyRolloutOrder(now time.Duration, revision int64, o RolloutOrder) bool {
@@ -97,9 +100,13 @@
 	return true
 }
 
-func (v *View) applyRolloutProgress(now time.Duration, p RolloutProgress) bool {
+// applyRolloutProgress applies a record of progress. One without a target was removed.
+func (v *View) applyRolloutProgress(now time.Duration, revision int64, p RolloutProgress) bool {
 	s := v.rollouts[p.Service]
-	s.progress, s.progressAt = &p, now
+	s.progress, s.progressAt, s.recordRevision = &p, now, revision
+	if p.Target == "" {
+		s.progress, s.recordRevision = nil, 0
+	}
 	v.rollouts[p.Service] = s
 	return true
 }
@@ -110,7 +117,7 @@
 	if !ok || s.order.Target == "" {
 		return nil
 	}
-	r := &Rollout{RolloutOrder: s.order, Revision: s.revision, LearnedAt: s.learnedAt}
+	r := &Rollout{RolloutOrder: s.order, Revision: s.revision, LearnedAt: s.learnedAt, RecordRevision: s.recordRevision}
 	if s.progress != nil && s.progress.OrderRevision == s.revision {
 		r.Progress, r.ProgressAt = *s.progress, s.progressAt
 	}
--- /dev/null
+++ b/core/cfvfleet/rollout_test.go
@@ -0,0 +1,81 @@
+package cfvfleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func endpointsOf(versions ...string) (out []*Endpoint) {
+	for i, v := range versions {
+		out = append(out, &Endpoint{ID: fmt.Sprint(v, "-", i), SoftwareVersion: v})
+	}
+	return out
+}
+
+func ids(endpoints []*Endpoint) (out []string) {
+	for _, e := range endpoints {
+		out = append(out, e.ID)
+	}
+	return out
+}
+
+func TestEndpointsAreSplitByTheRollout(t *testing.T) {
+	all := endpointsOf("v1", "v1", "v2", "v2", "v2", "v3")
+	tests := map[string]struct {
+		phase              RolloutPhase
+		share              float64
+		replaced           []string
+		stable, candidates []string
+	}{
+		"no share":                   {RolloutRunning, 0, nil, []string{"v1-0", "v1-1", "v3-5"}, nil},
+		"small share":                {RolloutRunning, 0.05, nil, []string{"v1-0", "v1-1", "v3-5"}, []string{"v2-2"}},
+		"half":                       {RolloutRunning, 0.5, nil, []string{"v1-0", "v1-1", "v3-5"}, []string{"v2-2", "v2-3"}},
+		"all":                        {RolloutRunning, 1, nil, []string{"v1-0", "v1-1", "v3-5"}, []string{"v2-2", "v2-3", "v2-4"}},
+		"rolled back":                {RolloutRolledBack, 0, nil, []string{"v1-0", "v1-1", "v3-5"}, nil},
+		"completed":                  {RolloutCompleted, 1, []string{"v1", "v3"}, []string{"v2-2", "v2-3", "v2-4"}, nil},
+		"completed, a newer version": {RolloutCompleted, 1, []string{"v1"}, []string{"v3-5", "v2-2", "v2-3", "v2-4"}, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := &Rollout{RolloutOrder: RolloutOrder{Target: "v2"}, Progress: RolloutProgress{Phase: tt.phase, Share: tt.share, Replaced: tt.replaced}}
+			stable, candidates := r.Split(all)
+			assert.DeepEqual(t, ids(stable), tt.stable)
+			assert.DeepEqual(t, ids(candidates), tt.candidates)
+		})
+	}
+}
+
+func TestRolloutsOfAView(t *testing.T) {
+	v := NewView()
+	order := func(revision int64, target string) {
+		v.Apply(time.Duration(revision), Change{Revision: revision, RolloutOrder: &RolloutOrder{Service: "s", Target: target, Duration: time.Minute}})
+	}
+	record := func(revision, of int64, target string) {
+		v.Apply(time.Duration(revision), Change{Revision: revision, RolloutProgress: &RolloutProgress{Service: "s", OrderRevision: of, Target: target, Share: 0.5}})
+	}
+	record(3, 2, "v2") // it may arrive before its order
+	assert.Equal(t, len(v.Rollouts()), 0)
+	order(2, "v2")
+	assert.Equal(t, v.Rollout("s").Progress.Share, 0.5)
+	assert.Equal(t, v.Rollout("s").RecordRevision, int64(3))
+
+	order(4, "v2")
+	assert.Equal(t, v.Rollout("s").Progress.Share, 0.0, "the same target was ordered again")
+	assert.Equal(t, v.Rollout("s").ProgressAt, time.Duration(0))
+	assert.Equal(t, v.Rollout("s").RecordRevision, int64(3))
+
+	order(1, "v1")
+	assert.Equal(t, v.Rollout("s").Target, "v2", "an older order changes nothing")
+	record(5, 4, "v2")
+	assert.Equal(t, v.Rollout("s").ProgressAt, time.Duration(5))
+
+	record(6, 0, "")
+	assert.Equal(t, v.Rollout("s").RecordRevision, int64(0), "the record was removed")
+	assert.Equal(t, v.Rollout("s").ProgressAt, time.Duration(0))
+
+	order(7, "")
+	assert.Assert(t, v.Rollout("s") == nil, "the order was withdrawn")
+}
--- a/core/cfvfleet/view.go
+++ b/core/cfvfleet/view.go
@@ -137,7 +137,7 @@
 	case c.RolloutOrder != nil:
 		return v.applyRolloutOrder(now, c.Revision, *c.RolloutOrder)
 	case c.RolloutProgress != nil:
-		return v.applyRolloutProgress(now, *c.RolloutProgress)
+		return v.applyRolloutProgress(now, c.Revision, *c.RolloutProgress)
 	case c.Entry != nil && c.Entry.Addr == "":
 		v.roster = nil
 		delete(v.entries, c.Entry.Name)
