Let the leader carry out roll-outs of software versions

Cause: nothing read the order.

Change: the leader's tick passes its fencing token to io/cfvrollout, which judges the entries' evidence by core/cfvrollout and records progress and status in one write. Its conditions: still the leader, the newest order, no record since the known one. Writes run beside the tick, so that a slow store doesn't end the lease, and a rollback doesn't wait for an earlier write.

Fails first: without the condition on the last record TestEndOfARolloutIsFinal finds a roll-out that goes on after its end; with one write at a time TestRollbackDoesNotWaitForAnotherWrite fails. The tests of io/cfvleader also check that only the leader carries out roll-outs.

--- a/commands/hosted_entry.go
+++ b/commands/hosted_entry.go
@@ -21,6 +21,7 @@
 	"coltsfootvalve/io/cfventry"
 	"coltsfootvalve/io/cfvexchange"
 	"coltsfootvalve/io/cfvreserve"
+	"coltsfootvalve/io/cfvrollout"
 	"coltsfootvalve/io/cfvstate"
 	"coltsfootvalve/platform"
 )
@@ -37,6 +38,7 @@
 	entry         *cfventry.Entry
 	exchange      *cfvexchange.Exchange
 	reserver      *cfvreserve.Reserver
+	rollouts      *cfvrollout.Controller
 
 	listen     func(network, addr string) (net.Listener, error)
 	peerServer *http.Server
@@ -80,6 +82,7 @@
 		Suspicions: h.entry.Suspicions, AddSuspicion: h.entry.AddSuspicion, Log: log.Component("exchange"), Count: h.metrics.Count,
 		StartMillis: time.Now().UnixMilli(),
 	})
+	h.rollouts = h.newRollouts()
 	return h
 }
 
@@ -111,6 +114,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(h.exchange.Handler())
 	mux.Handle(h.reserver.Handler())
+	mux.Handle(h.rollouts.Handler())
 	mux.HandleFunc("GET /metrics", h.serveMetrics)
 	listener, err := h.listen("tcp", h.settings.PeerAddr)
 	if err != nil {
--- a/commands/hosted_loops.go
+++ b/commands/hosted_loops.go
@@ -10,6 +10,7 @@
 	"coltsfootvalve/core/cfvparts"
 	"coltsfootvalve/io/cfvinventory"
 	"coltsfootvalve/io/cfvleader"
+	"coltsfootvalve/io/cfvrollout"
 	"coltsfootvalve/io/cfvwatch"
 	"coltsfootvalve/platform"
 )
@@ -67,6 +68,7 @@
 		RunningRequests: func(id string) int { return h.entry.Loads()[id].Running }, ShortPool: h.entry.ShortPool,
 		LoadStatus: h.control.LoadedWeights, LoadWeights: h.control.LoadWeights, FreeParts: h.control.FreeParts,
 		Catalog:       func(f func(*cfvparts.Catalog)) { h.parts.Do(f) },
+		Rollouts:      h.rollouts.Tick,
 		HandoverPause: h.settings.Bounds.HandoverPause, Now: cfvclock.SinceBoot, Log: h.log.Component("duty"), Count: h.metrics.Count,
 		CurrentLeader: func() (cfvmirror.Record, bool) { return h.state.Record(platform.KeyLeader) },
 		LastLeader:    func() (cfvmirror.Record, bool) { return h.state.Record(platform.KeyLastLeader) },
@@ -82,3 +84,20 @@
 		},
 	})
 }
+
+// newRollouts returns the controller of the roll-outs.
+func (h *hostedEntry) newRollouts() *cfvrollout.Controller {
+	b := h.settings.Bounds
+	return cfvrollout.NewController(cfvrollout.ControllerConfig{
+		View: h.state.Read, Conflict: platform.ErrConflict, Now: cfvclock.SinceBoot, Log: h.log.Component("rollout"), Count: h.metrics.Count,
+		Millis: func() int64 { return time.Now().UnixMilli() },
+		Limits: cfvrollout.Limits{ExposureShare: b.ExposureShare, ExposureSlack: b.ExposureSlack, RollbackDelay: b.RollbackDelay},
+		Record: func(ctx context.Context, w cfvrollout.Write) (int64, error) {
+			writes, err := platform.RolloutWrites(w.Progress)
+			if err != nil {
+				return 0, err
+			}
+			return h.keyValueStore.Commit(ctx, platform.RolloutPreconditions(w.Progress.Service, w.FencingToken, w.Order, w.Record), writes)
+		},
+	})
+}
--- a/io/cfvleader/leader.go
+++ b/io/cfvleader/leader.go
@@ -71,7 +71,8 @@
 	LoadWeights      func(ctx context.Context, addr, id string, o cfvweights.Order) (cfvweights.Result, error)
 	FreeParts        func(ctx context.Context, addr string, epoch int64, parts []cfvparts.Key) error
 	Catalog          func(func(c *cfvparts.Catalog))
-	HandoverPause    time.Duration // minimum time between the orders of two leaders; 0: endpoints check fencing tokens, and none is needed
+	Rollouts         func(ctx context.Context, fencingToken int64) // carries out roll-outs; it must not wait
+	HandoverPause    time.Duration                                 // minimum time between the orders of two leaders; 0: endpoints check fencing tokens, and none is needed
 	Now              func() time.Duration
 	Log              cfvlog.Logger
 	Count            func(name string, n int64)
@@ -136,6 +137,9 @@
 	}
 	l.renew(ctx)
 	l.processResults()
+	if l.fencingToken != 0 && l.cfg.Now() < l.leaseExpires {
+		l.cfg.Rollouts(ctx, l.fencingToken)
+	}
 	if !l.canOrder() {
 		return
 	}
--- a/io/cfvleader/leader_test.go
+++ b/io/cfvleader/leader_test.go
@@ -45,8 +45,10 @@
 	orders          []sentOrder
 	loaded          map[string]int64
 	states          map[string]*cfvstate.State
-	stateAge        time.Duration // age of the entries' states
-	handoverPause   time.Duration // minimum time between the orders of two leaders; 0: endpoints check fencing tokens
+	stateAge        time.Duration  // age of the entries' states
+	handoverPause   time.Duration  // minimum time between the orders of two leaders; 0: endpoints check fencing tokens
+	rollouts        map[string]int // how often each entry carried out roll-outs
+	staleRollouts   int            // likewise, while another entry was the leader
 }
 
 type sentOrder struct {
@@ -211,15 +213,31 @@
 		},
 		FreeParts: func(context.Context, string, int64, []cfvparts.Key) error { return nil },
 		Catalog:   func(f func(*cfvparts.Catalog)) { f(cfvparts.NewCatalog()) },
+		Rollouts:  c.carryOutRollouts(node),
 		Count:     func(string, int64) {},
 	})
 }
 
+// carryOutRollouts returns a function that checks that only the leader carries out roll-outs.
+func (c *cluster) carryOutRollouts(node string) func(context.Context, int64) {
+	return func(_ context.Context, fencingToken int64) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.expire()
+		if c.leader != "" && c.leader != node || c.leader == node && c.fencingToken != fencingToken {
+			c.staleRollouts++
+		}
+		c.rollouts[node]++
+	}
+}
+
 // checkOrders checks that orders of different leaders are separated by the handover pause and
 // that fencing tokens rise.
 func (c *cluster) checkOrders(t *testing.T) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	assert.Assert(t, len(c.rollouts) > 0, "no entry carried out roll-outs")
+	assert.Equal(t, c.staleRollouts, 0, "entries that are not the leader carried out roll-outs")
 	for i := 1; i < len(c.orders); i++ {
 		before, after := c.orders[i-1], c.orders[i]
 		if before.leader == after.leader {
@@ -243,7 +261,7 @@
 
 // newCluster returns a cluster without entries.
 func newCluster(pause time.Duration) *cluster {
-	return &cluster{disconnected: make(map[string]bool), loaded: make(map[string]int64), states: make(map[string]*cfvstate.State), handoverPause: pause}
+	return &cluster{disconnected: make(map[string]bool), loaded: make(map[string]int64), states: make(map[string]*cfvstate.State), rollouts: make(map[string]int), handoverPause: pause}
 }
 
 // Failure: after weights were set, the leader froze, and 4.3 s passed until the next one sent its first order:
