--- a/commands/hosted_loops.go
+++ b/commands/hosted_loops.go
@@ -91,7 +91,7 @@
 	return cfvrollout.NewController(cfvrollout.ControllerConfig{
 		View: h.state.Read, Conflict: platform.ErrConflict, Now: cfvclock.SinceBoot, Log: h.log.Component("rollout"), Count: h.metrics.Count,
 		Millis: func() int64 { return time.Now().UnixMilli() },
-		Limits: cfvrollout.Limits{ExposureShare: b.ExposureShare, ExposureSlack: b.ExposureSlack, RollbackDelay: b.RollbackDelay},
+		Limits: cfvrollout.Limits{ExposureShare: b.ExposureShare, ExposureSlack: b.ExposureSlack},
 		Record: func(ctx context.Context, w cfvrollout.Write) (int64, error) {
 			writes, err := platform.RolloutWrites(w.Progress)
 			if err != nil {
--- a/core/cfvrollout/evidence.go
+++ b/core/cfvrollout/evidence.go
@@ -2,6 +2,8 @@
 // much of the traffic it gets.
 package cfvrollout
 
+import "time"
+
 // Evidence counts the requests that one entry sent to one software version on one route since the order of
 // the roll-out. The counters only grow while the entry's process runs.
 type Evidence struct {
@@ -11,9 +13,12 @@
 	Route    string
 	Requests uint64 // with an outcome
 	Failures uint64
-	Slow     uint64 // answered, but slower than the baseline for their size
+	Slow     uint64 // answered by a warm endpoint, but slower than the baseline for their size
 }
 
+// WarmUpTime is the time from the announcement of an endpoint until its times tell about its version.
+const WarmUpTime = 3 * time.Second
+
 // Report is all the evidence of one entry process about the roll-outs that are running.
 type Report struct {
 	Entry       string
--- a/core/cfvrollout/policy.go
+++ b/core/cfvrollout/policy.go
@@ -9,9 +9,8 @@
 
 // Limits are the operators' bounds on a bad version.
 type Limits struct {
-	ExposureShare float64       // of all requests to the service between order and deadline that may reach it; 0: no bound
-	ExposureSlack float64       // requests that may reach it beyond that share
-	RollbackDelay time.Duration // time after some bad answers from which on it may get no request
+	ExposureShare float64 // of all requests to the service between order and deadline that may reach it; 0: no bound
+	ExposureSlack float64 // requests that may reach it beyond that share
 }
 
 // allowed returns how many of n requests a bad version may get.
@@ -19,10 +18,10 @@
 
 // Fleet describes the endpoints of a service at one time.
 type Fleet struct {
-	Stable      int      // endpoints of other versions than the target
-	Target      int      // endpoints of the target version
-	TargetCold  bool     // some of them are cold
-	OldVersions []string // versions other than the target
+	Stable      int           // endpoints of other versions than the target
+	Target      int           // endpoints of the target version
+	WarmAt      time.Duration // from then on, their times tell about the version
+	OldVersions []string      // versions other than the target
 }
 
 // Shares and thresholds of the policy.
@@ -44,8 +43,7 @@
 	evidenceDelay     = 1500 * time.Millisecond // a new leader has the entries' evidence after this time
 	maxClockGap       = time.Minute             // longest time without a leader that is measured by the clocks of two VMs
 	maxWriteRoom      = 3 * time.Second
-	reactionTime      = time.Second // from a fault's evidence to the last request of the version
-	recordParts       = 10          // the elapsed time is recorded once in this part of the duration
+	recordParts       = 10 // the elapsed time is recorded once in this part of the duration
 	minRecordInterval = 2 * time.Second
 )
 
@@ -72,7 +70,7 @@
 func NewPolicy(now time.Duration, millis int64, r *cfvfleet.Rollout, l Limits) *Policy {
 	p := &Policy{
 		limits: l, order: r.RolloutOrder, revision: r.Revision, schedule: newSchedule(r.Duration), createdAt: now, startedAt: r.LearnedAt,
-		judge: NewJudge(r.Service, r.Target, r.Revision, r.Duration, max(l.RollbackDelay-reactionTime, 0)), share: r.Progress.Share, sharedAt: now,
+		judge: NewJudge(r.Service, r.Target, r.Revision, r.Duration), share: r.Progress.Share, sharedAt: now,
 	}
 	p.adoptElapsed(r)
 	if r.Progress.StartMillis > 0 {
@@ -125,7 +123,7 @@
 	if r.Progress.Phase != cfvfleet.RolloutRunning {
 		return r.Progress, false
 	}
-	p.judge.Observe(now, f.TargetCold)
+	p.judge.Observe(now, now >= f.WarmAt)
 	p.noteShare(now, r.Progress.Share)
 	next = cfvfleet.RolloutProgress{
 		Service: p.order.Service, OrderRevision: p.revision, Target: p.order.Target, Elapsed: p.Elapsed(now), StartMillis: p.startMillis,
@@ -248,7 +246,7 @@
 	if step == len(rampShares) || !p.due(now, p.schedule.steps[step]) || !p.hasCapacity(f) || !p.hasEvidence(now) {
 		return false
 	}
-	if now-p.sharedAt < minStep {
+	if now-p.sharedAt < minStep || now < f.WarmAt+evidenceDelay && !p.due(now, p.schedule.finish) {
 		return false
 	}
 	target, all := p.judge.Requests()
--- a/io/cfvrollout/controller.go
+++ b/io/cfvrollout/controller.go
@@ -113,7 +113,7 @@
 		if !changed || now < run.retryAt || run.writing[next.Phase] {
 			continue
 		}
-		c.logDecision(run, r, next, fleets[i])
+		c.logDecision(now, run, r, next, fleets[i])
 		run.writing[next.Phase] = true
 		go c.record(ctx, run, Write{Progress: next, FencingToken: fencingToken, Order: r.Revision, Record: r.RecordRevision})
 	}
@@ -132,21 +132,27 @@
 	return rollouts, fleets
 }
 
-// fleetOf describes the endpoints of a roll-out's service.
+// fleetOf describes the endpoints of a roll-out's service. The target version is warm when half of its
+// endpoints are.
 func fleetOf(now time.Duration, v *cfvfleet.View, r *cfvfleet.Rollout) (f cfvrollout.Fleet) {
+	var warm []time.Duration
 	for _, e := range v.Usable(r.Service) {
 		if e.SoftwareVersion != r.Target {
 			f.Stable++
 			continue
 		}
 		f.Target++
-		f.TargetCold = f.TargetCold || now < v.ColdUntil(e.ID)
+		warm = append(warm, max(v.KnownSince(now, e.ID)+cfvrollout.WarmUpTime, v.ColdUntil(e.ID)))
 	}
 	for _, e := range v.All() {
 		if e.Service == r.Service && e.SoftwareVersion != r.Target {
 			f.OldVersions = append(f.OldVersions, e.SoftwareVersion)
 		}
 	}
+	if len(warm) > 0 {
+		slices.Sort(warm)
+		f.WarmAt = warm[len(warm)/2]
+	}
 	slices.Sort(f.OldVersions)
 	f.OldVersions = slices.Compact(f.OldVersions)
 	return f
@@ -216,13 +222,13 @@
 }
 
 // logDecision logs a change of the share or of the phase with the evidence for it.
-func (c *Controller) logDecision(n *run, r *cfvfleet.Rollout, next cfvfleet.RolloutProgress, f cfvrollout.Fleet) {
+func (c *Controller) logDecision(now time.Duration, n *run, r *cfvfleet.Rollout, next cfvfleet.RolloutProgress, f cfvrollout.Fleet) {
 	if r.ProgressAt > 0 && next.Phase == r.Progress.Phase && next.Share == r.Progress.Share {
 		return
 	}
 	target, all := n.policy.Requests()
 	c.cfg.Log.Infow("decided on a roll-out", "service", r.Service, "target", r.Target, "phase", int(next.Phase), "share", next.Share, "before", r.Progress.Share,
-		"cause", next.Cause, "elapsedMillis", next.Elapsed.Milliseconds(), "requests", target, "all", all, "endpoints", f.Target, "others", f.Stable, "cold", f.TargetCold)
+		"cause", next.Cause, "elapsedMillis", next.Elapsed.Milliseconds(), "requests", target, "all", all, "endpoints", f.Target, "others", f.Stable, "warm", now >= f.WarmAt)
 	if next.Phase != cfvfleet.RolloutRunning {
 		c.cfg.Count(map[cfvfleet.RolloutPhase]string{cfvfleet.RolloutCompleted: "rollout.completed", cfvfleet.RolloutRolledBack: "rollout.rolledBack"}[next.Phase], 1)
 	}
