--- a/io/cfventry/rollout.go
+++ b/io/cfventry/rollout.go
@@ -11,7 +11,6 @@
 // Limits of roll-outs.
 const (
 	maxRolloutStateAge = 3500 * time.Millisecond // an older state may lack the rollback; an entry in touch with the store or a relay has a newer one
-	warmUpTime         = 3 * time.Second         // from the announcement of an endpoint until its times tell about its version
 )
 
 // pickVersion decides whether the request goes to the software version that is rolled out, once for all
@@ -117,7 +116,7 @@
 	var r *cfvfleet.Rollout
 	e.cfg.State.Read(func(v *cfvfleet.View) {
 		r = v.Rollout(s.Service)
-		s.Warm = now-v.KnownSince(now, ep.ID) >= warmUpTime && v.ColdUntil(ep.ID) <= now
+		s.Warm = now-v.KnownSince(now, ep.ID) >= cfvrollout.WarmUpTime && v.ColdUntil(ep.ID) <= now
 	})
 	e.mu.Lock()
 	cause := e.rollouts.Record(r, s)
--- a/io/cfventry/rollout_evidence_test.go
+++ b/io/cfventry/rollout_evidence_test.go
@@ -137,13 +137,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				tv := newTwoVersions(t, 3, 0)
 				tv.takes("v1", usual)
-				tv.wait(warmUpTime)
+				tv.wait(cfvrollout.WarmUpTime)
 				tv.ask("/book/", 100)
 				order := tv.order()
 				tv.addEndpoint("v2-0", "v2")
 				tv.takes("v2", tt.takes)
 				if tt.warm {
-					tv.wait(warmUpTime)
+					tv.wait(cfvrollout.WarmUpTime)
 				}
 				tv.progress(order, cfvfleet.RolloutRunning, 1)
 				tv.ask("/book/", 40)
@@ -172,7 +172,7 @@
 				for _, version := range []string{"v1", "v2"} {
 					tv.takes(version, func(int) time.Duration { return 20 * time.Millisecond })
 				}
-				tv.wait(warmUpTime)
+				tv.wait(cfvrollout.WarmUpTime)
 				tv.ask("/book/", 50)
 				spoil(tv)
 				tv.progress(tv.order(), cfvfleet.RolloutRunning, 0.3)
--- a/io/cfvrollout/controller.go
+++ b/io/cfvrollout/controller.go
@@ -91,7 +91,7 @@
 func (c *Controller) AddReport(r cfvrollout.Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cfg.Count("rollout.reports", 1)
+	c.cfg.Count("rollout.reportsReceived", 1)
 	c.reports[process{r.Entry, r.StartMillis}] = r
 	for _, run := range c.runs {
 		run.policy.AddReport(r)
