--- a/core/cfvrollout/judge.go
+++ b/core/cfvrollout/judge.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"coltsfootvalve/core/cfvmove"
@@ -149,6 +150,24 @@
 	return p.target.requests, p.target.requests + p.old.requests
 }
 
+// Describe returns the evidence on each route, for the log.
+func (j *Judge) Describe() string {
+	var out []string
+	totals := j.totals()
+	for _, route := range sortedKeys(totals) {
+		if route == allRoutes {
+			continue
+		}
+		p := totals[route]
+		out = append(out, fmt.Sprintf("%s: %s, others %s", route, p.target.describe(), p.old.describe()))
+	}
+	return strings.Join(out, "; ")
+}
+
+func (t tally) describe() string {
+	return fmt.Sprintf("%.0f of %.0f failed, %.0f slow", t.failures, t.requests, t.slow)
+}
+
 // Fault returns why the version is bad, or "" if the evidence doesn't show it.
 func (j *Judge) Fault(now time.Duration) string {
 	return j.find(now, cfvmove.SignificanceThreshold)
--- a/core/cfvrollout/policy.go
+++ b/core/cfvrollout/policy.go
@@ -107,6 +107,9 @@
 // Requests returns how many requests the target version and all versions have got.
 func (p *Policy) Requests() (target, all float64) { return p.judge.Requests() }
 
+// Describe returns the evidence on each route, for the log.
+func (p *Policy) Describe() string { return p.judge.Describe() }
+
 // Elapsed returns the estimated time since the order.
 func (p *Policy) Elapsed(now time.Duration) time.Duration { return max(now-p.startedAt, 0) }
 
--- a/io/cfvrollout/controller.go
+++ b/io/cfvrollout/controller.go
@@ -228,7 +228,7 @@
 	}
 	target, all := n.policy.Requests()
 	c.cfg.Log.Infow("decided on a roll-out", "service", r.Service, "target", r.Target, "phase", int(next.Phase), "share", next.Share, "before", r.Progress.Share,
-		"cause", next.Cause, "elapsedMillis", next.Elapsed.Milliseconds(), "requests", target, "all", all, "endpoints", f.Target, "others", f.Stable, "warm", now >= f.WarmAt)
+		"cause", next.Cause, "elapsedMillis", next.Elapsed.Milliseconds(), "requests", target, "all", all, "evidence", n.policy.Describe(), "endpoints", f.Target, "others", f.Stable, "warm", now >= f.WarmAt)
 	if next.Phase != cfvfleet.RolloutRunning {
 		c.cfg.Count(map[cfvfleet.RolloutPhase]string{cfvfleet.RolloutCompleted: "rollout.completed", cfvfleet.RolloutRolledBack: "rollout.rolledBack"}[next.Phase], 1)
 	}
