Raise the share of a roll-out only once all entries have reported

Cause: the rate was all reported requests by the time since the order, also in a leader's first seconds. Change: a leader keeps the share for 2 s.

--- a/core/cfvrollout/policy.go
+++ b/core/cfvrollout/policy.go
@@ -39,7 +39,7 @@
 
 // Times of the policy.
 const (
-	rateDelay         = 2 * time.Second         // requests are counted for this long before their rate is used
+	rateDelay         = 2 * time.Second         // a leader has had the evidence of all entries for a while after this time
 	evidenceDelay     = 1500 * time.Millisecond // a new leader has the entries' evidence after this time
 	maxClockGap       = time.Minute             // longest time without a leader that is measured by the clocks of two VMs
 	maxWriteRoom      = 3 * time.Second
@@ -286,7 +286,7 @@
 		return base
 	case p.share > maxCanaryShare:
 		return base
-	case all == 0 || p.Elapsed(now) < rateDelay:
+	case all == 0 || now-p.createdAt < rateDelay:
 		return max(base, p.share)
 	}
 	planned := all * float64(p.order.Duration) / float64(p.Elapsed(now))
--- a/core/cfvrollout/policy_test.go
+++ b/core/cfvrollout/policy_test.go
@@ -423,3 +423,18 @@
 		}
 	}
 }
+
+// Guards against a new leader that takes the first reports for all requests, and raises the share of a busy service.
+func TestShareStaysWhileReportsAreMissing(t *testing.T) {
+	r := &cfvfleet.Rollout{
+		RolloutOrder: cfvfleet.RolloutOrder{Service: testService, Target: "v2", Duration: time.Minute}, Revision: testRevision, LearnedAt: orderedAt,
+		Progress: cfvfleet.RolloutProgress{Share: 0.05, Elapsed: 9 * time.Second, OrderRevision: testRevision, Target: "v2"}, ProgressAt: orderedAt + 9*time.Second,
+	}
+	now := orderedAt + 10*time.Second
+	p := NewPolicy(now, orderMillis, r, testLimits)
+	for after := time.Duration(0); after < rateDelay; after += 100 * time.Millisecond {
+		p.AddReport(Report{Entry: "first", Evidence: []Evidence{{Service: testService, Order: testRevision, Version: "v1", Route: "chat", Requests: 40}}})
+		next, _ := p.Next(now+after, r, Fleet{Stable: 18, Target: 18, OldVersions: []string{"v1"}})
+		assert.Equal(t, next.Share, 0.05, "after %v", after)
+	}
+}
