Let candidates of a roll-out be no busier than other endpoints

Cause: the caches of new endpoints are empty, so the same share of the requests is several times the work. A single candidate was not placed by the placer, which holds prompts for which there is no capacity; short prompts are not placed at all.

The placer now places prompts for a single candidate, too; whatever it holds, and whatever finds more than half of its latency objective of prefills at the candidate, goes on at the stable endpoints. Prefills at candidates no longer change what the placer expects of the other endpoints and of the stores' links.

The three new tests failed before.

--- a/io/cfventry/choose.go
+++ b/io/cfventry/choose.go
@@ -41,6 +41,9 @@
 	if reason != cfvdispatch.Chosen {
 		return choice, opts, q.noEndpointRefusal(reason, len(query.Endpoints))
 	}
+	if q.candidate && q.tooBusy(choice.Endpoint) {
+		return choice, opts, q.noEndpointRefusal(cfvdispatch.AllAtEntryLimit, len(query.Endpoints))
+	}
 	q.mixed = q.sharesWithLongPrompts(query, choice)
 	opts = q.forwardOptions(now, query, choice)
 	e.dispatcher.Start(now, choice.Endpoint, q.promptTokens())
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -60,7 +60,9 @@
 	case cfvdispatch.Reject:
 		return cfvreserve.Placement{RetryAfter: after}, true
 	}
-	e.watch(now, q, choice, workspace, req)
+	if !req.Candidate { // how long a new version takes tells nothing about the links of the stores
+		e.watch(now, q, choice, workspace, req)
+	}
 	q.RecordGrant(now, req.RequestID, choice.Endpoint)
 	p = cfvreserve.Placement{Endpoint: choice.Endpoint.ID}
 	p.Salt, p.Transfers = e.planTransfers(now, q, choice, workspace, req.Parts)
@@ -134,7 +136,12 @@
 		e.cfg.Parts.Do(func(c *cfvparts.Catalog) { c.EndWatch(e.cfg.Now(), request, !over) })
 	}
 	var ep *cfvfleet.Endpoint // read before e.mu is locked: the leader locks it while it reads the state
-	e.cfg.State.Read(func(v *cfvfleet.View) { ep = v.Endpoint(endpoint) })
+	candidate := false
+	e.cfg.State.Read(func(v *cfvfleet.View) {
+		if ep = v.Endpoint(endpoint); ep != nil {
+			candidate = slices.Contains(v.Serving(ep.Service, true), ep)
+		}
+	})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if over {
@@ -142,7 +149,7 @@
 		return
 	}
 	expected, took, ok := e.grantTable.PrefillDone(e.cfg.Now(), endpoint, request)
-	if ok && ep != nil {
+	if ok && ep != nil && !candidate { // nor about the other endpoints
 		e.admission(ep.Service).RecordPrefill(expected, took)
 	}
 }
@@ -152,7 +159,10 @@
 // again, or a refusal.
 func (q *request) reserve(query *cfvdispatch.Query) (hold time.Duration, refusal *httpRefusal) {
 	e := q.entry
-	if e.cfg.Reserve == nil || query.PromptTokens < cfvdispatch.PlacedPromptTokens || len(query.Endpoints) < 2 {
+	if e.cfg.Reserve == nil || query.PromptTokens < cfvdispatch.PlacedPromptTokens || len(query.Endpoints) == 0 {
+		return 0, nil
+	}
+	if len(query.Endpoints) == 1 && !q.candidate { // a single candidate may be too busy, while others serve the request
 		return 0, nil
 	}
 	req := cfvreserve.Request{
--- a/io/cfventry/rollout.go
+++ b/io/cfventry/rollout.go
@@ -10,8 +10,9 @@
 
 // Limits of roll-outs.
 const (
-	maxRolloutStateAge = 3500 * time.Millisecond // an older state may lack the rollback; an entry in touch with the store or a relay has a newer one
-	minPacedBatches    = 4                       // batches of events from which their pace is measured
+	maxRolloutStateAge   = 3500 * time.Millisecond // an older state may lack the rollback; an entry in touch with the store or a relay has a newer one
+	maxCandidateWaitPart = 2                       // of the latency objective that a request may wait for the prefills at a candidate
+	minPacedBatches      = 4                       // batches of events from which their pace is measured
 )
 
 // pickVersion decides whether the request goes to the software version that is rolled out, once for all
@@ -35,6 +36,14 @@
 	q.entry.cfg.Metrics.Count(counter, 1)
 }
 
+// tooBusy reports whether a candidate has so many prompts to prefill that the request is served sooner by a
+// stable endpoint. The caches of candidates are empty, so they do more work for the same share. The caller must
+// hold the entry's lock.
+func (q *request) tooBusy(ep *cfvfleet.Endpoint) bool {
+	objective := q.route.LatencyObjective
+	return objective > 0 && q.meta.Prompt.Tokens > 0 && q.entry.dispatcher.PrefillWait(ep.ID, 0) > objective/maxCandidateWaitPart
+}
+
 // candidateShare returns the share of a service's requests that go to the candidates of its roll-out.
 func (e *Entry) candidateShare(service string) float64 {
 	var r *cfvfleet.Rollout
--- a/io/cfventry/rollout_test.go
+++ b/io/cfventry/rollout_test.go
@@ -32,6 +32,7 @@
 	state     *cfvstate.State
 	revision  int64
 	asked     int
+	prompt    cfvcall.Prompt // of the requests
 }
 
 func newTwoVersions(t *testing.T, v1, v2 int) *twoVersions {
@@ -52,7 +53,7 @@
 		},
 		Codec: Codec{
 			ReadRequestMeta: func(h http.Header) (cfvcall.RequestMeta, error) {
-				return cfvcall.RequestMeta{ID: h.Get(testRequestID), Timeout: 20 * time.Second}, nil
+				return cfvcall.RequestMeta{ID: h.Get(testRequestID), Timeout: 20 * time.Second, Prompt: tv.prompt}, nil
 			},
 			RequestHeader: func(h http.Header, _ cfvcall.ForwardOptions) http.Header { return h },
 			ReadResponseMeta: func(_ int, h http.Header) cfvcall.ResponseMeta {
@@ -299,3 +300,65 @@
 	p, ok := tv.Place(cfvreserve.Request{RequestID: "last", Service: "s", Tokens: 3000, GroupCount: 1, Candidate: true, Entry: "other"})
 	assert.Assert(t, ok && p.Endpoint[:2] == "v2")
 }
+
+// endpoint returns an endpoint.
+func (tv *twoVersions) endpoint(id string) (ep *cfvfleet.Endpoint) {
+	tv.state.Read(func(v *cfvfleet.View) { ep = v.Endpoint(id) })
+	return ep
+}
+
+// Failure: the caches of new endpoints were empty, so prompts piled up there for two seconds while old endpoints
+// were idle, and callers got them late.
+func TestBusyCandidatesLeaveRequestsToOthers(t *testing.T) {
+	tests := map[string]struct {
+		pending int // prompt tokens to prefill at each candidate
+		uses    bool
+	}{
+		"idle": {pending: 0, uses: true}, "not busy": {pending: 20_000, uses: true}, "busy": {pending: 60_000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tv := newTwoVersions(t, 6, 1)
+				tv.prompt = cfvcall.Prompt{Model: "m", Tokens: 100}
+				tv.progress(tv.order(), cfvfleet.RolloutRunning, 1)
+				tv.dispatcher.Start(tv.cfg.Now(), tv.endpoint("v2-0"), tt.pending)
+				assert.DeepEqual(t, tv.ask("/look/", 20), map[int]int{http.StatusOK: 20})
+				assert.Equal(t, tv.seen("v2") > 0, tt.uses)
+			})
+		})
+	}
+}
+
+// Failure: long prompts went to a single candidate unplaced, as fast as they came.
+func TestPlacerMayHoldPromptsOfASingleCandidate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tv := newTwoVersions(t, 1, 1)
+		tv.prompt = cfvcall.Prompt{Model: "m", Tokens: 3000}
+		var placed []bool
+		tv.cfg.Settle = func(cfvreserve.Grant, string, bool) {}
+		tv.cfg.Reserve = func(_ context.Context, r cfvreserve.Request) (cfvreserve.Grant, bool) {
+			placed = append(placed, r.Candidate)
+			return cfvreserve.Grant{Placement: cfvreserve.Placement{Hold: time.Second}}, true
+		}
+		tv.progress(tv.order(), cfvfleet.RolloutRunning, 1)
+		assert.DeepEqual(t, tv.ask("/look/", 3), map[int]int{http.StatusOK: 3})
+		assert.DeepEqual(t, placed, []bool{true, true, true})
+		assert.Equal(t, tv.seen("v1"), 3)
+	})
+}
+
+// Guards against a slow new version that lets the placer expect the same of all endpoints, and hold their prompts.
+func TestPrefillsOfANewVersionTellNothingAboutOthers(t *testing.T) {
+	for _, candidate := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			tv := newTwoVersions(t, 3, 3)
+			tv.progress(tv.order(), cfvfleet.RolloutRunning, 0.5)
+			p, ok := tv.Place(cfvreserve.Request{RequestID: "r", Service: "s", Tokens: 30_000, GroupCount: 1, Candidate: candidate, Entry: "peer"})
+			assert.Assert(t, ok)
+			time.Sleep(5 * time.Second)
+			tv.Settle(p.Endpoint, "r", false)
+			assert.Equal(t, tv.admission("s").Slowness() > 1, !candidate)
+		})
+	}
+}
