Write the end of a roll-out again before the first write's timeout

Change: the end is written again every 0.5 s, at most four at once; the condition on the last record lets one of them take effect. TestRollbackIsWrittenAgainBeforeItsTimeout fails without it. A decision is logged once, and the counters count what was recorded.

--- a/io/cfvrollout/controller.go
+++ b/io/cfvrollout/controller.go
@@ -17,8 +17,12 @@
 	"connectrpc.com/connect"
 )
 
-// writeRetryDelay is the time between a failed write and the next attempt.
-const writeRetryDelay = 300 * time.Millisecond
+// Intervals and limits of writes.
+const (
+	writeRetryDelay  = 300 * time.Millisecond // between a failed write and the next attempt
+	writeRepeatDelay = 500 * time.Millisecond // the end of a roll-out is written again if there is no answer for this long
+	maxWrites        = 4                      // of the same end in progress
+)
 
 // Limits are the operators' bounds on a bad version.
 type Limits = cfvrollout.Limits
@@ -62,11 +66,25 @@
 // run is the roll-out of one service.
 type run struct {
 	policy  *cfvrollout.Policy
-	written cfvfleet.RolloutProgress // the last progress that this entry has recorded
-	record  int64                    // its revision; 0: none
-	at      time.Duration            // when it was recorded
-	writing map[cfvfleet.RolloutPhase]bool
-	retryAt time.Duration // after a failed write
+	written cfvfleet.RolloutProgress      // the last progress that this entry has recorded
+	record  int64                         // its revision; 0: none
+	at      time.Duration                 // when it was recorded
+	writing map[cfvfleet.RolloutPhase]int // writes in progress
+	retryAt time.Duration                 // after a failed write
+	sentAt  time.Duration                 // when the last write was sent
+	logged  cfvfleet.RolloutProgress      // the last decision in the log
+}
+
+// mayWrite reports whether another write may be sent. All but one of the writes in progress fail, since the first
+// one that is carried out changes the record.
+func (n *run) mayWrite(now time.Duration, phase cfvfleet.RolloutPhase) bool {
+	switch {
+	case n.writing[phase] == 0:
+		return now >= n.retryAt
+	case phase == cfvfleet.RolloutRunning:
+		return false
+	}
+	return n.writing[phase] < maxWrites && now >= n.sentAt+writeRepeatDelay
 }
 
 // NewController returns a controller without evidence.
@@ -110,11 +128,12 @@
 		run := c.runOf(now, r)
 		run.overlay(r)
 		next, changed := run.policy.Next(now, r, fleets[i])
-		if !changed || now < run.retryAt || run.writing[next.Phase] {
+		if !changed || !run.mayWrite(now, next.Phase) {
 			continue
 		}
 		c.logDecision(now, run, r, next, fleets[i])
-		run.writing[next.Phase] = true
+		run.writing[next.Phase]++
+		run.sentAt = now
 		go c.record(ctx, run, Write{Progress: next, FencingToken: fencingToken, Order: r.Revision, Record: r.RecordRevision})
 	}
 }
@@ -177,7 +196,7 @@
 	if have := c.runs[r.Service]; have != nil && have.policy.Revision() == r.Revision {
 		return have
 	}
-	n := &run{policy: cfvrollout.NewPolicy(now, c.cfg.Millis(), r, c.cfg.Limits), writing: make(map[cfvfleet.RolloutPhase]bool)}
+	n := &run{policy: cfvrollout.NewPolicy(now, c.cfg.Millis(), r, c.cfg.Limits), writing: make(map[cfvfleet.RolloutPhase]int)}
 	for _, report := range c.reports {
 		n.policy.AddReport(report)
 	}
@@ -194,6 +213,11 @@
 	}
 }
 
+// phaseNames are the names of the phases in the metrics.
+var phaseNames = map[cfvfleet.RolloutPhase]string{
+	cfvfleet.RolloutRunning: "running", cfvfleet.RolloutCompleted: "completed", cfvfleet.RolloutRolledBack: "rolledBack",
+}
+
 // record writes a progress. If the answer is lost, it may have been written: the next write then fails until
 // the record is known.
 func (c *Controller) record(ctx context.Context, n *run, w Write) {
@@ -202,9 +226,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Now()
-	delete(n.writing, w.Progress.Phase)
+	n.writing[w.Progress.Phase]--
 	if err == nil {
-		c.cfg.Count("rollout.recorded", 1)
+		c.cfg.Count("rollout.recorded."+phaseNames[w.Progress.Phase], 1)
 		n.policy.RecordWrite(now - start)
 		if revision > n.record {
 			n.written, n.record, n.at = w.Progress, revision, now
@@ -223,13 +247,11 @@
 
 // logDecision logs a change of the share or of the phase with the evidence for it.
 func (c *Controller) logDecision(now time.Duration, n *run, r *cfvfleet.Rollout, next cfvfleet.RolloutProgress, f cfvrollout.Fleet) {
-	if r.ProgressAt > 0 && next.Phase == r.Progress.Phase && next.Share == r.Progress.Share {
+	if next.Phase == n.logged.Phase && next.Share == n.logged.Share && n.logged.Target != "" {
 		return
 	}
+	n.logged = next
 	target, all := n.policy.Requests()
 	c.cfg.Log.Infow("decided on a roll-out", "service", r.Service, "target", r.Target, "phase", int(next.Phase), "share", next.Share, "before", r.Progress.Share,
 		"cause", next.Cause, "elapsedMillis", next.Elapsed.Milliseconds(), "requests", target, "all", all, "evidence", n.policy.Describe(), "endpoints", f.Target, "others", f.Stable, "warm", now >= f.WarmAt)
-	if next.Phase != cfvfleet.RolloutRunning {
-		c.cfg.Count(map[cfvfleet.RolloutPhase]string{cfvfleet.RolloutCompleted: "rollout.completed", cfvfleet.RolloutRolledBack: "rollout.rolledBack"}[next.Phase], 1)
-	}
 }
--- a/io/cfvrollout/controller_test.go
+++ b/io/cfvrollout/controller_test.go
@@ -459,3 +459,30 @@
 		time.Sleep(callTimeout)
 	})
 }
+
+// Guards against a rollback that takes several timeouts where the store loses answers and carries writes out late.
+func TestRollbackIsWrittenAgainBeforeItsTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.order(testOrder)
+		l := s.newLeader(time.Now(), 0)
+		tr := newTraffic(s.orderRevision())
+		l.carryOut(1500*time.Millisecond, tr, 0)
+		calls := 0
+		s.answers = func() answer {
+			if calls++; calls <= 2 {
+				return late
+			}
+			return prompt
+		}
+		l.carryOut(2500*time.Millisecond, tr, 1)
+		s.mu.Lock()
+		got := s.last("assistant")
+		s.mu.Unlock()
+		assert.Equal(t, got.Phase, cfvfleet.RolloutRolledBack)
+		assert.Assert(t, time.Since(got.at) > 500*time.Millisecond, "recorded %v ago", time.Since(got.at))
+		s.pending.Wait()
+		time.Sleep(callTimeout)
+		assert.DeepEqual(t, s.phases(s.orderRevision()), []cfvfleet.RolloutPhase{cfvfleet.RolloutRunning, cfvfleet.RolloutRolledBack})
+	})
+}
