Send the share of a roll-out to two endpoints at least

Cause: the only candidate also prefilled the long prompts, which have a pool of their own among the other endpoints.

Change: at least two candidates.

--- a/core/cfvfleet/rollout.go
+++ b/core/cfvfleet/rollout.go
@@ -70,6 +70,10 @@
 	return stable, target[:candidateCount(len(target), r.Progress.Share)]
 }
 
+// minCandidates is the lowest number of candidates that serve a share, so that long and short prompts can go to
+// different ones.
+const minCandidates = 2
+
 // candidateCount returns how many endpoints of the target version serve a share of the requests. With as many
 // as the share needs, each one is as busy as it will be after the roll-out, so faults that depend on the load
 // show before.
@@ -77,7 +81,7 @@
 	if share <= 0 {
 		return 0
 	}
-	return min(int(math.Ceil(share*float64(target))), target)
+	return min(max(int(math.Ceil(share*float64(target))), minCandidates), target)
 }
 
 // rolloutState is the order and the recorded progress of one service. Either may arrive first.
--- a/core/cfvfleet/rollout_test.go
+++ b/core/cfvfleet/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 		stable, candidates []string
 	}{
 		"no share":                   {RolloutRunning, 0, nil, []string{"v1-0", "v1-1", "v3-5"}, nil},
-		"small share":                {RolloutRunning, 0.05, nil, []string{"v1-0", "v1-1", "v3-5"}, []string{"v2-2"}},
+		"small share":                {RolloutRunning, 0.05, nil, []string{"v1-0", "v1-1", "v3-5"}, []string{"v2-2", "v2-3"}},
 		"half":                       {RolloutRunning, 0.5, nil, []string{"v1-0", "v1-1", "v3-5"}, []string{"v2-2", "v2-3"}},
 		"all":                        {RolloutRunning, 1, nil, []string{"v1-0", "v1-1", "v3-5"}, []string{"v2-2", "v2-3", "v2-4"}},
 		"rolled back":                {RolloutRolledBack, 0, nil, []string{"v1-0", "v1-1", "v3-5"}, nil},
@@ -48,6 +49,16 @@
 	}
 }
 
+// Failure: the only candidate served long and short prompts, which have endpoints of their own elsewhere. Short ones
+// were given up behind long ones, and a good version was rolled back.
+func TestLongAndShortPromptsCanHaveDifferentCandidates(t *testing.T) {
+	r := &Rollout{RolloutOrder: RolloutOrder{Target: "v2"}, Progress: RolloutProgress{Share: 0.05}}
+	for n, want := range map[int]int{0: 0, 1: 1, 2: 2, 12: 2, 40: 2, 60: 3} {
+		_, candidates := r.Split(endpointsOf(slices.Repeat([]string{"v2"}, n)...))
+		assert.Equal(t, len(candidates), want, "%d endpoints", n)
+	}
+}
+
 func TestRolloutsOfAView(t *testing.T) {
 	v := NewView()
 	order := func(revision int64, target string) {
