Send nothing to candidates that are down

If the only candidates of a roll-out were in the backoff after a broken connection, one of them got the request all the same, as the last resort of the choice. It failed there and took a retry from the budget, while stable endpoints were there. Such a request now goes to these at once.

TestCandidatesThatAreDownGetNoRequests failed before. Found by reading; no play showed it.

--- a/io/cfventry/choose.go
+++ b/io/cfventry/choose.go
@@ -41,7 +41,7 @@
 	if reason != cfvdispatch.Chosen {
 		return choice, opts, q.noEndpointRefusal(reason, len(query.Endpoints))
 	}
-	if q.candidate && q.tooBusy(choice.Endpoint) {
+	if q.candidate && (e.dispatcher.Unavailable(now, choice.Endpoint.ID) || q.tooBusy(choice.Endpoint)) {
 		return choice, opts, q.noEndpointRefusal(cfvdispatch.AllAtEntryLimit, len(query.Endpoints))
 	}
 	q.mixed = q.sharesWithLongPrompts(query, choice)
--- a/io/cfventry/rollout_test.go
+++ b/io/cfventry/rollout_test.go
@@ -362,3 +362,17 @@
 		})
 	}
 }
+
+// Failure: requests went to a candidate that was down, as the only one, and took from the budget of retries.
+func TestCandidatesThatAreDownGetNoRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tv := newTwoVersions(t, 3, 1)
+		tv.progress(tv.order(), cfvfleet.RolloutRunning, 1)
+		tv.dispatcher.RecordConnectionFailure(tv.cfg.Now(), tv.endpoint("v2-0"))
+		assert.DeepEqual(t, tv.ask("/look/", 20), map[int]int{http.StatusOK: 20})
+		assert.Equal(t, tv.seen("v2"), 0)
+		tv.wait(time.Second) // the backoff is over
+		tv.ask("/look/", 20)
+		assert.Assert(t, tv.seen("v2") > 0)
+	})
+}
