Test roll-outs with real entries and endpoints

TestRolloutsAreCarriedOut: two entries, callers, a store and two endpoints of each version over loopback. A good version is completed, one that fails and one that is 300 ms slower are rolled back, within 0.1 of the requests + 50, and get no request a second later.

--- /dev/null
+++ b/commands/hosted_rollout_test.go
@@ -0,0 +1,100 @@
+package commands
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"coltsfootvalve/standins/cfvfakereplica"
+	"coltsfootvalve/standins/cfvfault"
+
+	"gotest.tools/v3/assert"
+)
+
+// rolloutState returns the state of a service's roll-out that operators read; empty if there is none.
+func (f *fleet) rolloutState(service string) string {
+	record, ok := f.entries[0].state.Record("status/rollout/" + service)
+	if !ok {
+		return ""
+	}
+	var w struct{ State, Target string }
+	assert.NilError(f.t, json.Unmarshal(record.Value, &w))
+	assert.Equal(f.t, w.Target, "v2")
+	return w.State
+}
+
+// startVersion starts two endpoints of another software version.
+func (f *fleet) startVersion(service, version string, faults cfvfault.Fault) (ids []string) {
+	for i := range 2 {
+		id := fmt.Sprintf("%s-%s-%d", service, version, i)
+		r := cfvfakereplica.New(cfvfakereplica.Config{ID: id})
+		r.SetFault(faults)
+		f.endpoints[id], f.addrs[id] = r, f.serve(r.Handler())
+		f.put("servers/"+id, map[string]any{"service": service, "addr": f.addrs[id], "zone": "north", "version": version, "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1})
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// callDesk sends requests to all entries until stop is closed, and counts them.
+func (f *fleet) callDesk(stop <-chan struct{}, count *atomic.Int64) (wait func()) {
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				f.send(i%len(f.entries), http.MethodGet, "/look/up", shopKey, "")
+				count.Add(1)
+			}
+		})
+	}
+	return wg.Wait
+}
+
+// Guards against orders of the operators that nobody carries out, and against callers who get a bad version's
+// responses.
+func TestRolloutsAreCarriedOut(t *testing.T) {
+	tests := map[string]struct {
+		faults cfvfault.Fault
+		want   string
+	}{
+		"good":  {cfvfault.Fault{}, "completed"},
+		"fails": {cfvfault.Fault{Mode: cfvfault.Fail}, "rolled_back"},
+		"slow":  {cfvfault.Fault{Mode: cfvfault.Slow, Millis: 300}, "rolled_back"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 2, cfvfakereplica.Config{RequestTime: 5 * time.Millisecond}, cfvfakereplica.Config{StreamEvents: 1, Model: "m"})
+			stop, requests := make(chan struct{}), &atomic.Int64{}
+			wait := f.callDesk(stop, requests)
+			f.eventually("requests are sent", func() bool { return requests.Load() > 200 })
+			before := requests.Load()
+			f.put("op/rollout/desk", map[string]any{"service": "desk", "target": "v2", "durationS": 8})
+			f.eventually("the roll-out runs", func() bool { return f.rolloutState("desk") == "running" })
+			ids := f.startVersion("desk", "v2", tt.faults)
+			f.eventually("the roll-out has ended", func() bool { return f.rolloutState("desk") != "running" })
+			assert.Equal(t, f.rolloutState("desk"), tt.want, f.logs.String())
+			time.Sleep(time.Second) // all entries know of the end
+			seen, after := len(f.endpoints[ids[0]].Runs())+len(f.endpoints[ids[1]].Runs()), requests.Load()
+			f.eventually("more requests are sent", func() bool { return requests.Load() > after+100 })
+			close(stop)
+			wait()
+			now := len(f.endpoints[ids[0]].Runs()) + len(f.endpoints[ids[1]].Runs())
+			if tt.want == "completed" {
+				assert.Assert(t, now-seen >= 100, "%d requests reached the version after the end", now-seen)
+				return
+			}
+			assert.Equal(t, now, seen, "requests after the rollback")
+			assert.Assert(t, float64(seen) <= 0.1*float64(requests.Load()-before)+50, "%d requests reached the bad version", seen)
+		})
+	}
+}
--- a/commands/hosted_test.go
+++ b/commands/hosted_test.go
@@ -174,7 +174,7 @@
 		KeyValueStoreAddr: keyValueStore, MemoryMB: 128, ShutdownTimeout: 20 * time.Second,
 		Bounds: platform.Bounds{
 			MaxRevokeDelay: 5 * time.Second, HandoverPause: 500 * time.Millisecond, MaxVersionDelay: 8 * time.Second, RetryRatio: 0.2, RetrySlack: f.retrySlack,
-			RetryWindow: 10 * time.Second,
+			RetryWindow: 10 * time.Second, ExposureShare: 0.1, ExposureSlack: 50, RollbackDelay: 5 * time.Second,
 		},
 	}
 	h := newHostedEntry(s, cfvlog.New(f.logs, s.Node), 1)
