Compare the times of requests whose sizes are rare

While there are fewer than twenty requests of a size, those within a factor of 4, then of 16, stand in. Both versions are compared alike, so a coarse range shifts both shares. Answers behind other prompts now count for the baseline, too.

TestBaselineComparesSizesThatAreRare failed before.

--- a/core/cfvmove/baseline_test.go
+++ b/core/cfvmove/baseline_test.go
@@ -30,3 +30,19 @@
 		})
 	}
 }
+
+// Failure: where requests of many sizes came slowly, no size had enough of them for a comparison, and a version that
+// was several times slower was not noticed for a quarter of a minute.
+func TestBaselineComparesSizesThatAreRare(t *testing.T) {
+	b := NewBaseline()
+	for i := range 30 {
+		size := 200 << (i % 4)
+		b.Record(size, time.Duration(20+i%5)*time.Millisecond)
+		assert.Equal(t, b.IsSlow(size, 100*time.Millisecond), i+1 >= minBaselineSamples, "after %d requests", i+1)
+	}
+	for _, size := range []int{200, 400, 800, 1600} {
+		assert.Assert(t, b.IsSlow(size, 100*time.Millisecond), "size %d", size)
+		assert.Assert(t, !b.IsSlow(size, 24*time.Millisecond), "size %d", size)
+	}
+	assert.Assert(t, !b.IsSlow(1<<20, time.Hour), "no requests of that size are known")
+}
--- a/core/cfvmove/evidence.go
+++ b/core/cfvmove/evidence.go
@@ -26,9 +26,24 @@
 }
 
 // Baseline estimates the 90th percentile of the time of a request, by request size. A
-// request that takes more than 1.5 times the estimate counts as slow.
+// request that takes more than 1.5 times the estimate counts as slow. While there are few
+// requests of a size, those of a wider range of sizes are used.
 type Baseline struct {
-	bySize map[int]*quantileEstimate
+	bySize map[sizeRange]*quantileEstimate
+}
+
+// sizeRange is a range of request sizes. The sizes of a range differ by a factor of at most
+// 2, 4 or 16, by its level.
+type sizeRange struct {
+	level, index int
+}
+
+// sizeLevels tell how many lengths of the size in bits a range covers, from the narrowest
+// ranges to the widest.
+var sizeLevels = [...]int{1, 2, 4}
+
+func rangeOf(level, size int) sizeRange {
+	return sizeRange{level, bits.Len(uint(size)) / sizeLevels[level]}
 }
 
 // quantileEstimate is a running estimate of the 90th percentile. Each sample moves it up or
@@ -49,25 +64,30 @@
 
 // NewBaseline returns a baseline without samples.
 func NewBaseline() *Baseline {
-	return &Baseline{bySize: make(map[int]*quantileEstimate)}
+	return &Baseline{bySize: make(map[sizeRange]*quantileEstimate)}
 }
 
 // IsSlow reports whether a request of the given size in bytes took longer than slowFactor
 // times the estimate.
 func (b *Baseline) IsSlow(size int, took time.Duration) bool {
-	estimate, ok := b.bySize[bits.Len(uint(size))]
-	return ok && estimate.samples >= minBaselineSamples && took.Seconds() > slowFactor*estimate.seconds
+	for level := range sizeLevels {
+		e := b.bySize[rangeOf(level, size)]
+		if e != nil && e.samples >= minBaselineSamples {
+			return took.Seconds() > slowFactor*e.seconds
+		}
+	}
+	return false
 }
 
-// Record adds the time of a request of the old version to the estimate.
+// Record adds the time of a request of the old version to the estimates.
 func (b *Baseline) Record(size int, took time.Duration) {
-	bucket := bits.Len(uint(size))
-	estimate, ok := b.bySize[bucket]
-	if !ok {
-		estimate = &quantileEstimate{}
-		b.bySize[bucket] = estimate
+	for level := range sizeLevels {
+		r := rangeOf(level, size)
+		if b.bySize[r] == nil {
+			b.bySize[r] = &quantileEstimate{}
+		}
+		b.bySize[r].record(took.Seconds())
 	}
-	estimate.record(took.Seconds())
 }
 
 // record adds a sample. The estimate starts as the quantile of the first samples, since it moves too slowly to
--- a/core/cfvrollout/counter.go
+++ b/core/cfvrollout/counter.go
@@ -91,7 +91,7 @@
 	if target {
 		return slow
 	}
-	if s.Behind == 0 && !s.Mixed {
+	if !s.Mixed {
 		b.first.Record(s.Work, s.First)
 	}
 	if s.Pace > 0 {
