Complete no roll-out without any evidence

What was seen: with the entries' reports taken out of TestRolloutsAreCarriedOut, a version of which every response failed was completed, since a service without reported requests passed for one that nobody uses. Change: without a report the version is rolled back, unless a leader had already sent it all requests. TestEndWithLittleEvidence/nothing_is_reported failed before.

--- a/core/cfvrollout/policy.go
+++ b/core/cfvrollout/policy.go
@@ -180,8 +180,8 @@
 
 // lateVerdict returns why a version that is not suspect is rolled back when its time is nearly over, or "".
 // A bad version that is completed harms all callers from then on, while a good one that is rolled back can be
-// ordered again. So a version that got none of the requests that came is rolled back. One that got few requests
-// and showed no fault is completed, and so is one that nobody uses.
+// ordered again. So a version is rolled back if no entry reports anything, or if it got none of the requests that
+// came. One that got few requests and showed no fault is completed, and so is one of a service with hardly any.
 func (p *Policy) lateVerdict(now time.Duration, f Fleet) string {
 	if !p.due(now, p.schedule.decision) || !p.hasEvidence(now) {
 		return ""
@@ -189,7 +189,13 @@
 	if !p.hasCapacity(f) {
 		return "too few endpoints run the version"
 	}
-	if target, all := p.judge.Requests(); target == 0 && all >= minRequests {
+	target, all := p.judge.Requests()
+	switch {
+	case p.share >= 1: // a leader had evidence before
+		return ""
+	case all == 0:
+		return "no entry has reported a request"
+	case target == 0 && all >= minRequests:
 		return "no request has shown how the version does"
 	}
 	return ""
@@ -254,7 +260,7 @@
 	}
 	target, all := p.judge.Requests()
 	switch {
-	case target == 0 && all >= minRequests:
+	case all == 0 || target == 0 && all >= minRequests:
 		return false
 	case p.due(now, p.schedule.steps[step]+p.schedule.interval/2):
 		return true
