--- a/core/cfvrollout/judge.go
+++ b/core/cfvrollout/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -75,6 +76,7 @@
 	window          time.Duration // of the recent evidence, which is also tested alone
 	stratumLength   time.Duration
 	reports         map[process]map[string]pair // the latest by entry process and route
+	totals          map[string]pair             // their sum by route
 	closed          map[string]pair             // the sum of all closed strata by route
 	strata          []stratum
 	cold            bool // of the open stratum
@@ -84,7 +86,7 @@
 func NewJudge(service, target string, order int64, duration time.Duration) *Judge {
 	return &Judge{
 		service: service, target: target, order: order, window: min(max(duration/5, minRecentWindow), maxRecentWindow),
-		stratumLength: max(duration/maxStrata, minStratumLength), reports: make(map[process]map[string]pair), closed: make(map[string]pair),
+		stratumLength: max(duration/maxStrata, minStratumLength), reports: make(map[process]map[string]pair), totals: make(map[string]pair), closed: make(map[string]pair),
 	}
 }
 
@@ -106,11 +108,17 @@
 			routes[e.Route] = routes[e.Route].plus(p)
 		}
 	}
-	have := j.reports[id][allRoutes]
-	got := routes[allRoutes]
-	if got.target.requests >= have.target.requests && got.old.requests >= have.old.requests {
-		j.reports[id] = routes
+	have, got := j.reports[id][allRoutes], routes[allRoutes]
+	if got.target.requests < have.target.requests || got.old.requests < have.old.requests {
+		return
+	}
+	for route, p := range j.reports[id] {
+		j.totals[route] = j.totals[route].minus(p)
 	}
+	for route, p := range routes {
+		j.totals[route] = j.totals[route].plus(p)
+	}
+	j.reports[id] = routes
 }
 
 // Observe closes the current stratum if it is long enough. warm reports whether the times of the target version
@@ -120,45 +128,33 @@
 	if n := len(j.strata); n > 0 && now-j.strata[n-1].at < j.stratumLength {
 		return
 	}
-	totals := j.totals()
-	j.strata = append(j.strata, j.open(now, totals))
-	j.closed, j.cold = totals, !warm
+	j.strata = append(j.strata, j.open(now))
+	j.closed, j.cold = maps.Clone(j.totals), !warm
 }
 
 // open returns the evidence since the last stratum was closed.
-func (j *Judge) open(now time.Duration, totals map[string]pair) stratum {
+func (j *Judge) open(now time.Duration) stratum {
 	s := stratum{at: now, routes: make(map[string]pair), cold: j.cold}
-	for route, p := range totals {
+	for route, p := range j.totals {
 		s.routes[route] = p.minus(j.closed[route])
 	}
 	return s
 }
 
-func (j *Judge) totals() map[string]pair {
-	out := make(map[string]pair)
-	for _, routes := range j.reports {
-		for route, p := range routes {
-			out[route] = out[route].plus(p)
-		}
-	}
-	return out
-}
-
 // Requests returns how many requests the target version and all versions have got.
 func (j *Judge) Requests() (target, all float64) {
-	p := j.totals()[allRoutes]
+	p := j.totals[allRoutes]
 	return p.target.requests, p.target.requests + p.old.requests
 }
 
 // Describe returns the evidence on each route, for the log.
 func (j *Judge) Describe() string {
 	var out []string
-	totals := j.totals()
-	for _, route := range sortedKeys(totals) {
+	for _, route := range sortedKeys(j.totals) {
 		if route == allRoutes {
 			continue
 		}
-		p := totals[route]
+		p := j.totals[route]
 		out = append(out, fmt.Sprintf("%s: %s, others %s", route, p.target.describe(), p.old.describe()))
 	}
 	return strings.Join(out, "; ")
@@ -178,22 +174,20 @@
 	if cause := j.find(now, suspicion); cause != "" {
 		return cause
 	}
-	totals := j.totals()
 	c := comparer{threshold: doubt, minExcess: minDoubtExcess}
-	return c.compare(append(slices.Clip(j.strata), j.open(now, totals)), allRoutes, totals[allRoutes].old)
+	return c.compare(append(slices.Clip(j.strata), j.open(now)), allRoutes, j.totals[allRoutes].old)
 }
 
 // find compares the versions on each route and on all, over the whole time and over the recent window.
 func (j *Judge) find(now time.Duration, threshold float64) string {
-	totals := j.totals()
-	strata := append(slices.Clip(j.strata), j.open(now, totals))
+	strata := append(slices.Clip(j.strata), j.open(now))
 	recent := strata
 	for len(recent) > 0 && now-recent[0].at > j.window {
 		recent = recent[1:]
 	}
 	c := comparer{threshold: threshold}
-	for _, route := range sortedKeys(totals) {
-		old := totals[route].old
+	for _, route := range sortedKeys(j.totals) {
+		old := j.totals[route].old
 		if cause := c.compare(strata, route, old); cause != "" {
 			return cause
 		}
@@ -207,12 +201,11 @@
 // Proven reports whether the evidence on each route that the replaced versions serve is enough to show a
 // fault of the target version.
 func (j *Judge) Proven() bool {
-	totals := j.totals()
-	all := totals[allRoutes]
+	all := j.totals[allRoutes]
 	if all.target.requests < minRouteRequests {
 		return false
 	}
-	for _, p := range totals {
+	for _, p := range j.totals {
 		if p.old.requests >= minRouteShare*all.old.requests && p.target.requests < minRouteRequests {
 			return false
 		}
