--- a/commands/hosted_loops.go
+++ b/commands/hosted_loops.go
@@ -10,6 +10,7 @@
 	"coltsfootvalve/core/cfvparts"
 	"coltsfootvalve/io/cfvinventory"
 	"coltsfootvalve/io/cfvleader"
+	"coltsfootvalve/io/cfvrollout"
 	"coltsfootvalve/io/cfvwatch"
 	"coltsfootvalve/platform"
 )
@@ -29,9 +30,36 @@
 	go h.exchange.Run(ctx)
 	go h.reserver.Run(ctx)
 	go inventory.Run(ctx)
+	go h.newReporter().Run(ctx)
 	go h.announce(ctx)
 }
 
+// newReporter returns the reporter of the evidence about roll-outs.
+func (h *hostedEntry) newReporter() *cfvrollout.Reporter {
+	return cfvrollout.NewReporter(cfvrollout.ReporterConfig{
+		Self: h.settings.Node, StartMillis: time.Now().UnixMilli(), Evidence: h.entry.RolloutEvidence, Leader: h.currentLeader,
+		Entries: func() int { return len(h.roster().Entries()) }, Send: cfvrollout.SendReports(), Log: h.log.Component("rollout"), Count: h.metrics.Count,
+	})
+}
+
+// currentLeader returns the entry that the key-value store names as the leader, and false if none is known.
+func (h *hostedEntry) currentLeader() (leader cfvrollout.Leader, ok bool) {
+	record, ok := h.state.Record(platform.KeyLeader)
+	if !ok {
+		return leader, false
+	}
+	name, ok := cfvleader.Name(record)
+	if !ok {
+		return leader, false
+	}
+	for _, e := range h.roster().Entries() {
+		if e.Name == name {
+			return cfvrollout.Leader{Name: name, Addr: e.Addr, Term: record.Revision}, true
+		}
+	}
+	return leader, false
+}
+
 // announceRetryInterval is the time between attempts to announce the entry.
 const announceRetryInterval = 500 * time.Millisecond
 
@@ -67,6 +95,7 @@
 		RunningRequests: func(id string) int { return h.entry.Loads()[id].Running }, ShortPool: h.entry.ShortPool,
 		LoadStatus: h.control.LoadedWeights, LoadWeights: h.control.LoadWeights, FreeParts: h.control.FreeParts,
 		Catalog:       func(f func(*cfvparts.Catalog)) { h.parts.Do(f) },
+		Rollouts:      h.rollouts.Tick,
 		HandoverPause: h.settings.Bounds.HandoverPause, Now: cfvclock.SinceBoot, Log: h.log.Component("duty"), Count: h.metrics.Count,
 		CurrentLeader: func() (cfvmirror.Record, bool) { return h.state.Record(platform.KeyLeader) },
 		LastLeader:    func() (cfvmirror.Record, bool) { return h.state.Record(platform.KeyLastLeader) },
@@ -82,3 +111,20 @@
 		},
 	})
 }
+
+// newRollouts returns the controller of the roll-outs.
+func (h *hostedEntry) newRollouts() *cfvrollout.Controller {
+	b := h.settings.Bounds
+	return cfvrollout.NewController(cfvrollout.ControllerConfig{
+		View: h.state.Read, Conflict: platform.ErrConflict, Now: cfvclock.SinceBoot, Log: h.log.Component("rollout"), Count: h.metrics.Count,
+		Millis: func() int64 { return time.Now().UnixMilli() },
+		Limits: cfvrollout.Limits{ExposureShare: b.ExposureShare, ExposureSlack: b.ExposureSlack},
+		Record: func(ctx context.Context, w cfvrollout.Write) (int64, error) {
+			writes, err := platform.RolloutWrites(w.Progress)
+			if err != nil {
+				return 0, err
+			}
+			return h.keyValueStore.Commit(ctx, platform.RolloutPreconditions(w.Progress.Service, w.FencingToken, w.Order, w.Record), writes)
+		},
+	})
+}
--- a/core/cfvmove/evidence.go
+++ b/core/cfvmove/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -25,16 +26,32 @@
 }
 
 // Baseline estimates the 90th percentile of the time of a request, by request size. A
-// request that takes more than 1.5 times the estimate counts as slow.
+// request that takes more than 1.5 times the estimate counts as slow. While there are few
+// requests of a size, those of a wider range of sizes are used.
 type Baseline struct {
-	bySize map[int]*quantileEstimate
+	bySize map[sizeRange]*quantileEstimate
+}
+
+// sizeRange is a range of request sizes. The sizes of a range differ by a factor of at most
+// 2, 4 or 16, by its level.
+type sizeRange struct {
+	level, index int
+}
+
+// sizeLevels tell how many lengths of the size in bits a range covers, from the narrowest
+// ranges to the widest.
+var sizeLevels = [...]int{1, 2, 4}
+
+func rangeOf(level, size int) sizeRange {
+	return sizeRange{level, bits.Len(uint(size)) / sizeLevels[level]}
 }
 
 // quantileEstimate is a running estimate of the 90th percentile. Each sample moves it up or
 // down by a small step.
 type quantileEstimate struct {
-	seconds float64 // estimated time in seconds
+	seconds float64 // estimated time in seconds; 0 until there are enough samples
 	samples int
+	first   []float64 // the first samples
 }
 
 // Parameters of the estimate.
@@ -47,30 +64,48 @@
 
 // NewBaseline returns a baseline without samples.
 func NewBaseline() *Baseline {
-	return &Baseline{bySize: make(map[int]*quantileEstimate)}
+	return &Baseline{bySize: make(map[sizeRange]*quantileEstimate)}
 }
 
 // IsSlow reports whether a request of the given size in bytes took longer than slowFactor
 // times the estimate.
 func (b *Baseline) IsSlow(size int, took time.Duration) bool {
-	estimate, ok := b.bySize[bits.Len(uint(size))]
-	return ok && estimate.samples >= minBaselineSamples && took.Seconds() > slowFactor*estimate.seconds
+	for level := range sizeLevels {
+		e := b.bySize[rangeOf(level, size)]
+		if e != nil && e.samples >= minBaselineSamples {
+			return took.Seconds() > slowFactor*e.seconds
+		}
+	}
+	return false
 }
 
-// Record adds the time of a request of the old version to the estimate.
+// Record adds the time of a request of the old version to the estimates.
 func (b *Baseline) Record(size int, took time.Duration) {
-	bucket := bits.Len(uint(size))
-	estimate, ok := b.bySize[bucket]
-	if !ok {
-		estimate = &quantileEstimate{seconds: took.Seconds()}
-		b.bySize[bucket] = estimate
+	for level := range sizeLevels {
+		r := rangeOf(level, size)
+		if b.bySize[r] == nil {
+			b.bySize[r] = &quantileEstimate{}
+		}
+		b.bySize[r].record(took.Seconds())
 	}
-	estimate.samples++
-	step := quantileStep * estimate.seconds
-	if took.Seconds() > estimate.seconds {
-		estimate.seconds += step * estimatedQuantile
+}
+
+// record adds a sample. The estimate starts as the quantile of the first samples, since it moves too slowly to
+// recover from a bad start.
+func (e *quantileEstimate) record(seconds float64) {
+	if e.samples++; e.samples <= minBaselineSamples {
+		e.first = append(e.first, seconds)
+		if e.samples == minBaselineSamples {
+			slices.Sort(e.first)
+			e.seconds, e.first = e.first[int(estimatedQuantile*minBaselineSamples)-1], nil
+		}
+		return
+	}
+	step := quantileStep * e.seconds
+	if seconds > e.seconds {
+		e.seconds += step * estimatedQuantile
 	} else {
-		estimate.seconds -= step * (1 - estimatedQuantile)
+		e.seconds -= step * (1 - estimatedQuantile)
 	}
 }
 
@@ -83,19 +118,21 @@
 	return tally{t.requests - o.requests, t.failures - o.failures, t.slow - o.slow}
 }
 
-// Thresholds of a verdict. The evidence is tested each second and on several routes, so the
-// chance of a false alarm of a single test must be as low as one in a few million.
+// SignificanceThreshold is the surprise from which a version is condemned. The evidence is tested
+// each second and on several routes, so the chance of a false alarm of a single test must be as
+// low as one in a few million.
+const SignificanceThreshold = 15.0
+
+// Parameters of the comparison of two versions.
 const (
-	minExcessShare        = 0.02  // smaller differences between the shares of bad requests are ignored
-	minExpectedShare      = 0.005 // share of bad requests that every version may have
-	significanceThreshold = 15.0  // negative natural logarithm of the chance that a good version has this many bad requests
-	priorBadRequests      = 1     // bad requests added to those counted for the old version
-	priorRequests         = 2
+	minExcessShare   = 0.02  // smaller differences between the shares of bad requests are ignored
+	minExpectedShare = 0.005 // share of bad requests that every version may have
+	priorBadRequests = 1     // bad requests added to those counted for the old version
+	priorRequests    = 2
 )
 
 // significantlyWorse reports whether bad of n requests are more than chance explains, given
-// the share of bad requests, bad0 of n0, of the other version. It uses the Chernoff bound on
-// the tail of a Poisson distribution.
+// the share of bad requests, bad0 of n0, of the other version.
 func significantlyWorse(bad, n, bad0, n0 float64) bool {
 	if bad < 1 {
 		return false
@@ -104,9 +141,15 @@
 	if n0 == 0 {
 		p0 = minExpectedShare
 	}
-	expected := n * p0
-	if bad <= expected || bad/n-p0 < minExcessShare {
-		return false
+	return bad/n-p0 >= minExcessShare && Surprise(bad, n*p0) > SignificanceThreshold
+}
+
+// Surprise returns the negative natural logarithm of the chance that a version with the given
+// expected number of bad requests has at least this many; 0 if there are no more than expected.
+// It uses the Chernoff bound on the tail of a Poisson distribution.
+func Surprise(bad, expected float64) float64 {
+	if bad <= expected {
+		return 0
 	}
-	return bad*math.Log(bad/expected)-bad+expected > significanceThreshold
+	return bad*math.Log(bad/expected) - bad + expected
 }
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -24,6 +24,7 @@
 	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/core/cfvlimit"
 	"coltsfootvalve/core/cfvparts"
+	"coltsfootvalve/core/cfvrollout"
 	"coltsfootvalve/io/cfvreserve"
 	"coltsfootvalve/io/cfvstate"
 
@@ -96,6 +97,7 @@
 	grantTable   *cfvdispatch.GrantTable
 	poolSizers   map[string]*cfvdispatch.PoolSizer // by service
 	admissions   map[string]*cfvdispatch.Admission // by service; used while this entry is the placer
+	rollouts     *cfvrollout.Counter
 	entryCount   int
 }
 
@@ -106,6 +108,7 @@
 		parts:        cfvlimit.NewPartQuarantine(cfvlimit.DefaultPartConfig()),
 		retryBudgets: make(map[string]*cfvlimit.RetryWindow), baselines: make(map[string]*cfvdispatch.FailureBaseline),
 		keepAlives: make(map[string]time.Duration), poolSizers: make(map[string]*cfvdispatch.PoolSizer), admissions: make(map[string]*cfvdispatch.Admission), entryCount: 1, grantTable: cfvdispatch.NewGrantTable(),
+		rollouts: cfvrollout.NewCounter(),
 	}
 	e.pending = newPendingAttempts()
 	e.connPools = newConnPools(func() { cfg.Metrics.Count("endpoints.dials", 1) }, cfg.Dial)
@@ -274,7 +277,7 @@
 	e.cfg.State.Read(func(v *cfvfleet.View) {
 		for _, ep := range v.All() {
 			if usable[ep.Service] == nil {
-				usable[ep.Service] = v.Usable(ep.Service)
+				usable[ep.Service] = v.Serving(ep.Service, false)
 			}
 		}
 	})
--- a/io/cfventry/parts.go
+++ b/io/cfventry/parts.go
@@ -63,8 +63,8 @@
 	e.parts.RecordAnswer(e.cfg.Now(), q.answer.began, q.service.Name, q.sharedPartIDs())
 }
 
-// recordEvents records that a batch of events has arrived.
-func (q *request) recordEvents() {
+// recordAnswering records that a batch of events has arrived.
+func (q *request) recordAnswering() {
 	now := q.entry.cfg.Now()
 	if q.answer.batches == 0 {
 		q.answer.began = now
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -1,6 +1,7 @@
 package cfventry
 
 import (
+	"slices"
 	"time"
 
 	"coltsfootvalve/common/cfverror"
@@ -23,7 +24,7 @@
 	for _, id := range req.Exclude {
 		exclude[id] = true
 	}
-	q := e.baseQuery(now, index.Service(req.Service), &cfvcall.Prompt{Model: req.Model})
+	q := e.baseQuery(now, index.Service(req.Service), req.Candidate, &cfvcall.Prompt{Model: req.Model})
 	q.PromptTokens, q.SharedTokens, q.Affinity, q.Exclude, q.Domain = req.Tokens, req.SharedTokens, req.Affinity, exclude, req.Domain
 	q.ColdRequestsPerSecond = 0 // the entry that sends the request enforces its own share of the limit
 	workspace := &cfvfleet.Workspace{Name: req.Isolated, Isolated: req.Isolated != ""}
@@ -36,7 +37,12 @@
 		}
 	}
 	sizer := e.poolSizer(req.Service)
-	q.ShortPool, q.LongTokens = sizer.ShortPool(q.Endpoints), sizer.LongTokens()
+	q.LongTokens = sizer.LongTokens()
+	if req.Candidate {
+		q.ShortPool, _ = sizer.CandidatePool(q.Endpoints)
+	} else {
+		q.ShortPool = sizer.ShortPool(q.Endpoints)
+	}
 	q.Restrict(cfvdispatch.EndpointsInGroup(q.Endpoints, req.Group, req.GroupCount))
 	q.Grants, q.Slowness = e.grantTable, e.admission(req.Service).Slowness()
 	if engine := index.Service(req.Service).Engine; engine != nil {
@@ -54,7 +60,9 @@
 	case cfvdispatch.Reject:
 		return cfvreserve.Placement{RetryAfter: after}, true
 	}
-	e.watch(now, q, choice, workspace, req)
+	if !req.Candidate { // how long a new version takes tells nothing about the links of the stores
+		e.watch(now, q, choice, workspace, req)
+	}
 	q.RecordGrant(now, req.RequestID, choice.Endpoint)
 	p = cfvreserve.Placement{Endpoint: choice.Endpoint.ID}
 	p.Salt, p.Transfers = e.planTransfers(now, q, choice, workspace, req.Parts)
@@ -128,7 +136,12 @@
 		e.cfg.Parts.Do(func(c *cfvparts.Catalog) { c.EndWatch(e.cfg.Now(), request, !over) })
 	}
 	var ep *cfvfleet.Endpoint // read before e.mu is locked: the leader locks it while it reads the state
-	e.cfg.State.Read(func(v *cfvfleet.View) { ep = v.Endpoint(endpoint) })
+	candidate := false
+	e.cfg.State.Read(func(v *cfvfleet.View) {
+		if ep = v.Endpoint(endpoint); ep != nil {
+			candidate = slices.Contains(v.Serving(ep.Service, true), ep)
+		}
+	})
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if over {
@@ -136,7 +149,7 @@
 		return
 	}
 	expected, took, ok := e.grantTable.PrefillDone(e.cfg.Now(), endpoint, request)
-	if ok && ep != nil {
+	if ok && ep != nil && !candidate { // nor about the other endpoints
 		e.admission(ep.Service).RecordPrefill(expected, took)
 	}
 }
@@ -146,12 +159,15 @@
 // again, or a refusal.
 func (q *request) reserve(query *cfvdispatch.Query) (hold time.Duration, refusal *httpRefusal) {
 	e := q.entry
-	if e.cfg.Reserve == nil || query.PromptTokens < cfvdispatch.PlacedPromptTokens || len(query.Endpoints) < 2 {
+	if e.cfg.Reserve == nil || query.PromptTokens < cfvdispatch.PlacedPromptTokens || len(query.Endpoints) == 0 {
+		return 0, nil
+	}
+	if len(query.Endpoints) == 1 && !q.candidate { // a single candidate may be too busy, while others serve the request
 		return 0, nil
 	}
 	req := cfvreserve.Request{
 		RequestID: q.meta.ID, Service: q.service.Name, Model: query.Model, Affinity: query.Affinity, Tokens: query.PromptTokens,
-		SharedTokens: query.SharedTokens, Domain: query.Domain, Entry: e.cfg.Name, Parts: q.meta.Prompt.SharedParts(),
+		SharedTokens: query.SharedTokens, Domain: query.Domain, Entry: e.cfg.Name, Parts: q.meta.Prompt.SharedParts(), Candidate: q.candidate,
 	}
 	if q.workspace != nil && q.workspace.Isolated {
 		req.Isolated = q.workspace.Name
@@ -213,12 +229,13 @@
 	}
 }
 
-// baseQuery returns the inputs to the choice that do not depend on the single request.
-func (e *Entry) baseQuery(now time.Duration, service *cfvfleet.Service, p *cfvcall.Prompt) cfvdispatch.Query {
+// baseQuery returns the inputs to the choice that do not depend on the single request. The argument candidate
+// selects the endpoints that serve the share of a roll-out.
+func (e *Entry) baseQuery(now time.Duration, service *cfvfleet.Service, candidate bool, p *cfvcall.Prompt) cfvdispatch.Query {
 	q := cfvdispatch.Query{ColdRequestsPerSecond: service.ColdRequestsPerSecond, Model: p.Model, Domain: e.cfg.Domain}
 	cold := make(map[string]time.Duration)
 	e.cfg.State.Read(func(v *cfvfleet.View) {
-		q.Endpoints = v.Usable(service.Name)
+		q.Endpoints = v.Serving(service.Name, candidate)
 		for _, ep := range q.Endpoints {
 			if until := v.ColdUntil(ep.ID); until > now {
 				cold[ep.ID] = until
--- a/io/cfventry/stream.go
+++ b/io/cfventry/stream.go
@@ -115,7 +115,7 @@
 		}
 		hedge.stop()
 		prefillDone()
-		q.recordEvents()
+		q.recordAnswering()
 		if !q.stream.started {
 			q.copyHeaders(resp)
 			q.w.WriteHeader(resp.StatusCode)
@@ -123,6 +123,7 @@
 			q.recordFirstEvent(ep)
 		}
 		q.stream.recordBatch(q.entry.cfg.Now())
+		q.recordEvents(ep, len(batch))
 		if id := lastEventID(batch); id != "" {
 			q.stream.lastEventID = id
 		}
--- a/io/cfvexchange/weights_test.go
+++ b/io/cfvexchange/weights_test.go
@@ -44,6 +44,7 @@
 			Self: name, State: state, Now: clock, Log: cfvlog.Discard(), Parts: func(f func(c *cfvparts.Catalog)) { f(cfvparts.NewCatalog()) },
 			Loads: func() map[string]cfvdispatch.Load { return nil }, Demands: func() map[string]cfvdispatch.Demand { return nil },
 			Suspicions: func() []cfvlimit.Suspicion { return nil }, Count: func(string, int64) {},
+			PartUpdate: func(string) cfvlimit.PartUpdate { return cfvlimit.PartUpdate{} }, MergeParts: func(cfvlimit.PartUpdate) {},
 		}))
 	}
 	for i, x := range exchanges {
--- a/io/cfvleader/leader_test.go
+++ b/io/cfvleader/leader_test.go
@@ -45,8 +45,10 @@
 	orders          []sentOrder
 	loaded          map[string]int64
 	states          map[string]*cfvstate.State
-	stateAge        time.Duration // age of the entries' states
-	handoverPause   time.Duration // minimum time between the orders of two leaders; 0: endpoints check fencing tokens
+	stateAge        time.Duration  // age of the entries' states
+	handoverPause   time.Duration  // minimum time between the orders of two leaders; 0: endpoints check fencing tokens
+	rollouts        map[string]int // how often each entry carried out roll-outs
+	staleRollouts   int            // likewise, while another entry was the leader
 }
 
 type sentOrder struct {
@@ -211,15 +213,31 @@
 		},
 		FreeParts: func(context.Context, string, int64, []cfvparts.Key) error { return nil },
 		Catalog:   func(f func(*cfvparts.Catalog)) { f(cfvparts.NewCatalog()) },
+		Rollouts:  c.carryOutRollouts(node),
 		Count:     func(string, int64) {},
 	})
 }
 
+// carryOutRollouts returns a function that checks that only the leader carries out roll-outs.
+func (c *cluster) carryOutRollouts(node string) func(context.Context, int64) {
+	return func(_ context.Context, fencingToken int64) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.expire()
+		if c.leader != "" && c.leader != node || c.leader == node && c.fencingToken != fencingToken {
+			c.staleRollouts++
+		}
+		c.rollouts[node]++
+	}
+}
+
 // checkOrders checks that orders of different leaders are separated by the handover pause and
 // that fencing tokens rise.
 func (c *cluster) checkOrders(t *testing.T) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	assert.Assert(t, len(c.rollouts) > 0, "no entry carried out roll-outs")
+	assert.Equal(t, c.staleRollouts, 0, "entries that are not the leader carried out roll-outs")
 	for i := 1; i < len(c.orders); i++ {
 		before, after := c.orders[i-1], c.orders[i]
 		if before.leader == after.leader {
@@ -243,7 +261,7 @@
 
 // newCluster returns a cluster without entries.
 func newCluster(pause time.Duration) *cluster {
-	return &cluster{disconnected: make(map[string]bool), loaded: make(map[string]int64), states: make(map[string]*cfvstate.State), handoverPause: pause}
+	return &cluster{disconnected: make(map[string]bool), loaded: make(map[string]int64), states: make(map[string]*cfvstate.State), rollouts: make(map[string]int), handoverPause: pause}
 }
 
 // Failure: after weights were set, the leader froze, and 4.3 s passed until the next one sent its first order:
@@ -303,6 +321,39 @@
 	}
 }
 
+// Failure: the killed leader's entry restarted and acquired the leadership again. It knew only from the recorded
+// progress and its clock, which was behind, how long ago a roll-out was ordered, and completed it too late.
+func TestRestartedEntryLeavesTheLeadershipToOthers(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(0)
+			start := time.Now()
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			for i := range 3 {
+				l := c.newLeader(fmt.Sprint("entry-", i), start)
+				wg.Go(func() { l.Run(ctx) })
+			}
+			restarted := c.newLeader("restarted", start)
+			time.Sleep(2 * time.Second)
+			c.mu.Lock()
+			killed := c.leader
+			c.disconnected[killed] = true
+			c.mu.Unlock()
+			time.Sleep(time.Second)
+			wg.Go(func() { restarted.Run(ctx) })
+			time.Sleep(3 * time.Second)
+			c.mu.Lock()
+			next := c.leader
+			c.mu.Unlock()
+			cancel()
+			wg.Wait()
+			time.Sleep(40 * time.Second) // lets the goroutines that confirm the states end
+			assert.Assert(t, next != "" && next != killed && next != "restarted", "the next leader is %q", next)
+		})
+	}
+}
+
 func TestOrdersComeFromOneLeaderAtATime(t *testing.T) {
 	tests := map[string]func(c *cluster, stop map[string]context.CancelFunc){
 		"without faults": func(*cluster, map[string]context.CancelFunc) {},
