Give suspicions of parts and requests fields of their own on the wire

Cause: the messages were reserved before the evidence was designed, so that its states were packed into a suffix of the endpoint's name, the order of ages, and parts without a service.

Change: PartCrash says whether it was answering and is cleared, PartSuspicion whether the part was ever answered, the newest answer of each service is a message of its own, and a pull's request carries suspicions of whole requests like its response. The test of the codec compares all fields exactly now, without the rounding that the packing needed; that of suspect requests in a pull is unchanged but for a setting that is gone.

--- a/commands/hosted_entry.go
+++ b/commands/hosted_entry.go
@@ -79,7 +79,7 @@
 	})
 	h.exchange = cfvexchange.New(cfvexchange.Config{
 		Self: settings.Node, Domain: settings.Domain, Seeds: settings.Seeds, State: h.state, Now: cfvclock.SinceBoot, Loads: h.entry.Loads, Demands: h.entry.Demands, Parts: h.parts.Do,
-		Suspicions: h.entry.Suspicions, AddSuspicion: h.entry.AddSuspicion, SuspicionTTL: h.entry.SuspicionTTL(), PartUpdate: h.entry.PartUpdate, MergeParts: h.entry.MergeParts, Log: log.Component("exchange"), Count: h.metrics.Count,
+		Suspicions: h.entry.Suspicions, AddSuspicion: h.entry.AddSuspicion, PartUpdate: h.entry.PartUpdate, MergeParts: h.entry.MergeParts, Log: log.Component("exchange"), Count: h.metrics.Count,
 		StartMillis: time.Now().UnixMilli(),
 	})
 	h.rollouts = h.newRollouts()
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -310,9 +310,6 @@
 	return e.dispatcher.LocalLoads()
 }
 
-// SuspicionTTL returns how long a request stays suspect after its last crash.
-func (e *Entry) SuspicionTTL() time.Duration { return suspicionTTL }
-
 // Suspicions returns suspicions against requests that crash endpoints, for a peer. The ones that were sent
 // least often come first, so that all peers learn of a new one, however many they are.
 func (e *Entry) Suspicions() []cfvlimit.Suspicion {
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -49,7 +49,6 @@
 	Parts        func(func(c *cfvparts.Catalog))
 	Suspicions   func() []cfvlimit.Suspicion
 	AddSuspicion func(cfvlimit.Suspicion)
-	SuspicionTTL time.Duration                         // of a suspicion, from its newest crash on
 	PartUpdate   func(peer string) cfvlimit.PartUpdate // what a peer should know about parts of prompts that crash endpoints
 	MergeParts   func(cfvlimit.PartUpdate)
 	Log          cfvlog.Logger
@@ -209,21 +208,33 @@
 			c.Merge(sentAt, storeUpdateFromWire(update))
 		}
 	})
-	x.cfg.MergeParts(partsFromWire(msg.GetParts()))
-	for _, s := range msg.GetSuspicions() {
-		x.cfg.AddSuspicion(cfvlimit.Suspicion{
-			Fingerprint: s.GetFingerprint(), Endpoints: s.GetEndpoints(),
-			Until: time.Now().Add(time.Duration(s.GetLeftMillis()) * time.Millisecond),
-		})
-	}
+	x.mergeSuspicions(msg)
 	return nil
 }
 
+// suspicionMessage is a message that tells which requests and parts of prompts are suspected.
+type suspicionMessage interface {
+	GetParts() []*cfvwireentry.PartSuspicion
+	GetServed() []*cfvwireentry.ServedAge
+	GetSuspicions() []*cfvwireentry.Suspicion
+}
+
+// mergeSuspicions merges the suspicions of a peer.
+func (x *Exchange) mergeSuspicions(msg suspicionMessage) {
+	x.cfg.MergeParts(cfvlimit.PartUpdate{Suspicions: partsFromWire(msg.GetParts()), Served: servedFromWire(msg.GetServed())})
+	for _, s := range suspicionsFromWire(time.Now(), msg.GetSuspicions()) {
+		x.cfg.AddSuspicion(s)
+	}
+}
+
 // pullRequest returns the request of a pull from the peer at addr. It also tells the peer what this entry
 // has seen, since a relay seldom pulls from an entry that is none.
 func (x *Exchange) pullRequest(addr string) *cfvwireentry.PullRequest {
-	parts := append(partsToWire(x.cfg.PartUpdate(addr)), requestsToWire(time.Now(), x.cfg.SuspicionTTL, x.cfg.Suspicions())...)
-	return &cfvwireentry.PullRequest{Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(), Parts: parts}
+	u := x.cfg.PartUpdate(addr)
+	return &cfvwireentry.PullRequest{
+		Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(),
+		Parts: partsToWire(u.Suspicions), Served: servedToWire(u.Served), Suspicions: suspicionsToWire(time.Now(), x.cfg.Suspicions()),
+	}
 }
 
 // Pull serves a pull of a peer: it records the peer's load and returns the updates that the peer
@@ -232,10 +243,7 @@
 	if l := req.Msg.GetLoad(); l != nil {
 		x.applyLoad(l)
 	}
-	x.cfg.MergeParts(partsFromWire(req.Msg.GetParts()))
-	for _, s := range requestsFromWire(time.Now(), x.cfg.SuspicionTTL, req.Msg.GetParts()) {
-		x.cfg.AddSuspicion(s)
-	}
+	x.mergeSuspicions(req.Msg)
 	records, asOf, full := x.cfg.State.Delta(req.Msg.GetAsOf())
 	out := &cfvwireentry.PullResponse{AsOf: asOf, AgeMillis: -1, Full: full, Records: recordsToWire(records)}
 	if age, ok := x.cfg.State.Age(); ok {
@@ -248,12 +256,9 @@
 			out.Stores = append(out.Stores, storeUpdateToWire(update))
 		}
 	})
-	for _, s := range x.cfg.Suspicions() {
-		out.Suspicions = append(out.Suspicions, &cfvwireentry.Suspicion{
-			Fingerprint: s.Fingerprint, Endpoints: s.Endpoints, LeftMillis: time.Until(s.Until).Milliseconds(),
-		})
-	}
-	out.Parts = partsToWire(x.cfg.PartUpdate(fmt.Sprintf("%s/%d", req.Msg.GetEntry(), req.Msg.GetLoad().GetStarted())))
+	u := x.cfg.PartUpdate(fmt.Sprintf("%s/%d", req.Msg.GetEntry(), req.Msg.GetLoad().GetStarted()))
+	out.Parts, out.Served = partsToWire(u.Suspicions), servedToWire(u.Served)
+	out.Suspicions = suspicionsToWire(time.Now(), x.cfg.Suspicions())
 	return connect.NewResponse(out), nil
 }
 
--- a/io/cfvexchange/parts.go
+++ b/io/cfvexchange/parts.go
@@ -1,109 +1,61 @@
 package cfvexchange
 
 import (
-	"strings"
 	"time"
 
 	"coltsfootvalve/core/cfvlimit"
 	"coltsfootvalve/io/cfvwire/cfvwireentry"
 )
 
-// answeringSuffix marks an endpoint whose requests had all got several events when it crashed.
-const answeringSuffix = "#answering"
-
-// partsToWire converts an update about parts. The crashes that an answer has cleared are a message of
-// their own, whose answer is newer than all of them; in any other message the answer is older than all
-// crashes. A message without a part tells of the newest answer of the service.
-func partsToWire(u cfvlimit.PartUpdate) (out []*cfvwireentry.PartSuspicion) {
-	for service, age := range u.Served {
-		out = append(out, &cfvwireentry.PartSuspicion{Service: service, ServedAgeMillis: age.Milliseconds() + 1})
-	}
-	for _, s := range u.Suspicions {
-		open := &cfvwireentry.PartSuspicion{Service: s.Service, Part: s.Part, ServedAgeMillis: -1}
-		cleared := &cfvwireentry.PartSuspicion{Service: s.Service, Part: s.Part}
+func partsToWire(list []cfvlimit.PartSuspicion) (out []*cfvwireentry.PartSuspicion) {
+	for _, s := range list {
+		w := &cfvwireentry.PartSuspicion{Service: s.Service, Part: s.Part, Answered: s.Answered}
 		for _, c := range s.Crashes {
-			m := crashToWire(c)
-			if !c.Cleared {
-				open.Crashes = append(open.Crashes, m)
-				if s.Answered {
-					open.ServedAgeMillis = max(open.ServedAgeMillis, m.GetAgeMillis())
-				}
-				continue
-			}
-			m.AgeMillis++
-			if len(cleared.GetCrashes()) == 0 || m.GetAgeMillis() <= cleared.GetServedAgeMillis() {
-				cleared.ServedAgeMillis = m.GetAgeMillis() - 1
-			}
-			cleared.Crashes = append(cleared.Crashes, m)
-		}
-		if len(open.GetCrashes()) > 0 {
-			out = append(out, open)
-		}
-		if len(cleared.GetCrashes()) > 0 {
-			out = append(out, cleared)
+			w.Crashes = append(w.Crashes, &cfvwireentry.PartCrash{Endpoint: c.Endpoint, AgeMillis: c.Age.Milliseconds(), Answering: c.Answering, Cleared: c.Cleared})
 		}
+		out = append(out, w)
 	}
 	return out
 }
 
-func crashToWire(c cfvlimit.PartCrash) *cfvwireentry.PartCrash {
-	endpoint := c.Endpoint
-	if c.Answering {
-		endpoint += answeringSuffix
-	}
-	return &cfvwireentry.PartCrash{Endpoint: endpoint, AgeMillis: c.Age.Milliseconds()}
-}
-
-func partsFromWire(list []*cfvwireentry.PartSuspicion) (u cfvlimit.PartUpdate) {
-	u.Served = make(map[string]time.Duration)
+func partsFromWire(list []*cfvwireentry.PartSuspicion) (out []cfvlimit.PartSuspicion) {
 	for _, w := range list {
-		served := w.GetServedAgeMillis()
-		if w.GetService() == "" {
-			continue // suspects a whole request
-		}
-		if w.GetPart() == "" {
-			u.Served[w.GetService()] = time.Duration(served) * time.Millisecond
-			continue
-		}
-		s := cfvlimit.PartSuspicion{PartKey: cfvlimit.PartKey{Service: w.GetService(), Part: w.GetPart()}, Answered: served >= 0}
+		s := cfvlimit.PartSuspicion{PartKey: cfvlimit.PartKey{Service: w.GetService(), Part: w.GetPart()}, Answered: w.GetAnswered()}
 		for _, c := range w.GetCrashes() {
-			endpoint, answering := strings.CutSuffix(c.GetEndpoint(), answeringSuffix)
 			s.Crashes = append(s.Crashes, cfvlimit.PartCrash{
-				Endpoint: endpoint, Answering: answering, Age: time.Duration(c.GetAgeMillis()) * time.Millisecond,
-				Cleared: served >= 0 && c.GetAgeMillis() > served,
+				Endpoint: c.GetEndpoint(), Age: time.Duration(c.GetAgeMillis()) * time.Millisecond, Answering: c.GetAnswering(), Cleared: c.GetCleared(),
 			})
 		}
-		u.Suspicions = append(u.Suspicions, s)
+		out = append(out, s)
+	}
+	return out
+}
+
+func servedToWire(served map[string]time.Duration) (out []*cfvwireentry.ServedAge) {
+	for service, age := range served {
+		out = append(out, &cfvwireentry.ServedAge{Service: service, AgeMillis: age.Milliseconds() + 1})
+	}
+	return out
+}
+
+func servedFromWire(list []*cfvwireentry.ServedAge) map[string]time.Duration {
+	out := make(map[string]time.Duration, len(list))
+	for _, w := range list {
+		out[w.GetService()] = time.Duration(w.GetAgeMillis()) * time.Millisecond
 	}
-	return u
+	return out
 }
 
-// requestsToWire converts suspicions against whole requests, for the request of a pull. They are messages
-// without a service, whose part is the fingerprint.
-func requestsToWire(now time.Time, ttl time.Duration, list []cfvlimit.Suspicion) (out []*cfvwireentry.PartSuspicion) {
+func suspicionsToWire(now time.Time, list []cfvlimit.Suspicion) (out []*cfvwireentry.Suspicion) {
 	for _, s := range list {
-		w := &cfvwireentry.PartSuspicion{Part: s.Fingerprint, ServedAgeMillis: -1}
-		age := max(ttl-s.Until.Sub(now), 0)
-		for _, e := range s.Endpoints {
-			w.Crashes = append(w.Crashes, &cfvwireentry.PartCrash{Endpoint: e, AgeMillis: age.Milliseconds()})
-		}
-		out = append(out, w)
+		out = append(out, &cfvwireentry.Suspicion{Fingerprint: s.Fingerprint, Endpoints: s.Endpoints, LeftMillis: s.Until.Sub(now).Milliseconds()})
 	}
 	return out
 }
 
-func requestsFromWire(now time.Time, ttl time.Duration, list []*cfvwireentry.PartSuspicion) (out []cfvlimit.Suspicion) {
+func suspicionsFromWire(now time.Time, list []*cfvwireentry.Suspicion) (out []cfvlimit.Suspicion) {
 	for _, w := range list {
-		if w.GetService() != "" || len(w.GetCrashes()) == 0 {
-			continue
-		}
-		s := cfvlimit.Suspicion{Fingerprint: w.GetPart()}
-		age := max(time.Duration(w.GetCrashes()[0].GetAgeMillis())*time.Millisecond, 0)
-		for _, c := range w.GetCrashes() {
-			s.Endpoints = append(s.Endpoints, c.GetEndpoint())
-		}
-		s.Until = now.Add(ttl - age)
-		out = append(out, s)
+		out = append(out, cfvlimit.Suspicion{Fingerprint: w.GetFingerprint(), Endpoints: w.GetEndpoints(), Until: now.Add(time.Duration(w.GetLeftMillis()) * time.Millisecond)})
 	}
 	return out
 }
--- a/io/cfvexchange/parts_test.go
+++ b/io/cfvexchange/parts_test.go
@@ -32,22 +32,11 @@
 	}
 	for name, want := range tests {
 		t.Run(name, func(t *testing.T) {
-			merged := cfvlimit.PartSuspicion{PartKey: key, Answered: want[0].Answered}
-			for _, s := range want {
-				merged.Crashes = append(merged.Crashes, s.Crashes...)
-			}
-			got := partsFromWire(partsToWire(cfvlimit.PartUpdate{Served: map[string]time.Duration{"s": time.Second}, Suspicions: []cfvlimit.PartSuspicion{merged}}))
-			assert.Equal(t, got.Served["s"], time.Second+time.Millisecond)
-			for i := range got.Suspicions {
-				for j, c := range got.Suspicions[i].Crashes {
-					if c.Cleared {
-						got.Suspicions[i].Crashes[j].Age -= time.Millisecond // rounded up
-					}
-				}
-			}
-			assert.DeepEqual(t, got.Suspicions, want)
+			assert.DeepEqual(t, partsFromWire(partsToWire(want)), want)
 		})
 	}
+	served := servedFromWire(servedToWire(map[string]time.Duration{"s": time.Second}))
+	assert.Equal(t, served["s"], time.Second+time.Millisecond) // rounded up
 }
 
 // newSuspectingExchange returns an exchange whose entry suspects some requests, and the suspicions that it receives.
@@ -55,7 +44,7 @@
 	now := func() time.Duration { return time.Hour }
 	received := new([]cfvlimit.Suspicion)
 	return New(Config{
-		Self: name, Now: now, Log: cfvlog.Discard(), SuspicionTTL: time.Minute,
+		Self: name, Now: now, Log: cfvlog.Discard(),
 		State: cfvstate.New(cfvstate.Config{Now: now, Log: cfvlog.Discard(), Decode: func(cfvmirror.Record) (c cfvfleet.Change, err error) { return c, nil }}),
 		Loads: func() map[string]cfvdispatch.Load { return nil }, Demands: func() map[string]cfvdispatch.Demand { return nil },
 		Parts:      func(f func(*cfvparts.Catalog)) { f(cfvparts.NewCatalog()) },
