Prefer each newer version of weights by its own time

What callers saw: responses on weights that were replaced long ago, although endpoints with newer ones had room. Change: the query has the oldest version that is not avoided.

The row of TestChooseFollowsDesiredWeights that set the flag sets the version instead, and one row is new.

--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -209,7 +209,7 @@
 	if q.inWrongPool(e) {
 		ms += q.wrongPoolMs(e.Domain, cached)
 	}
-	if q.PreferNewWeights && d.WeightsVersion(e, q.Model) < q.DesiredWeights {
+	if d.WeightsVersion(e, q.Model) < q.PreferredWeights {
 		ms += oldWeightsPenaltyMs
 	}
 	if now < s.loadingUntil {
--- a/core/cfvdispatch/dispatcher_test.go
+++ b/core/cfvdispatch/dispatcher_test.go
@@ -56,7 +56,8 @@
 		why  Reason
 	}{
 		"old weights are still allowed":                           {q: Query{DesiredWeights: 2}, why: Chosen},
-		"new weights are preferred":                               {q: Query{DesiredWeights: 2, PreferNewWeights: true}, want: "i-01", why: Chosen},
+		"new weights are preferred":                               {q: Query{DesiredWeights: 2, PreferredWeights: 2}, want: "i-01", why: Chosen},
+		"the oldest weights are avoided":                          {q: Query{DesiredWeights: 3, PreferredWeights: 2}, want: "i-01", why: Chosen},
 		"old weights are refused":                                 {q: Query{DesiredWeights: 2, OldestWeights: 2}, want: "i-01", why: Chosen},
 		"only the oldest weights are refused":                     {q: Query{DesiredWeights: 3, OldestWeights: 2}, want: "i-01", why: Chosen},
 		"no endpoint has the weights":                             {q: Query{DesiredWeights: 3, OldestWeights: 3}, why: AllOnOldWeights},
--- a/core/cfvdispatch/query.go
+++ b/core/cfvdispatch/query.go
@@ -22,7 +22,7 @@
 	Model                 string
 	DesiredWeights        int64                               // desired version; 0: not set
 	OldestWeights         int64                               // oldest version on which requests may start; 0: any
-	PreferNewWeights      bool                                // responses on older weights lose value
+	PreferredWeights      int64                               // responses on older versions lose value; 0: none
 	MayFetchOldParts      func(id string, version int64) bool // whether an endpoint may fetch parts of a replaced version; nil: none may
 	Domain                string
 	Exclude               map[string]bool // endpoints that rejected the request
--- a/core/cfvdispatch/sample.go
+++ b/core/cfvdispatch/sample.go
@@ -63,7 +63,7 @@
 func (d *Dispatcher) healthy(now time.Duration, e *cfvfleet.Endpoint, q Query) bool {
 	s := d.stateOf(e)
 	return now >= s.unavailableUntil && now >= s.loadingUntil && d.coldUntil(e, s, q) <= now && s.outcomes.excess(now) == 0 &&
-		(!q.PreferNewWeights || d.WeightsVersion(e, q.Model) >= q.DesiredWeights)
+		d.WeightsVersion(e, q.Model) >= q.PreferredWeights
 }
 
 // tieBreak returns an offset of at most a millisecond that breaks ties between endpoints: the
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -226,7 +226,7 @@
 		}
 		if desired := v.Desired(p.Model); p.Model != "" && desired.Version > 0 {
 			q.DesiredWeights = desired.Version
-			q.PreferNewWeights = !desired.Certain || now-desired.Since > preferNewWeightsAfter
+			q.PreferredWeights = desired.Oldest(func(w cfvfleet.WeightsVersion) bool { return !w.Certain || now-w.Since > preferNewWeightsAfter })
 			q.MayFetchOldParts = oldPartsFetchable(now, v, desired, q.Endpoints)
 			q.OldestWeights = e.oldestWeights(now, desired, p.Model, q.Endpoints)
 		}
--- a/io/cfventry/weights_test.go
+++ b/io/cfventry/weights_test.go
@@ -363,3 +363,20 @@
 		})
 	}
 }
+
+// Guards against lost value: when a version was named soon after another, endpoints with the oldest version were
+// not avoided any more.
+func TestOldestWeightsAreAvoidedAfterAnotherVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newWeightsFleet(t, map[string]int64{"a": 1, "b": 2})
+		defer f.close()
+		f.name(1)
+		f.name(2)
+		time.Sleep(3 * time.Second)
+		f.name(3)
+		for i := range 20 {
+			assert.Equal(t, ask(f.entry, "/ask/", strconv.Itoa(i)).Code, http.StatusOK)
+		}
+		assert.Equal(t, len(f.received("a:1")), 0)
+	})
+}
