Send a request again to an endpoint whose idle connection broke before

What callers saw: a request that met an idle connection just as it closed was refused with 503 although its endpoint was well, where the service had no other endpoint left.

Cause: an attempt that was not sent, since its kept connection broke, excluded the endpoint from the request's next attempts. Such a connection tells nothing of the endpoint; a new one that can't be made does.

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -258,14 +258,14 @@
 		q.recordFailure(ep)
 		return outcomeExpired
 	}
+	if !wasSent && sent.reused {
+		return outcomeNotRun // the connection broke while it was idle, which tells nothing of the endpoint
+	}
 	q.excluded[ep.ID] = true
+	e.markUnavailable(ep, q.service)
 	if !wasSent {
-		if !sent.reused {
-			e.markUnavailable(ep, q.service)
-		}
 		return outcomeNotRun
 	}
-	e.markUnavailable(ep, q.service)
 	q.recordCrash(ep)
 	q.recordFailure(ep)
 	return outcomeFailed
--- a/io/cfventry/endpoint_faults_test.go
+++ b/io/cfventry/endpoint_faults_test.go
@@ -89,6 +89,7 @@
 	state.Confirm(2, now())
 	return New(Config{
 		Name: "entry", State: state, Now: now, Random: func() float64 { return 0.5 }, Log: cfvlog.Discard(), Metrics: cfvmetric.New(), Dial: endpoint.dial,
+		Limits: Limits{RetryRatio: 1, RetrySlack: 10, RetryWindow: 10 * time.Second},
 		Codec: Codec{
 			ReadRequestMeta: func(h http.Header) (cfvcall.RequestMeta, error) {
 				return cfvcall.RequestMeta{ID: h.Get(testRequestID), Timeout: 20 * time.Second}, nil
