--- a/core/cfvlimit/parts_test.go
+++ b/core/cfvlimit/parts_test.go
@@ -221,6 +221,7 @@
 	entries     int
 	perSecond   float64       // requests
 	shares      []float64     // of the requests, with each deadly part
+	soundBefore bool          // the parts are answered until they become deadly
 	sameParts   bool          // the requests with a deadly part have all other parts in common, else they vary
 	firsts      int           // first parts of prompts
 	subjects    int           // second parts
@@ -261,6 +262,7 @@
 	load      partLoad
 	random    *rand.Rand
 	now       time.Duration
+	deadlyAt  time.Duration
 	entries   []*PartQuarantine
 	endpoints []simEndpoint
 	crashes   map[string][]time.Duration // by deadly part
@@ -286,6 +288,7 @@
 
 func (f *simFleet) run() {
 	begin := f.now
+	f.deadlyAt = begin + simDeadlyAt
 	relays := min(max(f.load.entries/10, 3), 9, f.load.entries)
 	for ; f.now < begin+simLength; f.now += simStep {
 		since := f.now - begin
@@ -308,7 +311,7 @@
 	deadlyPart := ""
 	x := f.random.Float64()
 	for i, share := range f.load.shares {
-		if x -= share; deadly && x < 0 {
+		if x -= share; (deadly || f.load.soundBefore) && x < 0 {
 			deadlyPart = fmt.Sprint("deadly", i)
 			break
 		}
@@ -321,7 +324,9 @@
 	}
 	entry := f.random.IntN(len(f.entries))
 	_, blocked := f.entries[entry].Blocked(f.now, "s", parts)
-	f.note(deadlyPart, parts, !blocked)
+	if deadly || deadlyPart == "" {
+		f.note(deadlyPart, parts, !blocked)
+	}
 	if blocked {
 		return
 	}
@@ -361,7 +366,7 @@
 	for _, r := range ep.running {
 		if !r.begun && f.now >= r.begin {
 			r.begun = true
-			if len(r.parts) > 2 {
+			if len(r.parts) > 2 && f.now >= f.deadlyAt {
 				f.crashes[r.parts[2]] = append(f.crashes[r.parts[2]], f.now)
 				r.begun = false
 				f.crash(i)
@@ -452,6 +457,9 @@
 		"two at once with the same parts, 88 entries":    {entries: 88, perSecond: 100, shares: []float64{0.05, 0.05}, sameParts: true},
 		"a rare one in a storm of crashes, 8 entries":    {entries: 8, perSecond: 400, shares: []float64{0.02, 0.002}, firsts: 30, subjects: 3000},
 		"a rare one in a storm of crashes, 88 entries":   {entries: 88, perSecond: 400, shares: []float64{0.02, 0.002}, firsts: 30, subjects: 3000},
+		"answered before, 8 entries":                     {entries: 8, perSecond: 40, shares: []float64{0.05}, soundBefore: true, sameParts: true},
+		"answered before, 88 entries":                    {entries: 88, perSecond: 100, shares: []float64{0.05}, soundBefore: true},
+		"answered before, two at once, 8 entries":        {entries: 8, perSecond: 40, shares: []float64{0.05, 0.1}, soundBefore: true},
 		"broken connections, 8 entries":                  {entries: 8, perSecond: 40, shares: []float64{0.05}, sameParts: true, broken: 0.02},
 		"broken connections, 295 entries":                {entries: 295, perSecond: 100, shares: []float64{0.05}, broken: 0.02},
 		"endpoints crash for other reasons, 8 entries":   {entries: 8, perSecond: 40, shares: []float64{0.05}, sameParts: true, otherCrash: 2 * time.Second},
