End the exchange of crashes that aren't kept

Cause, found by reading: an entry keeps 16 crashes of a part. One that it had deleted came back from a peer that still had it, was deleted again, and counted as a change each time, which both told all others: without end, ten minutes long, after a storm of crashes.

Change: a crash that is not kept is no change. An answer now also counts if its request names parts but no model.

--- a/core/cfvlimit/parts.go
+++ b/core/cfvlimit/parts.go
@@ -87,7 +87,7 @@
 // peerProgress is how far a peer has been told of the changes.
 type peerProgress struct {
 	sent    uint64
-	marked  uint64 // sent at markedAt
+	marked  uint64 // sent at markAt
 	settled uint64 // sent at least resendTime ago
 	resent  uint64
 	markAt  time.Duration
@@ -183,8 +183,9 @@
 		if began, ok := q.lastAnswer(key); ok && c.at < began {
 			c.cleared = true
 		}
-		s.insert(endpoint, c)
-		q.markChanged(now, s)
+		if s.insert(endpoint, c) {
+			q.markChanged(now, s)
+		}
 		return
 	}
 	have.at = min(have.at, c.at)
@@ -206,15 +207,19 @@
 	s.changedAt = now
 }
 
-// insert adds a crash and deletes the least important one if there are too many.
-func (s *suspectPart) insert(endpoint string, c partCrash) {
+// insert adds a crash and deletes the least important one if there are too many. It reports whether the
+// added one is kept.
+func (s *suspectPart) insert(endpoint string, c partCrash) bool {
 	s.crashes[endpoint] = &c
 	if !c.cleared {
 		s.open++
 	}
-	if len(s.crashes) > maxCrashesPerPart {
-		s.remove(s.leastImportant())
+	if len(s.crashes) <= maxCrashesPerPart {
+		return true
 	}
+	least := s.leastImportant()
+	s.remove(least)
+	return least != endpoint
 }
 
 // leastImportant returns the oldest of the crashes that are cleared. If none is, it returns one from the
--- a/core/cfvlimit/parts_test.go
+++ b/core/cfvlimit/parts_test.go
@@ -544,3 +544,36 @@
 		assert.Equal(t, peer.parts[key].open, s.open, "crashes with %s", key.Part)
 	}
 }
+
+// Failure: entries that knew more crashes with a part than they keep told each other of the ones that the other
+// had just deleted, without end.
+func TestExchangeOfManyCrashesEnds(t *testing.T) {
+	for _, cleared := range []int{0, 5, 20} {
+		t.Run(fmt.Sprint(cleared, " cleared"), func(t *testing.T) {
+			q, peer := NewPartQuarantine(DefaultPartConfig()), NewPartQuarantine(DefaultPartConfig())
+			now := time.Minute
+			for i := range 40 {
+				side := q
+				if i%3 == 0 {
+					side = peer
+				}
+				side.RecordCrash(now, "s", []string{"p"}, fmt.Sprint("e", i), false)
+				if i < cleared {
+					q.RecordAnswer(now+ms, now+ms, "s", []string{"p"})
+				}
+				now += 100 * ms
+			}
+			exchange := func(rounds int) {
+				for range rounds {
+					peer.Merge(now+3*ms, q.Update(now, "peer"))
+					q.Merge(now+8*ms, peer.Update(now+5*ms, "q"))
+					now += 200 * ms
+				}
+			}
+			exchange(20)
+			before := q.changes + peer.changes
+			exchange(20)
+			assert.Equal(t, q.changes+peer.changes, before)
+		})
+	}
+}
--- a/io/cfventry/parts.go
+++ b/io/cfventry/parts.go
@@ -53,7 +53,7 @@
 
 // recordPartsAnswered records that the endpoint survived the begin of its answer.
 func (q *request) recordPartsAnswered() {
-	if q.meta.Prompt.Model == "" || q.answer.recorded {
+	if len(q.meta.Prompt.Parts) == 0 || q.answer.recorded {
 		return
 	}
 	q.answer.recorded = true
