--- a/core/cfvlimit/parts_test.go
+++ b/core/cfvlimit/parts_test.go
@@ -221,6 +221,7 @@
 	entries     int
 	perSecond   float64       // requests
 	shares      []float64     // of the requests, with each deadly part
+	fromStart   bool          // the parts are deadly before anything was answered
 	soundBefore bool          // the parts are answered until they become deadly
 	sameParts   bool          // the requests with a deadly part have all other parts in common, else they vary
 	firsts      int           // first parts of prompts
@@ -289,12 +290,15 @@
 func (f *simFleet) run() {
 	begin := f.now
 	f.deadlyAt = begin + simDeadlyAt
+	if f.load.fromStart {
+		f.deadlyAt = begin
+	}
 	relays := min(max(f.load.entries/10, 3), 9, f.load.entries)
 	for ; f.now < begin+simLength; f.now += simStep {
 		since := f.now - begin
 		for n := f.load.perSecond * simStep.Seconds(); n > 0; n-- {
 			if f.random.Float64() < n {
-				f.arrive(since >= simDeadlyAt)
+				f.arrive(f.now >= f.deadlyAt)
 			}
 		}
 		for i := range f.endpoints {
@@ -452,11 +456,15 @@
 		"a hundredth, 88 entries":                        {entries: 88, perSecond: 200, shares: []float64{0.01}},
 		"a fifth, 8 entries":                             {entries: 8, perSecond: 40, shares: []float64{0.2}, sameParts: true},
 		"half, 8 entries":                                {entries: 8, perSecond: 40, shares: []float64{0.5}},
-		"half, all other parts the same, 88 entries":     {entries: 88, perSecond: 12, shares: []float64{0.5}, sameParts: true},
+		"half, all other parts the same, 88 entries":     {entries: 88, perSecond: 60, shares: []float64{0.5}, sameParts: true},
 		"two at once, 8 entries":                         {entries: 8, perSecond: 40, shares: []float64{0.04, 0.06}},
 		"two at once with the same parts, 88 entries":    {entries: 88, perSecond: 100, shares: []float64{0.05, 0.05}, sameParts: true},
 		"a rare one in a storm of crashes, 8 entries":    {entries: 8, perSecond: 400, shares: []float64{0.02, 0.002}, firsts: 30, subjects: 3000},
 		"a rare one in a storm of crashes, 88 entries":   {entries: 88, perSecond: 400, shares: []float64{0.02, 0.002}, firsts: 30, subjects: 3000},
+		"frequent second parts, 8 entries":               {entries: 8, perSecond: 80, shares: []float64{0.05}, subjects: 20, sameParts: true},
+		"frequent second parts, 88 entries":              {entries: 88, perSecond: 100, shares: []float64{0.1}, subjects: 10, sameParts: true},
+		"from the start, 8 entries":                      {entries: 8, perSecond: 40, shares: []float64{0.05}, sameParts: true, fromStart: true},
+		"from the start, 88 entries":                     {entries: 88, perSecond: 100, shares: []float64{0.1}, fromStart: true},
 		"answered before, 8 entries":                     {entries: 8, perSecond: 40, shares: []float64{0.05}, soundBefore: true, sameParts: true},
 		"answered before, 88 entries":                    {entries: 88, perSecond: 100, shares: []float64{0.05}, soundBefore: true},
 		"answered before, two at once, 8 entries":        {entries: 8, perSecond: 40, shares: []float64{0.05, 0.1}, soundBefore: true},
@@ -487,7 +495,7 @@
 // check checks the bounds of BUDGET and LOST.
 func (f *simFleet) check(t *testing.T) {
 	t.Helper()
-	from := f.now - simLength + simDeadlyAt
+	from := f.deadlyAt
 	for i := range f.load.shares {
 		part := fmt.Sprint("deadly", i)
 		crashes := f.crashes[part]
