Tell peers that a suspect part was answered

Cause, found by reading: an answer that began before all crashes with its part clears none, and was no change, so peers went on to take the part for one that was never answered, which is blocked sooner.

Failed before: TestPeersLearnThatPartWasAnswered (no suspicion in the update).

--- a/core/cfvlimit/parts.go
+++ b/core/cfvlimit/parts.go
@@ -137,7 +137,10 @@
 		if s == nil {
 			continue
 		}
-		s.answered = true
+		if !s.answered {
+			s.answered = true
+			q.markChanged(now, s)
+		}
 		for _, c := range s.crashes {
 			if !c.cleared && c.at < began {
 				c.cleared = true
--- a/core/cfvlimit/parts_test.go
+++ b/core/cfvlimit/parts_test.go
@@ -585,3 +585,24 @@
 		})
 	}
 }
+
+// An answer that began before the crashes with its part clears none, but makes the part less suspect, also at peers.
+func TestPeersLearnThatPartWasAnswered(t *testing.T) {
+	q, peer := NewPartQuarantine(DefaultPartConfig()), NewPartQuarantine(DefaultPartConfig())
+	now := time.Minute
+	q.RecordCrash(now, "s", []string{"p"}, "e", false)
+	for range 5 {
+		peer.Merge(now, q.Update(now, "peer"))
+		now += time.Second
+	}
+	q.RecordAnswer(now, time.Minute-time.Second, "s", []string{"p"})
+	peer.Merge(now, PartUpdate{Suspicions: changedParts(q, "peer", now)})
+	assert.Equal(t, peer.parts[PartKey{"s", "p"}].open, 1)
+	assert.Assert(t, peer.parts[PartKey{"s", "p"}].answered)
+}
+
+// changedParts returns what an update holds beside the parts that are sent in turn.
+func changedParts(q *PartQuarantine, peer string, now time.Duration) []PartSuspicion {
+	q.order = nil
+	return q.Update(now, peer).Suspicions
+}
