Name the log line for what was seen

A broken answer doesn't show that its endpoint went down: a faulty one may truncate answers and live. No decision changes.

--- a/io/cfventry/parts.go
+++ b/io/cfventry/parts.go
@@ -34,10 +34,10 @@
 // incarnation identifies one start of an endpoint.
 func incarnation(ep *cfvfleet.Endpoint) string { return fmt.Sprintf("%s/%d", ep.ID, ep.StartMillis) }
 
-// logCrash logs and counts that an endpoint went down while it ran the request.
+// logCrash logs and counts that an endpoint broke off the request.
 func (q *request) logCrash(ep *cfvfleet.Endpoint) {
-	q.entry.cfg.Metrics.Count("endpoints.crashes", 1)
-	q.logAttempt(ep, "an endpoint went down while it ran a request",
+	q.entry.cfg.Metrics.Count("endpoints.brokenOff", 1)
+	q.logAttempt(ep, "an endpoint broke off a request",
 		"service", q.service.Name, "incarnation", incarnation(ep), "parts", q.sharedPartIDs(), "batches", q.answer.batches)
 }
 
