Split the files of the quarantine of parts

The evidence of a part and the updates for peers are files of their own, and so is the simulated fleet of the tests. Code was moved, not changed.

--- a/core/cfvlimit/parts.go
+++ b/core/cfvlimit/parts.go
@@ -1,7 +1,6 @@
 package cfvlimit
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -84,31 +83,6 @@
 	peers    map[string]*peerProgress  // by peer
 }
 
-// peerProgress is how far a peer has been told of the changes.
-type peerProgress struct {
-	sent    uint64
-	marked  uint64 // sent at markAt
-	settled uint64 // sent at least resendTime ago
-	resent  uint64
-	markAt  time.Duration
-	usedAt  time.Duration
-}
-
-// suspectPart is the merged evidence against a part.
-type suspectPart struct {
-	crashes   map[string]*partCrash // by endpoint incarnation
-	open      int                   // crashes that no answer has cleared
-	answered  bool
-	changedAt time.Duration
-	change    uint64 // number of the last change of any part, at this one's last change
-}
-
-type partCrash struct {
-	at        time.Duration
-	answering bool
-	cleared   bool
-}
-
 // NewPartQuarantine returns an empty quarantine.
 func NewPartQuarantine(cfg PartConfig) *PartQuarantine {
 	return &PartQuarantine{
@@ -210,44 +184,6 @@
 	s.changedAt = now
 }
 
-// insert adds a crash and deletes the least important one if there are too many. It reports whether the
-// added one is kept.
-func (s *suspectPart) insert(endpoint string, c partCrash) bool {
-	s.crashes[endpoint] = &c
-	if !c.cleared {
-		s.open++
-	}
-	if len(s.crashes) <= maxCrashesPerPart {
-		return true
-	}
-	least := s.leastImportant()
-	s.remove(least)
-	return least != endpoint
-}
-
-// leastImportant returns the oldest of the crashes that are cleared. If none is, it returns one from the
-// middle, since the first and the last ones tell when and for how long the part is blocked.
-func (s *suspectPart) leastImportant() string {
-	endpoints := slices.Collect(maps.Keys(s.crashes))
-	slices.SortFunc(endpoints, func(a, b string) int {
-		return cmp.Or(cmp.Compare(s.crashes[a].at, s.crashes[b].at), cmp.Compare(a, b))
-	})
-	for _, e := range endpoints {
-		if s.crashes[e].cleared {
-			return e
-		}
-	}
-	return endpoints[len(endpoints)/2]
-}
-
-// remove deletes the crash of an endpoint.
-func (s *suspectPart) remove(endpoint string) {
-	if !s.crashes[endpoint].cleared {
-		s.open--
-	}
-	delete(s.crashes, endpoint)
-}
-
 // recordServed records when an answer of a service began.
 func (q *PartQuarantine) recordServed(service string, began time.Duration) {
 	if at, ok := q.served[service]; ok && began > at || !ok && len(q.served) < maxServedServices {
@@ -359,27 +295,6 @@
 	return len(left) == 0
 }
 
-// uncleared returns the crashes that no answer has cleared, in the order of their times.
-func (s *suspectPart) uncleared() (out []partCrash) {
-	for _, c := range s.crashes {
-		if !c.cleared {
-			out = append(out, *c)
-		}
-	}
-	slices.SortFunc(out, func(a, b partCrash) int { return cmp.Compare(a.at, b.at) })
-	return out
-}
-
-func (s *suspectPart) unclearedByEndpoint() map[string]bool {
-	out := make(map[string]bool, len(s.crashes))
-	for e, c := range s.crashes {
-		if !c.cleared {
-			out[e] = true
-		}
-	}
-	return out
-}
-
 // evictPart deletes the part with the fewest crashes, of these the one that changed first,
 // if the table is full.
 func (q *PartQuarantine) evictPart() {
@@ -421,116 +336,6 @@
 	}
 }
 
-// Update returns what a peer should know: the changes since the last update for this peer, about
-// once a second the parts with several crashes, and of the other parts a few in turn. A change is sent twice, since an
-// update may get lost.
-func (q *PartQuarantine) Update(now time.Duration, peer string) PartUpdate {
-	if len(q.parts) == 0 {
-		return PartUpdate{}
-	}
-	p, due := q.progress(now, peer)
-	var urgent, changed, repeated []PartKey
-	for key, s := range q.parts {
-		switch {
-		case s.open >= q.cfg.Crashes && (due || s.change > p.sent):
-			urgent = append(urgent, key)
-		case s.change > p.sent:
-			changed = append(changed, key)
-		case s.change > p.resent && s.change <= p.settled:
-			repeated = append(repeated, key)
-		}
-	}
-	urgent, rest := q.mostCrashes(urgent, maxUrgentPerUpdate)
-	changed, p.sent = q.firstChanged(append(changed, q.changedSince(rest, p.sent)...), maxChangedPerUpdate, q.changes)
-	repeated, p.resent = q.firstChanged(repeated, maxRepeatsPerUpdate, p.settled)
-	keys := slices.Concat(urgent, changed, repeated, q.rotate(maxRotatedPerUpdate))
-	out := PartUpdate{Served: make(map[string]time.Duration)}
-	for _, key := range keys {
-		out.Suspicions = append(out.Suspicions, q.suspicion(now, key))
-		if at, ok := q.served[key.Service]; ok {
-			out.Served[key.Service] = now - at
-		}
-	}
-	return out
-}
-
-// progress returns how far a peer has been told of the changes, and whether it is due to be told of the
-// parts with several crashes again.
-func (q *PartQuarantine) progress(now time.Duration, peer string) (p *peerProgress, due bool) {
-	p = q.peers[peer]
-	if p == nil {
-		p = &peerProgress{markAt: now}
-		q.peers[peer] = p
-	}
-	p.usedAt = now
-	if due = now-p.markAt >= resendTime; due {
-		p.settled, p.marked, p.markAt = p.marked, p.sent, now
-	}
-	return p, due
-}
-
-// rotate returns the next n parts of all that have uncleared crashes, in turn.
-func (q *PartQuarantine) rotate(n int) (out []PartKey) {
-	for range min(n, len(q.order)) {
-		key := q.order[0]
-		q.order = q.order[1:]
-		if s := q.parts[key]; s != nil {
-			q.order = append(q.order, key)
-			if s.open > 0 {
-				out = append(out, key)
-			}
-		}
-	}
-	return out
-}
-
-// firstChanged returns the n parts that changed first, and the last change up to which they are complete;
-// last if all parts are among them.
-func (q *PartQuarantine) firstChanged(keys []PartKey, n int, last uint64) ([]PartKey, uint64) {
-	if len(keys) <= n {
-		return keys, last
-	}
-	slices.SortFunc(keys, func(a, b PartKey) int { return cmp.Compare(q.parts[a].change, q.parts[b].change) })
-	return keys[:n], q.parts[keys[n-1]].change
-}
-
-// changedSince returns the parts that changed after a change.
-func (q *PartQuarantine) changedSince(keys []PartKey, change uint64) (out []PartKey) {
-	for _, key := range keys {
-		if q.parts[key].change > change {
-			out = append(out, key)
-		}
-	}
-	return out
-}
-
-// mostCrashes returns the n parts with most crashes, of these the ones that changed last, and the rest.
-func (q *PartQuarantine) mostCrashes(keys []PartKey, n int) (most, rest []PartKey) {
-	if len(keys) <= n {
-		return keys, nil
-	}
-	slices.SortFunc(keys, func(a, b PartKey) int {
-		x, y := q.parts[a], q.parts[b]
-		return cmp.Or(cmp.Compare(y.open, x.open), cmp.Compare(y.change, x.change))
-	})
-	return keys[:n], keys[n:]
-}
-
-func compareKeys(a, b PartKey) int {
-	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Part, b.Part))
-}
-
-// suspicion returns the evidence against a part, in the order of the endpoints.
-func (q *PartQuarantine) suspicion(now time.Duration, key PartKey) PartSuspicion {
-	s := q.parts[key]
-	out := PartSuspicion{PartKey: key, Answered: s.answered}
-	for e, c := range s.crashes {
-		out.Crashes = append(out.Crashes, PartCrash{Endpoint: e, Age: now - c.at, Answering: c.answering, Cleared: c.cleared})
-	}
-	slices.SortFunc(out.Crashes, func(a, b PartCrash) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
-	return out
-}
-
 // Evidence returns what is known against a part.
 func (q *PartQuarantine) Evidence(now time.Duration, key PartKey) PartSuspicion {
 	if q.parts[key] == nil {
