--- a/core/cfvrollout/policy.go
+++ b/core/cfvrollout/policy.go
@@ -28,10 +28,11 @@
 const (
 	baseCanaryShare    = 0.05 // of a service with many requests
 	maxCanaryShare     = 0.5  // of a service with so few requests that the slack covers them
-	canaryPart         = 0.5  // part of the allowed exposure that the canary share is planned to use
+	canaryPart         = 0.5  // part of the allowed share that the canary share is planned to use
+	canarySlackPart    = 0.8  // likewise of the slack
 	guardPart          = 0.6  // part of it from which on the canary share is the base
 	pausePart          = 0.85 // part of it from which on the canary share is 0
-	canaryChange       = 1.5  // smaller factors between two canary shares aren't worth a write
+	canaryChange       = 1.25 // smaller factors between two canary shares aren't worth a write
 	capacityPart       = 0.5  // endpoints of the target version that more than the canary share needs, per other endpoint
 	minRequests        = 20   // requests to the service of which some must reach the target version
 	minRequestsPerStep = 10   // requests of the target version that each step needs before the next one
@@ -45,6 +46,7 @@
 	maxWriteRoom      = 3 * time.Second
 	recordParts       = 10 // the elapsed time is recorded once in this part of the duration
 	minRecordInterval = 2 * time.Second
+	recordWrites      = 4 // likewise, at most once in the time of this many writes, since a step waits for the write before it
 )
 
 // Policy decides how one order goes on. Times are durations on the clock of its owner. It is not safe for
@@ -158,7 +160,7 @@
 	if r.ProgressAt == 0 || next.Phase != r.Progress.Phase || next.Share != r.Progress.Share {
 		return true
 	}
-	return next.Elapsed-r.Progress.Elapsed >= max(p.order.Duration/recordParts, minRecordInterval)
+	return next.Elapsed-r.Progress.Elapsed >= max(p.order.Duration/recordParts, minRecordInterval, recordWrites*p.writeTook)
 }
 
 // decide sets the verdict if there is reason for one, and returns the suspicion against the version.
@@ -206,8 +208,8 @@
 	if suspicion != "" {
 		return false
 	}
-	if p.share >= 1 {
-		return p.due(now, p.schedule.finish)
+	if p.share >= 1 && p.due(now, p.schedule.finish) && now-p.sharedAt >= minDrain {
+		return true
 	}
 	return p.due(now, p.schedule.decision) && p.hasEvidence(now)
 }
@@ -232,7 +234,7 @@
 		return 1
 	}
 	if suspicion != "" {
-		return p.canaryShare(now)
+		return min(p.canaryShare(now), max(p.share, p.baseShare()))
 	}
 	step := p.step()
 	if p.mayStep(now, f, step) {
@@ -296,7 +298,8 @@
 		return max(base, p.share)
 	}
 	planned := all * float64(p.order.Duration) / float64(p.Elapsed(now))
-	share := min(max(canaryPart*p.limits.allowed(planned)/planned, base), maxCanaryShare)
+	use := canaryPart*p.limits.ExposureShare*planned + canarySlackPart*p.limits.ExposureSlack
+	share := min(max(use/planned, base), maxCanaryShare)
 	if p.share > 0 && share < p.share*canaryChange && share > p.share/canaryChange {
 		return p.share
 	}
