--- a/core/cfvrollout/policy_test.go
+++ b/core/cfvrollout/policy_test.go
@@ -37,6 +37,7 @@
 	startAfter time.Duration // until the endpoints of the target version are there
 	coldFor    time.Duration // from then on
 	coldSlow   float64       // share of slow requests of the target version while it is cold
+	stepSlow   float64       // share of slow requests of the target version in the two seconds after a larger share
 	noise      float64       // share of failures and of slow requests of either version
 	rareRoute  float64       // share of the requests on the second route
 	failures   func(t time.Duration, route string, share float64) float64
@@ -89,6 +90,7 @@
 	policy   *Policy
 	leaderIn time.Duration // when the next leader begins
 	writing  *recordedProgress
+	raisedAt time.Duration // when the share grew last
 	badCount float64
 	out      outcome
 }
@@ -182,6 +184,9 @@
 		if s.now < s.startAfter+s.coldFor {
 			slow += s.coldSlow
 		}
+		if s.now < s.raisedAt+2*time.Second {
+			slow += s.stepSlow
+		}
 		q.cold = s.now < s.warmAt()
 	}
 	s.countSent(q, bad)
@@ -275,6 +280,9 @@
 	if s.writing == nil || s.now < s.writing.at {
 		return
 	}
+	if n := len(s.records); n > 0 && s.writing.Share > s.records[n-1].Share {
+		s.raisedAt = s.now
+	}
 	s.records = append(s.records, *s.writing)
 	if s.writing.Phase != cfvfleet.RolloutRunning && s.out.endedAt == 0 {
 		s.out.progress, s.out.endedAt = s.writing.RolloutProgress, s.now
@@ -320,19 +328,20 @@
 // Guards against a roll-out of a sound version that is taken back, or is not done by its deadline.
 func TestGoodVersionsAreCompletedInTime(t *testing.T) {
 	tests := map[string]func(w *world){
-		"plain":              func(*world) {},
-		"short":              func(w *world) { w.duration = 12 * time.Second },
-		"two minutes":        func(w *world) { w.duration = 2 * time.Minute },
-		"88 entries":         func(w *world) { w.entries = 88 },
-		"295 entries":        func(w *world) { w.entries = 295 },
-		"noise":              func(w *world) { w.noise = 0.05 },
-		"no noise":           func(w *world) { w.noise = 0 },
-		"few callers":        func(w *world) { w.perSecond = 2 },
-		"hardly any callers": func(w *world) { w.perSecond = 0.6 },
-		"cold start":         func(w *world) { w.coldFor, w.coldSlow = 3*time.Second, 0.8 },
-		"burst":              func(w *world) { w.burst = [2]time.Duration{7 * time.Second, 9 * time.Second} },
-		"burst in the ramp":  func(w *world) { w.burst = [2]time.Duration{10 * time.Second, 11 * time.Second} },
-		"outage":             func(w *world) { w.outage, w.outageFail = [2]time.Duration{5 * time.Second, 8 * time.Second}, 0.2 },
+		"plain":                       func(*world) {},
+		"short":                       func(w *world) { w.duration = 12 * time.Second },
+		"two minutes":                 func(w *world) { w.duration = 2 * time.Minute },
+		"88 entries":                  func(w *world) { w.entries = 88 },
+		"295 entries":                 func(w *world) { w.entries = 295 },
+		"noise":                       func(w *world) { w.noise = 0.05 },
+		"no noise":                    func(w *world) { w.noise = 0 },
+		"few callers":                 func(w *world) { w.perSecond = 2 },
+		"hardly any callers":          func(w *world) { w.perSecond = 0.6 },
+		"cold start":                  func(w *world) { w.coldFor, w.coldSlow = 3*time.Second, 0.8 },
+		"new candidates, cold caches": func(w *world) { w.stepSlow = 0.11 },
+		"burst":                       func(w *world) { w.burst = [2]time.Duration{7 * time.Second, 9 * time.Second} },
+		"burst in the ramp":           func(w *world) { w.burst = [2]time.Duration{10 * time.Second, 11 * time.Second} },
+		"outage":                      func(w *world) { w.outage, w.outageFail = [2]time.Duration{5 * time.Second, 8 * time.Second}, 0.2 },
 		"outage in the ramp": func(w *world) {
 			w.outage, w.outageFail = [2]time.Duration{9500 * time.Millisecond, 11 * time.Second}, 0.2
 		},
