--- a/core/cfvrollout/policy_test.go
+++ b/core/cfvrollout/policy_test.go
@@ -328,20 +328,19 @@
 // Guards against a roll-out of a sound version that is taken back, or is not done by its deadline.
 func TestGoodVersionsAreCompletedInTime(t *testing.T) {
 	tests := map[string]func(w *world){
-		"plain":                       func(*world) {},
-		"short":                       func(w *world) { w.duration = 12 * time.Second },
-		"two minutes":                 func(w *world) { w.duration = 2 * time.Minute },
-		"88 entries":                  func(w *world) { w.entries = 88 },
-		"295 entries":                 func(w *world) { w.entries = 295 },
-		"noise":                       func(w *world) { w.noise = 0.05 },
-		"no noise":                    func(w *world) { w.noise = 0 },
-		"few callers":                 func(w *world) { w.perSecond = 2 },
-		"hardly any callers":          func(w *world) { w.perSecond = 0.6 },
-		"cold start":                  func(w *world) { w.coldFor, w.coldSlow = 3*time.Second, 0.8 },
-		"new candidates, cold caches": func(w *world) { w.stepSlow = 0.11 },
-		"burst":                       func(w *world) { w.burst = [2]time.Duration{7 * time.Second, 9 * time.Second} },
-		"burst in the ramp":           func(w *world) { w.burst = [2]time.Duration{10 * time.Second, 11 * time.Second} },
-		"outage":                      func(w *world) { w.outage, w.outageFail = [2]time.Duration{5 * time.Second, 8 * time.Second}, 0.2 },
+		"plain":              func(*world) {},
+		"short":              func(w *world) { w.duration = 12 * time.Second },
+		"two minutes":        func(w *world) { w.duration = 2 * time.Minute },
+		"88 entries":         func(w *world) { w.entries = 88 },
+		"295 entries":        func(w *world) { w.entries = 295 },
+		"noise":              func(w *world) { w.noise = 0.05 },
+		"no noise":           func(w *world) { w.noise = 0 },
+		"few callers":        func(w *world) { w.perSecond = 2 },
+		"hardly any callers": func(w *world) { w.perSecond = 0.6 },
+		"cold start":         func(w *world) { w.coldFor, w.coldSlow = 3*time.Second, 0.8 },
+		"burst":              func(w *world) { w.burst = [2]time.Duration{7 * time.Second, 9 * time.Second} },
+		"burst in the ramp":  func(w *world) { w.burst = [2]time.Duration{10 * time.Second, 11 * time.Second} },
+		"outage":             func(w *world) { w.outage, w.outageFail = [2]time.Duration{5 * time.Second, 8 * time.Second}, 0.2 },
 		"outage in the ramp": func(w *world) {
 			w.outage, w.outageFail = [2]time.Duration{9500 * time.Millisecond, 11 * time.Second}, 0.2
 		},
@@ -394,25 +393,24 @@
 // Guards against the exposure of callers to a bad version.
 func TestBadVersionsAreRolledBackWithinTheExposure(t *testing.T) {
 	tests := map[string]func(w *world){
-		"all fail":           func(w *world) { w.failures = constant(1) },
-		"half fail":          func(w *world) { w.failures = constant(0.5) },
-		"a tenth fails":      func(w *world) { w.failures = constant(0.1) },
-		"all slow":           func(w *world) { w.slow = constant(1) },
-		"half slow":          func(w *world) { w.slow = constant(0.5) },
-		"a third slow":       func(w *world) { w.slow = constant(0.3) },
-		"late":               func(w *world) { w.failures = since(7*time.Second, 0.5) },
-		"late and slow":      func(w *world) { w.slow = since(8*time.Second, 0.5) },
-		"late, a third slow": func(w *world) { w.slow = since(8*time.Second, 0.3) },
-		"before the ramp":    func(w *world) { w.slow = since(9*time.Second, 0.5) },
-		"one route":          func(w *world) { w.failures = on("text", 0.5) },
-		"few callers":        func(w *world) { w.perSecond, w.failures = 20, constant(0.5) },
-		"few callers, slow":  func(w *world) { w.perSecond, w.slow = 20, constant(0.5) },
-		"cold":               func(w *world) { w.coldFor, w.coldSlow, w.slow = 3*time.Second, 0.8, constant(0.5) },
-		"noise":              func(w *world) { w.noise, w.slow = 0.05, constant(0.5) },
-		"two minutes":        func(w *world) { w.duration, w.slow = 2*time.Minute, constant(0.5) },
-		"two minutes, late":  func(w *world) { w.duration, w.slow = 2*time.Minute, since(80*time.Second, 0.5) },
-		"handover":           func(w *world) { w.handovers, w.failures = []time.Duration{5 * time.Second}, since(6*time.Second, 0.5) },
-		"slow writes":        func(w *world) { w.slowWrites, w.slow = time.Second, constant(0.5) },
+		"all fail":          func(w *world) { w.failures = constant(1) },
+		"half fail":         func(w *world) { w.failures = constant(0.5) },
+		"a tenth fails":     func(w *world) { w.failures = constant(0.1) },
+		"all slow":          func(w *world) { w.slow = constant(1) },
+		"half slow":         func(w *world) { w.slow = constant(0.5) },
+		"a third slow":      func(w *world) { w.slow = constant(0.3) },
+		"late":              func(w *world) { w.failures = since(7*time.Second, 0.5) },
+		"late and slow":     func(w *world) { w.slow = since(8*time.Second, 0.5) },
+		"before the ramp":   func(w *world) { w.slow = since(9*time.Second, 0.5) },
+		"one route":         func(w *world) { w.failures = on("text", 0.5) },
+		"few callers":       func(w *world) { w.perSecond, w.failures = 20, constant(0.5) },
+		"few callers, slow": func(w *world) { w.perSecond, w.slow = 20, constant(0.5) },
+		"cold":              func(w *world) { w.coldFor, w.coldSlow, w.slow = 3*time.Second, 0.8, constant(0.5) },
+		"noise":             func(w *world) { w.noise, w.slow = 0.05, constant(0.5) },
+		"two minutes":       func(w *world) { w.duration, w.slow = 2*time.Minute, constant(0.5) },
+		"two minutes, late": func(w *world) { w.duration, w.slow = 2*time.Minute, since(80*time.Second, 0.5) },
+		"handover":          func(w *world) { w.handovers, w.failures = []time.Duration{5 * time.Second}, since(6*time.Second, 0.5) },
+		"slow writes":       func(w *world) { w.slowWrites, w.slow = time.Second, constant(0.5) },
 	}
 	for name, change := range tests {
 		for _, entries := range []int{8, 88, 295} {
@@ -432,6 +430,32 @@
 	}
 }
 
+// Failure: a good version was rolled back after a step, since the candidates that it added had cold caches.
+func TestNewCandidatesWithColdCachesAreNoFault(t *testing.T) {
+	for _, seed := range seeds(6) {
+		w := steady()
+		w.stepSlow = 0.11
+		got := w.run(seed)
+		assert.Equal(t, got.progress.Phase, cfvfleet.RolloutCompleted, "seed %d: %s after %v", seed, got.progress.Cause, got.endedAt)
+		assert.Assert(t, got.endedAt <= w.duration, "seed %d: ended after %v", seed, got.endedAt)
+	}
+}
+
+// Guards against a version that turns slow for a third of its requests just before the first step, and is found too
+// late.
+func TestLateSlownessOfAThirdIsFoundWithinTheExposure(t *testing.T) {
+	for _, entries := range []int{8, 88, 295} {
+		for _, seed := range seeds(2) {
+			w := steady()
+			w.entries, w.slow = entries, since(8*time.Second, 0.3)
+			got := w.run(seed)
+			assert.Equal(t, got.progress.Phase, cfvfleet.RolloutRolledBack, "%d entries, seed %d: ended after %v", entries, seed, got.endedAt)
+			assert.Assert(t, got.target <= testLimits.allowed(got.all), "%d entries, seed %d: %v of %v requests", entries, seed, got.target, got.all)
+			assert.Assert(t, got.sentAfterBound == 0, "%d entries, seed %d: %v requests sent too late", entries, seed, got.sentAfterBound)
+		}
+	}
+}
+
 // Guards against a version that is slow on a route with a tenth of the requests only, and is found too late.
 func TestSlownessOfARareRouteIsFoundWithinTheExposure(t *testing.T) {
 	for _, entries := range []int{8, 88, 295} {
