--- a/core/cfvrollout/policy_test.go
+++ b/core/cfvrollout/policy_test.go
@@ -37,6 +37,7 @@
 	startAfter time.Duration // until the endpoints of the target version are there
 	coldFor    time.Duration // from then on
 	coldSlow   float64       // share of slow requests of the target version while it is cold
+	stepSlow   float64       // share of slow requests of the target version in the two seconds after a larger share
 	noise      float64       // share of failures and of slow requests of either version
 	rareRoute  float64       // share of the requests on the second route
 	failures   func(t time.Duration, route string, share float64) float64
@@ -89,6 +90,7 @@
 	policy   *Policy
 	leaderIn time.Duration // when the next leader begins
 	writing  *recordedProgress
+	raisedAt time.Duration // when the share grew last
 	badCount float64
 	out      outcome
 }
@@ -182,6 +184,9 @@
 		if s.now < s.startAfter+s.coldFor {
 			slow += s.coldSlow
 		}
+		if s.now < s.raisedAt+2*time.Second {
+			slow += s.stepSlow
+		}
 		q.cold = s.now < s.warmAt()
 	}
 	s.countSent(q, bad)
@@ -275,6 +280,9 @@
 	if s.writing == nil || s.now < s.writing.at {
 		return
 	}
+	if n := len(s.records); n > 0 && s.writing.Share > s.records[n-1].Share {
+		s.raisedAt = s.now
+	}
 	s.records = append(s.records, *s.writing)
 	if s.writing.Phase != cfvfleet.RolloutRunning && s.out.endedAt == 0 {
 		s.out.progress, s.out.endedAt = s.writing.RolloutProgress, s.now
@@ -385,25 +393,24 @@
 // Guards against the exposure of callers to a bad version.
 func TestBadVersionsAreRolledBackWithinTheExposure(t *testing.T) {
 	tests := map[string]func(w *world){
-		"all fail":           func(w *world) { w.failures = constant(1) },
-		"half fail":          func(w *world) { w.failures = constant(0.5) },
-		"a tenth fails":      func(w *world) { w.failures = constant(0.1) },
-		"all slow":           func(w *world) { w.slow = constant(1) },
-		"half slow":          func(w *world) { w.slow = constant(0.5) },
-		"a third slow":       func(w *world) { w.slow = constant(0.3) },
-		"late":               func(w *world) { w.failures = since(7*time.Second, 0.5) },
-		"late and slow":      func(w *world) { w.slow = since(8*time.Second, 0.5) },
-		"late, a third slow": func(w *world) { w.slow = since(8*time.Second, 0.3) },
-		"before the ramp":    func(w *world) { w.slow = since(9*time.Second, 0.5) },
-		"one route":          func(w *world) { w.failures = on("text", 0.5) },
-		"few callers":        func(w *world) { w.perSecond, w.failures = 20, constant(0.5) },
-		"few callers, slow":  func(w *world) { w.perSecond, w.slow = 20, constant(0.5) },
-		"cold":               func(w *world) { w.coldFor, w.coldSlow, w.slow = 3*time.Second, 0.8, constant(0.5) },
-		"noise":              func(w *world) { w.noise, w.slow = 0.05, constant(0.5) },
-		"two minutes":        func(w *world) { w.duration, w.slow = 2*time.Minute, constant(0.5) },
-		"two minutes, late":  func(w *world) { w.duration, w.slow = 2*time.Minute, since(80*time.Second, 0.5) },
-		"handover":           func(w *world) { w.handovers, w.failures = []time.Duration{5 * time.Second}, since(6*time.Second, 0.5) },
-		"slow writes":        func(w *world) { w.slowWrites, w.slow = time.Second, constant(0.5) },
+		"all fail":          func(w *world) { w.failures = constant(1) },
+		"half fail":         func(w *world) { w.failures = constant(0.5) },
+		"a tenth fails":     func(w *world) { w.failures = constant(0.1) },
+		"all slow":          func(w *world) { w.slow = constant(1) },
+		"half slow":         func(w *world) { w.slow = constant(0.5) },
+		"a third slow":      func(w *world) { w.slow = constant(0.3) },
+		"late":              func(w *world) { w.failures = since(7*time.Second, 0.5) },
+		"late and slow":     func(w *world) { w.slow = since(8*time.Second, 0.5) },
+		"before the ramp":   func(w *world) { w.slow = since(9*time.Second, 0.5) },
+		"one route":         func(w *world) { w.failures = on("text", 0.5) },
+		"few callers":       func(w *world) { w.perSecond, w.failures = 20, constant(0.5) },
+		"few callers, slow": func(w *world) { w.perSecond, w.slow = 20, constant(0.5) },
+		"cold":              func(w *world) { w.coldFor, w.coldSlow, w.slow = 3*time.Second, 0.8, constant(0.5) },
+		"noise":             func(w *world) { w.noise, w.slow = 0.05, constant(0.5) },
+		"two minutes":       func(w *world) { w.duration, w.slow = 2*time.Minute, constant(0.5) },
+		"two minutes, late": func(w *world) { w.duration, w.slow = 2*time.Minute, since(80*time.Second, 0.5) },
+		"handover":          func(w *world) { w.handovers, w.failures = []time.Duration{5 * time.Second}, since(6*time.Second, 0.5) },
+		"slow writes":       func(w *world) { w.slowWrites, w.slow = time.Second, constant(0.5) },
 	}
 	for name, change := range tests {
 		for _, entries := range []int{8, 88, 295} {
@@ -423,6 +430,32 @@
 	}
 }
 
+// Failure: a good version was rolled back after a step, since the candidates that it added had cold caches.
+func TestNewCandidatesWithColdCachesAreNoFault(t *testing.T) {
+	for _, seed := range seeds(6) {
+		w := steady()
+		w.stepSlow = 0.11
+		got := w.run(seed)
+		assert.Equal(t, got.progress.Phase, cfvfleet.RolloutCompleted, "seed %d: %s after %v", seed, got.progress.Cause, got.endedAt)
+		assert.Assert(t, got.endedAt <= w.duration, "seed %d: ended after %v", seed, got.endedAt)
+	}
+}
+
+// Guards against a version that turns slow for a third of its requests just before the first step, and is found too
+// late.
+func TestLateSlownessOfAThirdIsFoundWithinTheExposure(t *testing.T) {
+	for _, entries := range []int{8, 88, 295} {
+		for _, seed := range seeds(2) {
+			w := steady()
+			w.entries, w.slow = entries, since(8*time.Second, 0.3)
+			got := w.run(seed)
+			assert.Equal(t, got.progress.Phase, cfvfleet.RolloutRolledBack, "%d entries, seed %d: ended after %v", entries, seed, got.endedAt)
+			assert.Assert(t, got.target <= testLimits.allowed(got.all), "%d entries, seed %d: %v of %v requests", entries, seed, got.target, got.all)
+			assert.Assert(t, got.sentAfterBound == 0, "%d entries, seed %d: %v requests sent too late", entries, seed, got.sentAfterBound)
+		}
+	}
+}
+
 // Guards against a version that is slow on a route with a tenth of the requests only, and is found too late.
 func TestSlownessOfARareRouteIsFoundWithinTheExposure(t *testing.T) {
 	for _, entries := range []int{8, 88, 295} {
