Count a long response that breaks off as a failure of its endpoint

A response over a megabyte is forwarded while it arrives, and was counted as a success before its end. So a version that breaks such responses off looked good in the evidence of a roll-out, and an endpoint that does so kept getting requests.

The outcome is now recorded at the end; a caller that stops reading is no failure of the endpoint.

TestOutcomesThatCountAsEvidence ("long, breaks off") failed before.

--- a/io/cfventry/response.go
+++ b/io/cfventry/response.go
@@ -30,13 +30,16 @@
 		return outcomeFailed
 	}
 	serverError := resp.StatusCode >= http.StatusInternalServerError
-	q.recordOutcome(ep, serverError)
+	long := len(body) > maxBufferedResponse
+	if serverError || !long {
+		q.recordOutcome(ep, serverError)
+	}
 	if serverError && q.canRetryElsewhere(ep) {
 		return outcomeFailed
 	}
 	hedge.stop()
 	q.copyHeaders(resp)
-	if len(body) > maxBufferedResponse {
+	if long {
 		return q.forwardLongResponse(ep, resp, body)
 	}
 	q.w.Header().Set("Content-Length", fmt.Sprint(len(body)))
@@ -70,14 +73,33 @@
 // breaks the connection of an incomplete response, so that the caller notices.
 func (q *request) forwardLongResponse(ep *cfvfleet.Endpoint, resp *http.Response, start []byte) outcome {
 	q.w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(q.w, io.MultiReader(bytes.NewReader(start), resp.Body)); err != nil {
+	rest := &endpointReader{r: resp.Body}
+	if _, err := io.Copy(q.w, io.MultiReader(bytes.NewReader(start), rest)); err != nil {
 		q.logAttempt(ep, "a long response was incomplete", "error", err.Error())
+		if rest.failed && !q.callerGone() {
+			q.recordFailure(ep)
+		}
 		panic(http.ErrAbortHandler)
 	}
+	if resp.StatusCode < http.StatusInternalServerError {
+		q.recordOutcome(ep, false)
+	}
 	q.recordServed(ep, resp.StatusCode)
 	return outcomeDone
 }
 
+// endpointReader tells whether the endpoint broke off, and not the caller.
+type endpointReader struct {
+	r      io.Reader
+	failed bool
+}
+
+func (e *endpointReader) Read(p []byte) (int, error) {
+	n, err := e.r.Read(p)
+	e.failed = err != nil && !errors.Is(err, io.EOF)
+	return n, err
+}
+
 // copyHeaders copies the headers of a response that the caller gets.
 func (q *request) copyHeaders(resp *http.Response) {
 	for name, values := range resp.Header {
--- a/io/cfventry/rollout_evidence_test.go
+++ b/io/cfventry/rollout_evidence_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,7 +54,8 @@
 // Guards against a bad version that is not noticed, or a good one that is blamed, since entries count what its
 // endpoints didn't cause or leave out what they did.
 func TestOutcomesThatCountAsEvidence(t *testing.T) {
-	const streamHead = "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const chunked = "HTTP/1.1 200 OK\r\nId: %s\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	longBody := fmt.Sprintf("%x\r\n%s\r\n", 2*maxBufferedResponse, strings.Repeat("x", 2*maxBufferedResponse))
 	tests := map[string]struct {
 		path, answer       string
 		hangs, leaves      bool // the endpoint sends nothing after the answer; the caller leaves
@@ -66,14 +68,16 @@
 		"garbage":               {path: "/book/", answer: "garbage %s", requests: 1, failures: 1},
 		"answer to another":     {path: "/book/", answer: "HTTP/1.1 200 OK\r\nId: not-%s\r\nStamp: s\r\nContent-Length: 0\r\n\r\n", requests: 1, failures: 1},
 		"answer of a proxy":     {path: "/book/", answer: "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 0\r\n\r\n", requests: 1, failures: 1},
+		"long answer":           {path: "/book/", answer: chunked + longBody + "0\r\n\r\n", requests: 1},
+		"long, breaks off":      {path: "/book/", answer: chunked + longBody + "X", requests: 1, failures: 1},
 		"no answer":             {path: "/book/", answer: "%.0s", hangs: true, requests: 1, failures: 1},
 		"no answer, left":       {path: "/book/", answer: "%.0s", hangs: true, leaves: true},
-		"whole stream":          {path: "/ask/", answer: streamHead + "6\r\nid:1\n\n\r\n0\r\n\r\n", requests: 1},
-		"stream ends in event":  {path: "/ask/", answer: streamHead + "9\r\nid:1\n\nid:\r\n0\r\n\r\n", requests: 1, failures: 1},
-		"stream breaks off":     {path: "/ask/", answer: streamHead + "6\r\nid:1\n\n\r\nX", requests: 1, failures: 1},
-		"stream stalls":         {path: "/ask/", answer: streamHead + "6\r\nid:1\n\n\r\n", hangs: true, requests: 1, failures: 1},
-		"stream stalls, left":   {path: "/ask/", answer: streamHead + "6\r\nid:1\n\n\r\n", hangs: true, leaves: true},
-		"nothing in the stream": {path: "/ask/", answer: streamHead + "0\r\n\r\n", requests: 1},
+		"whole stream":          {path: "/ask/", answer: chunked + "6\r\nid:1\n\n\r\n0\r\n\r\n", requests: 1},
+		"stream ends in event":  {path: "/ask/", answer: chunked + "9\r\nid:1\n\nid:\r\n0\r\n\r\n", requests: 1, failures: 1},
+		"stream breaks off":     {path: "/ask/", answer: chunked + "6\r\nid:1\n\n\r\nX", requests: 1, failures: 1},
+		"stream stalls":         {path: "/ask/", answer: chunked + "6\r\nid:1\n\n\r\n", hangs: true, requests: 1, failures: 1},
+		"stream stalls, left":   {path: "/ask/", answer: chunked + "6\r\nid:1\n\n\r\n", hangs: true, leaves: true},
+		"nothing in the stream": {path: "/ask/", answer: chunked + "0\r\n\r\n", requests: 1},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
