Test moves whose judge dies on virtual time

Its verdict now doesn't depend on the load of the host: the same condition and the same times on virtual time.

--- a/io/cfvnode/moves_test.go
+++ b/io/cfvnode/moves_test.go
@@ -137,16 +137,23 @@
 
 func TestMoveContinuesAfterJudgeDies(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, moveConfig(cfvfakeengine.Behaviour{}))
-	judge := c.judgeIndex()
-	l := c.startLoad(func(i int) int { return (judge + 1 + i%2) % 3 })
-	c.waitServed(l, 60)
-	c.startMove(40 * time.Second)
-	c.eventually("some traffic has moved", func() bool { return c.moveStatus((judge+1)%3).Share > 0 })
-	c.kill(judge)
-	c.vmList.Set(append(c.vms[:judge:judge], c.vms[judge+1:]...))
-	c.waitMoveState(cfvmoves.StateDone)
-	l.stopAndGetFailure()
+	cfg := moveConfig(cfvfakeengine.Behaviour{})
+	engine := cfg.engine
+	cfg.engine = func(cfg *cfvfakeengine.Config) {
+		engine(cfg)
+		cfg.DecodePerToken = 5 * time.Millisecond // fewer requests in the time of the move
+	}
+	runVirtual(t, cfg, func(_ *testing.T, c *cluster) {
+		judge := c.judgeIndex()
+		l := c.startLoad(func(i int) int { return (judge + 1 + i%2) % 3 })
+		c.waitServed(l, 60)
+		c.startMove(40 * time.Second)
+		c.eventually("some traffic has moved", func() bool { return c.moveStatus((judge+1)%3).Share > 0 })
+		c.kill(judge)
+		c.vmList.Set(append(c.vms[:judge:judge], c.vms[judge+1:]...))
+		c.waitMoveState(cfvmoves.StateDone)
+		l.stopAndGetFailure()
+	})
 }
 
 // judgeIndex returns the index of the node that decides on moves of the assistant service.
