Test leaving endpoints with an owner that answers late

The steps of the test with two cases moved into a function that both tests use; its assertions are the same.

--- a/io/cfvnode/recovery_test.go
+++ b/io/cfvnode/recovery_test.go
@@ -123,41 +123,64 @@
 	t.Parallel()
 	const path = "regions/pampeana/rosario/a0"
 	tests := map[string]func(c *cluster){
-		"reported by the VM list": func(c *cluster) {
-			vm := cfvvmlist.VM{Name: "a0", Address: c.addresses[path], Role: cfvvmlist.RoleEndpoint, State: cfvvmlist.StateLeaving}
-			c.vmList.Set(append([]cfvvmlist.VM{vm}, c.vms...))
-		},
+		"reported by the VM list":  func(c *cluster) { c.listAsLeaving(path) },
 		"reported by the endpoint": func(c *cluster) { c.engines[path].SetLeaving(true) },
 	}
 	for name, leave := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			runVirtual(t, clusterConfig{entries: 2, engines: 2, domains: []string{"rosario"}}, func(t *testing.T, c *cluster) {
-				l := c.startLoad(func(i int) int { return i % 2 })
-				c.waitServed(l, 40)
-				leave(c)
-				// Wait until the owner itself knows that the endpoint is leaving and all slots granted
-				// before are released. It is not enough that the endpoint is unavailable, which also
-				// happens for a while after a failed load report, or that another node knows.
-				c.eventually("the owner knows that the endpoint is leaving, and no slot is held", func() bool {
-					for _, n := range c.nodes {
-						for _, s := range n.owner.Statuses() {
-							if "regions/"+s.Name == path && s.Settled && s.BootID != "" && s.Leaving && s.Held == 0 {
-								return true
-							}
-						}
-					}
-					return false
-				})
-				before := c.engines[path].Stats().Requests
-				c.waitServed(l, 60)
-				assert.Equal(t, c.engines[path].Stats().Requests, before)
-				assert.Equal(t, l.stopAndGetFailure(), "")
+				c.requireNoRequestsOnceLeaving(t, path, leave)
 			})
 		})
 	}
 }
 
+// Failure: calls to the owner time out, and an entry sends requests without a grant to an endpoint that the VM list
+// reports as leaving.
+func TestLeavingEndpointGetsNoRequestsDespiteSlowOwner(t *testing.T) {
+	t.Parallel()
+	const path = "regions/pampeana/rosario/a0"
+	runVirtual(t, clusterConfig{entries: 2, engines: 2, domains: []string{"rosario"}}, func(t *testing.T, c *cluster) {
+		for _, n := range c.nodes {
+			c.network.SetLatency(n.cfg.PeerAddress, 140*time.Millisecond)
+		}
+		c.requireNoRequestsOnceLeaving(t, path, func(c *cluster) { c.listAsLeaving(path) })
+	})
+}
+
+// listAsLeaving reports an endpoint as leaving in the VM list.
+func (c *cluster) listAsLeaving(path string) {
+	vm := cfvvmlist.VM{Name: "a0", Address: c.addresses[path], Role: cfvvmlist.RoleEndpoint, State: cfvvmlist.StateLeaving}
+	c.vmList.Set(append([]cfvvmlist.VM{vm}, c.vms...))
+}
+
+// requireNoRequestsOnceLeaving lets an endpoint leave under load. It must get no requests once its
+// owner knows.
+func (c *cluster) requireNoRequestsOnceLeaving(t *testing.T, path string, leave func(c *cluster)) {
+	t.Helper()
+	l := c.startLoad(func(i int) int { return i % 2 })
+	c.waitServed(l, 40)
+	leave(c)
+	// Wait until the owner itself knows that the endpoint is leaving and all slots granted
+	// before are released. It is not enough that the endpoint is unavailable, which also
+	// happens for a while after a failed load report, or that another node knows.
+	c.eventually("the owner knows that the endpoint is leaving, and no slot is held", func() bool {
+		for _, n := range c.nodes {
+			for _, s := range n.owner.Statuses() {
+				if "regions/"+s.Name == path && s.Settled && s.BootID != "" && s.Leaving && s.Held == 0 {
+					return true
+				}
+			}
+		}
+		return false
+	})
+	before := c.engines[path].Stats().Requests
+	c.waitServed(l, 60)
+	assert.Equal(t, c.engines[path].Stats().Requests, before)
+	assert.Equal(t, l.stopAndGetFailure(), "")
+}
+
 func TestPlannedStopCutsNoRequest(t *testing.T) {
 	t.Parallel()
 	runVirtual(t, clusterConfig{entries: 4, engines: 2}, func(t *testing.T, c *cluster) {
