Report a retried request's run as unknown

A request whose first attempt may have run, and whose second was refused before it reached an endpoint, was answered with "ran":"no", for calls with an idempotent method and for completions. Seen in TestPlainCalls with a response lost, on real time and with 100 ms between entries on virtual time: 503, ownerUnreachable, ran no, though the call had run.

Cause: the refusal of the last attempt was passed on as it was. Once an attempt may have run, later refusals of the request say unknown; the reason and the status stay. Calls that must not run twice are not concerned: they are only retried if no byte was sent.

--- a/io/cfvserve/completion_test.go
+++ b/io/cfvserve/completion_test.go
@@ -213,3 +213,41 @@
 		assert.Assert(t, time.Since(begin) <= 2*time.Second, "took %s", time.Since(begin))
 	})
 }
+
+// Failure: a request whose response was lost is refused at its second attempt, and the caller hears that it did not
+// run.
+func TestRefusalAfterALostResponseIsNotCalledNotRun(t *testing.T) {
+	tests := map[string]func(t *testing.T, s *Server, c *cfvcatalog.Catalog) error{
+		"idempotent call": func(t *testing.T, s *Server, c *cfvcatalog.Catalog) error {
+			service, ok := c.Service("orders")
+			assert.Assert(t, ok)
+			_, err := s.Call(t.Context(), Call{RequestID: "r1", Service: service, Method: http.MethodGet, Path: "/stock"})
+			return err
+		},
+		"completion": func(t *testing.T, s *Server, c *cfvcatalog.Catalog) error {
+			_, err := s.Complete(t.Context(), testCompletion(t, c, false), nil)
+			return err
+		},
+	}
+	for name, send := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := testCatalog(t)
+				network := testNetwork(t)
+				serveEndlessHeads(t, network, testAddress)
+				s := testServer(network, c, func() string { return "v2" })
+				acquire, attempts := s.cfg.Acquire, 0
+				s.cfg.Acquire = func(ctx context.Context, r cfvplace.Request) (*cfvplace.Slot, *cfverror.Refusal) {
+					if attempts++; attempts > 1 {
+						return nil, cfverror.NotRun(cfverror.ReasonDrained, "no slot")
+					}
+					return acquire(ctx, r)
+				}
+				refusal := cfverror.From(send(t, s, c))
+				assert.Equal(t, attempts, 2)
+				assert.Equal(t, refusal.Reason, cfverror.ReasonDrained)
+				assert.Equal(t, refusal.Ran, cfverror.RanUnknown)
+			})
+		})
+	}
+}
--- a/io/cfvserve/server.go
+++ b/io/cfvserve/server.go
@@ -96,6 +96,7 @@
 	version           string
 	exclude           []string // endpoints that failed this request
 	attempts          int
+	mayHaveRun        bool // an attempt before the current one may have run
 	started           time.Time
 	trace             *Trace
 }
@@ -127,6 +128,7 @@
 		s.cfg.Metrics.CountRefusal(cfverror.ReasonRetryBudget)
 		return cause
 	}
+	r.mayHaveRun = r.mayHaveRun || cause.Ran != cfverror.RanNo
 	s.cfg.Metrics.CountRetry(cause.Reason)
 	r.trace.Note("retry after %s", cause.Reason)
 	if !cfvclock.Sleep(ctx, cfvlimit.Backoff(r.attempts-1, minBackoff, maxBackoff, rand.Float64())) {
@@ -220,6 +222,9 @@
 		return nil
 	}
 	refusal := cfverror.From(err)
+	if r.mayHaveRun && refusal.Ran == cfverror.RanNo {
+		refusal = cfverror.Unknown(refusal.Reason, "%s; an earlier attempt may have run", refusal.Message)
+	}
 	s.cfg.Metrics.CountRefusal(refusal.Reason)
 	r.trace.Note("refused: %s, ran: %s", refusal.Reason, refusal.Ran)
 	s.cfg.Log.WithRequestID(r.id).Info("Request of workspace %s for %s is refused: %s, ran: %s.", r.workspace.Name, r.service.Name, refusal.Reason, refusal.Ran)
