--- a/io/cfvnode/fleet_test.go
+++ b/io/cfvnode/fleet_test.go
@@ -33,14 +33,15 @@
 
 func TestAllEntriesAreReplacedUnderLoad(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, clusterConfig{entries: 4, engines: 2})
-	l := c.startLoad(c.pickReady)
-	c.waitServed(l, 100)
-	for i := range c.nodes {
-		c.replaceNode(i)
-		c.waitServed(l, 30)
-	}
-	assert.Equal(t, l.stopAndGetFailure(), "")
+	runVirtual(t, clusterConfig{entries: 4, engines: 2}, func(t *testing.T, c *cluster) {
+		l := c.startLoad(c.pickReady)
+		c.waitServed(l, 100)
+		for i := range c.nodes {
+			c.replaceNode(i)
+			c.waitServed(l, 30)
+		}
+		assert.Equal(t, l.stopAndGetFailure(), "")
+	})
 }
 
 func TestSilentWatchIsReplaced(t *testing.T) {
