Count no mass failure against a part that was answered

Cause: both outages broke off requests with the part, and other parts were answered in the quarter of a second between them, so that its crashes looked like those of a deadly one. A blocked part can't be answered, so nothing freed it before the block's end.

Change: for a part that was answered before, a crash doesn't count if five endpoints of the service went down within 0.2 s, its crashes must be at three moments a second apart, and an answer of the service must have begun between the first and the last. Parts that were never answered are judged as before.

Failed before: two rows of TestWhenPartIsBlocked (outages of the service; outages, others answered in between: with the limits turned off).

--- a/core/cfvlimit/part_update.go
+++ b/core/cfvlimit/part_update.go
@@ -42,7 +42,7 @@
 	out := PartUpdate{Served: make(map[string]time.Duration)}
 	for _, key := range keys {
 		out.Suspicions = append(out.Suspicions, q.suspicion(now, key))
-		if at, ok := q.served[key.Service]; ok {
+		if at, ok := q.lastServed(key.Service); ok {
 			out.Served[key.Service] = now - at
 		}
 	}
--- a/core/cfvlimit/parts.go
+++ b/core/cfvlimit/parts.go
@@ -38,7 +38,7 @@
 	Crashes          int           // crashed endpoints from which a part is blocked
 	AnsweringCrashes int           // the same, if requests count that had got several events
 	CrashesInOutage  int           // the same, while nothing else of the service is answered either
-	Spread           time.Duration // least time between the first and the last of these crashes
+	Spread           time.Duration // least time between the moments of these crashes
 	UnansweredSpread time.Duration // the same for a part that was never answered
 	RetryCrashes     int           // crashed endpoints from which a request with a part that was never answered isn't sent again
 	BlockTime        time.Duration // how long a part is blocked after its last crash; doubled each time it crashes again afterwards
@@ -61,6 +61,13 @@
 	maxCrashesPerPart   = 16
 	maxAnsweredParts    = 4096 // in each generation
 	maxServedServices   = 256
+	maxServedTimes      = 256  // of each service
+	maxDowns            = 2048 // of each service
+	moments             = 2    // at which crashes with a part must be
+	momentsIfAnswered   = 3    // the same for a part that was answered before
+	massFailure         = 5    // endpoints that go down within massWindow
+	massWindow          = 200 * time.Millisecond
+	servedInterval      = 250 * time.Millisecond
 	maxUrgentPerUpdate  = 16
 	maxChangedPerUpdate = 128
 	maxRepeatsPerUpdate = 64
@@ -75,7 +82,8 @@
 type PartQuarantine struct {
 	cfg      PartConfig
 	parts    map[PartKey]*suspectPart
-	served   map[string]time.Duration // when the newest answer of each service began
+	served   map[string][]time.Duration          // when answers of each service began, the oldest first
+	downs    map[string]map[string]time.Duration // crashes by service and endpoint incarnation
 	answered map[PartKey]time.Duration
 	older    map[PartKey]time.Duration // the generation of answered before this one
 	changes  uint64                    // number of changes so far
@@ -86,7 +94,8 @@
 // NewPartQuarantine returns an empty quarantine.
 func NewPartQuarantine(cfg PartConfig) *PartQuarantine {
 	return &PartQuarantine{
-		cfg: cfg, parts: make(map[PartKey]*suspectPart), served: make(map[string]time.Duration), answered: make(map[PartKey]time.Duration),
+		cfg: cfg, parts: make(map[PartKey]*suspectPart), served: make(map[string][]time.Duration), answered: make(map[PartKey]time.Duration),
+		downs: make(map[string]map[string]time.Duration),
 		peers: make(map[string]*peerProgress),
 	}
 }
@@ -147,6 +156,7 @@
 	if now-c.at > q.cfg.MaxBlockTime {
 		return
 	}
+	q.recordDown(key.Service, endpoint, c.at)
 	s := q.parts[key]
 	if s == nil {
 		q.evictPart()
@@ -184,34 +194,6 @@
 	s.changedAt = now
 }
 
-// recordServed records when an answer of a service began.
-func (q *PartQuarantine) recordServed(service string, began time.Duration) {
-	if at, ok := q.served[service]; ok && began > at || !ok && len(q.served) < maxServedServices {
-		q.served[service] = began
-	}
-}
-
-// recordAnswered records when an answer on a part began. It keeps two generations, so that
-// the table stays bounded.
-func (q *PartQuarantine) recordAnswered(key PartKey, began time.Duration) {
-	if at, ok := q.lastAnswer(key); ok && at > began {
-		began = at
-	}
-	if _, ok := q.answered[key]; !ok && len(q.answered) >= maxAnsweredParts {
-		q.older, q.answered = q.answered, make(map[PartKey]time.Duration)
-	}
-	q.answered[key] = began
-}
-
-// lastAnswer returns when the newest answer on a part began at this entry.
-func (q *PartQuarantine) lastAnswer(key PartKey) (at time.Duration, ok bool) {
-	if at, ok = q.answered[key]; ok {
-		return at, true
-	}
-	at, ok = q.older[key]
-	return at, ok
-}
-
 // Blocked returns the first of a request's parts because of which it is refused.
 func (q *PartQuarantine) Blocked(now time.Duration, service string, parts []string) (part string, blocked bool) {
 	for _, part := range parts {
@@ -235,15 +217,25 @@
 }
 
 // suspected reports whether the crashes with a part suffice to block it. While nothing of the service is
-// answered, other parts look alike; then only more crashes with a part that was never answered do.
+// answered, other parts look alike. Then a part that was never answered needs more crashes, and one that was
+// is not blocked: there must be answers between its crashes.
 func (q *PartQuarantine) suspected(now time.Duration, key PartKey) bool {
 	s := q.parts[key]
 	if s.open < q.cfg.Crashes {
 		return false
 	}
-	list := s.uncleared()
-	served, ok := q.served[key.Service]
-	if !ok || served <= list[0].at && (s.answered || len(list) < q.cfg.CrashesInOutage) {
+	list := q.counted(key.Service, s)
+	if len(list) == 0 {
+		return false
+	}
+	first, last := list[0].at, list[len(list)-1].at
+	served, ok := q.lastServed(key.Service)
+	switch {
+	case !ok:
+		return false
+	case s.answered && !q.servedBetween(key.Service, first, last):
+		return false
+	case served <= first && len(list) < q.cfg.CrashesInOutage:
 		return false
 	}
 	until, ok := q.blockedUntil(s, list)
@@ -253,18 +245,23 @@
 // blockedUntil returns the end of the block that the uncleared crashes of a part, in the order of their
 // times, lead to.
 func (q *PartQuarantine) blockedUntil(s *suspectPart, list []partCrash) (until time.Duration, ok bool) {
-	spread := q.cfg.Spread
+	spread, needed := q.cfg.Spread, momentsIfAnswered
 	if !s.answered {
-		spread = q.cfg.UnansweredSpread
+		spread, needed = q.cfg.UnansweredSpread, moments
 	}
-	waiting := 0
+	waiting, seen := 0, 0
+	var moment time.Duration
 	blockTime := q.cfg.BlockTime
 	for i, c := range list {
+		if i == 0 || c.at-moment >= spread {
+			seen++
+			moment = c.at
+		}
 		if !c.answering {
 			waiting++
 		}
 		switch enough := waiting >= q.cfg.Crashes || i+1 >= q.cfg.AnsweringCrashes; {
-		case !enough || c.at-list[0].at < spread:
+		case !enough || seen < needed:
 			continue
 		case ok && c.at > until:
 			blockTime = min(2*blockTime, q.cfg.MaxBlockTime)
@@ -314,7 +311,7 @@
 // Expire deletes evidence that no longer counts.
 func (q *PartQuarantine) Expire(now time.Duration) {
 	for key, s := range q.parts {
-		list := s.uncleared()
+		list := q.counted(key.Service, s)
 		until, blocked := q.blockedUntil(s, list)
 		for e, c := range s.crashes {
 			if now-c.at > q.cfg.Retention && (c.cleared || !blocked) {
@@ -329,6 +326,9 @@
 	if len(q.order) > 2*maxSuspectParts {
 		q.order = slices.SortedFunc(maps.Keys(q.parts), compareKeys)
 	}
+	for _, downs := range q.downs {
+		maps.DeleteFunc(downs, func(_ string, at time.Duration) bool { return now-at > q.cfg.Retention })
+	}
 	for name, p := range q.peers {
 		if now-p.usedAt > peerRetention {
 			delete(q.peers, name)
--- a/core/cfvlimit/parts_fleet_test.go
+++ b/core/cfvlimit/parts_fleet_test.go
@@ -274,6 +274,7 @@
 		"from the start, 88 entries":                     {entries: 88, perSecond: 100, shares: []float64{0.1}, fromStart: true},
 		"answered before, 8 entries":                     {entries: 8, perSecond: 40, shares: []float64{0.05}, soundBefore: true, sameParts: true},
 		"answered before, 88 entries":                    {entries: 88, perSecond: 100, shares: []float64{0.05}, soundBefore: true},
+		"answered before, 295 entries":                   {entries: 295, perSecond: 150, shares: []float64{0.05}, soundBefore: true},
 		"answered before, two at once, 8 entries":        {entries: 8, perSecond: 40, shares: []float64{0.05, 0.1}, soundBefore: true},
 		"broken connections, 8 entries":                  {entries: 8, perSecond: 40, shares: []float64{0.05}, sameParts: true, broken: 0.02},
 		"broken connections, 295 entries":                {entries: 295, perSecond: 100, shares: []float64{0.05}, broken: 0.02},
--- a/core/cfvlimit/parts_test.go
+++ b/core/cfvlimit/parts_test.go
@@ -109,7 +109,25 @@
 		}},
 		"a mass failure, the part was never answered":  {now: 5 * time.Second, setUp: func(q *PartQuarantine) { crashAt(q, "p", at(0, ms, 2*ms, 50*ms, 100*ms, 200*ms)...) }},
 		"crashes in turn, the part was never answered": {now: 5 * time.Second, want: true, setUp: func(q *PartQuarantine) { crashAt(q, "p", at(0, 100*ms, 200*ms, 300*ms)...) }},
-		"one endpoint thrice":                          {now: 5 * time.Second, setUp: func(q *PartQuarantine) { crashAt(q, "p", at(0, 0, 0)...) }},
+		"outages of the service, answered before and after": {now: 5 * time.Second, setUp: func(q *PartQuarantine) {
+			q.RecordAnswer(begin-time.Second, begin-time.Second, "s", []string{"p"})
+			for i, d := range []time.Duration{0, ms, 2 * ms, 3100 * ms, 3101 * ms} {
+				q.RecordCrash(begin+d, "s", []string{"p"}, fmt.Sprint("e", i), false)
+			}
+			q.RecordAnswer(begin+4*time.Second, begin+4*time.Second, "s", []string{"other"})
+		}},
+		"outages, others answered in between": {now: 12 * time.Second, setUp: func(q *PartQuarantine) {
+			q.RecordAnswer(begin-time.Second, begin-time.Second, "s", []string{"p"})
+			for outage := range 3 {
+				at := begin + time.Duration(outage)*3300*ms
+				q.RecordAnswer(at-100*ms, at-100*ms, "s", []string{"other"})
+				for i := range 6 {
+					q.RecordCrash(at+time.Duration(i)*ms, "s", []string{"p"}, fmt.Sprint("e", outage, i), false)
+				}
+			}
+			q.RecordAnswer(begin+11*time.Second, begin+11*time.Second, "s", []string{"other"})
+		}},
+		"one endpoint thrice": {now: 5 * time.Second, setUp: func(q *PartQuarantine) { crashAt(q, "p", at(0, 0, 0)...) }},
 		"nothing is answered": {now: 5 * time.Second, setUp: func(q *PartQuarantine) {
 			for i := range 5 {
 				q.RecordCrash(begin+time.Duration(i)*time.Second, "s", []string{"p"}, fmt.Sprint("e", i), false)
