Tell peers of replaced weights of unknown age

What callers saw: requests began on version 1 of the weights 10 s after version 2 was acknowledged, where all entries had started again after version 2 was named, and half of them again as version 3 was named.

Cause: entries told their peers only of versions whose age is certain. If every entry that knows version 2 learned of it at its own start, version 2 was never passed on; an entry that started after version 3 was named got version 3 alone from the store and bounded version 1 by the time of version 3.

Change: a field of its own on the wire, heard_weights, names these versions and when they were first heard of. The receiver keeps such a version as uncertain, with the earliest time, and bounds by it. A list of its own rather than a flag in WeightsAge: entries of an earlier release ignore it, but would take a flagged age as certain, and wait longer than with no age. Requests that begin after an uncertain version's short bound are counted (weights.replacedLate) and logged too, and a version that a peer made known is logged.

Ruled out: that the entries had heard of version 2 from the store, which keeps the desired version only.

TestPeerTellsOfVersionsOfUnknownAge and TestVersionThatAPeerHeardOfBoundsOlderOnes fail if the receiver ignores the versions (one version instead of two).

--- a/core/cfvfleet/weights.go
+++ b/core/cfvfleet/weights.go
@@ -76,6 +76,23 @@
 	return d
 }
 
+// setHeard corrects the time at which this process or a peer first heard of a version, or adds the version.
+func (d DesiredVersion) setHeard(version int64, heard time.Duration) DesiredVersion {
+	history := slices.Clone(d.history)
+	i, known := slices.BinarySearchFunc(history, version, func(v WeightsVersion, version int64) int { return cmp.Compare(v.Version, version) })
+	switch {
+	case known:
+		history[i].Since = min(heard, history[i].Since)
+	case version < d.Version && len(history) < maxWeightsHistory:
+		history = slices.Insert(history, i, WeightsVersion{Version: version, Since: heard})
+	}
+	d.history = history
+	if n := len(history); n > 0 {
+		d.WeightsVersion = history[n-1]
+	}
+	return d
+}
+
 // SetWeightsSince records that a peer has known a version of a model's weights since the given time. It also
 // adds a version that this process missed, since a newer one had replaced it. Newer versions than the desired
 // one are ignored.
@@ -85,6 +102,14 @@
 	}
 }
 
+// SetWeightsHeard records that a peer heard of a version of a model's weights at the given time, and does not
+// know for how long it had been set. Like SetWeightsSince, it adds a version that this process missed.
+func (v *View) SetWeightsHeard(model string, version int64, heard time.Duration) {
+	if d, ok := v.weights[model]; ok {
+		v.weights[model] = d.setHeard(version, heard)
+	}
+}
+
 // SetWeightsNotBefore records that the versions that this process learned of at time now were not set before
 // the given time.
 func (v *View) SetWeightsNotBefore(now, notBefore time.Duration) {
--- a/core/cfvfleet/weights_test.go
+++ b/core/cfvfleet/weights_test.go
@@ -136,3 +136,41 @@
 		})
 	}
 }
+
+// Guards against requests on weights whose bound has passed: peers were not told of a version that was named before
+// they started if nobody knew its age, so the time of the next version counted for the versions before it.
+func TestVersionThatAPeerHeardOfBoundsOlderOnes(t *testing.T) {
+	const limit = 8 * time.Second
+	set := func(v *View, at time.Duration, version int64) {
+		v.Apply(at, Change{Weights: &DesiredWeights{Model: "m", Version: version}})
+	}
+	q, p := NewView(), NewView()
+	set(q, 103*time.Second, 2) // named at 100 s
+	q.MarkWeightsUncertain(103 * time.Second)
+	set(q, 106*time.Second, 3)
+	q.SetWeightsNotBefore(106*time.Second, 105*time.Second)
+	set(p, 107*time.Second, 3)
+	p.MarkWeightsUncertain(107 * time.Second)
+	for _, w := range q.Desired("m").History() {
+		if w.Certain {
+			p.SetWeightsSince("m", w.Version, w.Since)
+		} else {
+			p.SetWeightsHeard("m", w.Version, w.Since)
+		}
+	}
+	history := p.Desired("m").History()
+	assert.Equal(t, len(history), 2)
+	assert.Equal(t, history[0], WeightsVersion{Version: 2, Since: 103 * time.Second})
+	p.SetWeightsHeard("m", 2, 104*time.Second) // another peer, which heard of it later
+	p.SetWeightsHeard("m", 4, 104*time.Second) // this process has not heard of it yet
+	assert.DeepEqual(t, p.Desired("m").History(), history)
+	assert.Equal(t, p.Desired("m").WeightsVersion, history[1])
+	now := 109 * time.Second // 9 s after version 2, which replaced version 1
+	oldest := p.Desired("m").Oldest(func(w WeightsVersion) bool {
+		if !w.Certain {
+			return now-w.Since > limit/4
+		}
+		return now-w.NotBefore > limit
+	})
+	assert.Equal(t, oldest, int64(2))
+}
--- a/io/cfventry/weights.go
+++ b/io/cfventry/weights.go
@@ -20,13 +20,16 @@
 		return 0
 	}
 	return desired.Oldest(func(v cfvfleet.WeightsVersion) bool {
-		if e.boundNear(now, v) || now-v.Since > time.Duration(refuseOldWeightsShare*float64(limit)) {
-			return true
-		}
-		return !v.Certain && slices.ContainsFunc(endpoints, func(ep *cfvfleet.Endpoint) bool { return ep.Weights[model] >= v.Version })
+		return e.refusesReplaced(now, v) || !v.Certain && slices.ContainsFunc(endpoints, func(ep *cfvfleet.Endpoint) bool { return ep.Weights[model] >= v.Version })
 	})
 }
 
+// refusesReplaced reports whether a version has been set for so long that no request starts on weights that it
+// replaced, whatever the endpoints run.
+func (e *Entry) refusesReplaced(now time.Duration, v cfvfleet.WeightsVersion) bool {
+	return e.boundNear(now, v) || now-v.Since > time.Duration(refuseOldWeightsShare*float64(e.cfg.Limits.MaxVersionDelay))
+}
+
 // boundNear reports whether the bound on requests that begin on weights that a version replaced may pass soon.
 func (e *Entry) boundNear(now time.Duration, v cfvfleet.WeightsVersion) bool {
 	limit := e.cfg.Limits.MaxVersionDelay
@@ -51,10 +54,10 @@
 		return
 	}
 	e.cfg.Metrics.Count("weights.replaced", 1)
-	age := e.cfg.Now() - newer.Since
-	if limit := e.cfg.Limits.MaxVersionDelay; limit > 0 && age > time.Duration(refuseOldWeightsShare*float64(limit)) {
+	now := e.cfg.Now()
+	if e.cfg.Limits.MaxVersionDelay > 0 && e.refusesReplaced(now, newer) {
 		e.cfg.Metrics.Count("weights.replacedLate", 1)
 		q.logAttempt(ep, "a request began on weights that were replaced long ago", "model", model, "version", version,
-			"replacedBy", newer.Version, "desired", desired.Version, "ageMillis", age.Milliseconds(), "certain", newer.Certain)
+			"replacedBy", newer.Version, "desired", desired.Version, "ageMillis", (now - newer.Since).Milliseconds(), "certain", newer.Certain)
 	}
 }
--- a/io/cfvexchange/codec.go
+++ b/io/cfvexchange/codec.go
@@ -26,16 +26,20 @@
 	return out
 }
 
-// weightsToWire returns the ages of all versions of weights whose age is known.
-func weightsToWire(now time.Duration, v *cfvfleet.View) (out []*cfvwireentry.WeightsAge) {
+// weightsToWire returns the ages of all versions of weights whose age is known, and how long ago this entry or a
+// peer heard of the other ones.
+func weightsToWire(now time.Duration, v *cfvfleet.View) (known, heard []*cfvwireentry.WeightsAge) {
 	for _, model := range v.Models() {
 		for _, w := range v.Desired(model).History() {
+			age := &cfvwireentry.WeightsAge{Model: model, Version: w.Version, AgeMillis: (now - w.Since).Milliseconds()}
 			if w.Certain {
-				out = append(out, &cfvwireentry.WeightsAge{Model: model, Version: w.Version, AgeMillis: (now - w.Since).Milliseconds()})
+				known = append(known, age)
+			} else {
+				heard = append(heard, age)
 			}
 		}
 	}
-	return out
+	return known, heard
 }
 
 func endpointsToWire(loads map[string]cfvdispatch.Load) []*cfvwireentry.EndpointLoad {
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -200,6 +200,9 @@
 	for _, w := range msg.GetWeights() {
 		x.cfg.State.SetWeightsSince(w.GetModel(), w.GetVersion(), receivedAt-time.Duration(w.GetAgeMillis())*time.Millisecond)
 	}
+	for _, w := range msg.GetHeardWeights() {
+		x.cfg.State.SetWeightsHeard(w.GetModel(), w.GetVersion(), receivedAt-time.Duration(w.GetAgeMillis())*time.Millisecond)
+	}
 	for _, l := range msg.GetLoads() {
 		x.applyLoad(l)
 	}
@@ -249,7 +252,7 @@
 	if age, ok := x.cfg.State.Age(); ok {
 		out.AgeMillis = age.Milliseconds() + 1 // rounded up, since an age must never be understated
 	}
-	x.cfg.State.Read(func(v *cfvfleet.View) { out.Weights = weightsToWire(x.cfg.Now(), v) })
+	x.cfg.State.Read(func(v *cfvfleet.View) { out.Weights, out.HeardWeights = weightsToWire(x.cfg.Now(), v) })
 	out.Loads = append(out.Loads, x.loadFor(req.Msg.GetEntry()))
 	x.cfg.Parts(func(c *cfvparts.Catalog) {
 		for _, update := range c.UpdatesSince(x.cfg.Now(), positionsFromWire(req.Msg.GetStores())) {
--- a/io/cfvexchange/weights_test.go
+++ b/io/cfvexchange/weights_test.go
@@ -23,6 +23,40 @@
 // RoundTrip calls the function.
 func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
 
+// newWeightsState returns a state whose records each name a version of the weights of model m: their revision.
+func newWeightsState(clock func() time.Duration) *cfvstate.State {
+	return cfvstate.New(cfvstate.Config{Now: clock, Log: cfvlog.Discard(), Decode: func(r cfvmirror.Record) (cfvfleet.Change, error) {
+		return cfvfleet.Change{Weights: &cfvfleet.DesiredWeights{Model: "m", Version: r.Revision}}, nil
+	}})
+}
+
+// applyWeights applies the record that names a version to a state.
+func applyWeights(s *cfvstate.State, version int64) {
+	s.Apply("test", []cfvmirror.Record{{Key: "weights", Revision: version}}, version, false)
+}
+
+// newWeightsExchange returns an exchange without loads, parts and suspicions.
+func newWeightsExchange(name string, state *cfvstate.State, clock func() time.Duration) *Exchange {
+	return New(Config{
+		Self: name, State: state, Now: clock, Log: cfvlog.Discard(), Parts: func(f func(c *cfvparts.Catalog)) { f(cfvparts.NewCatalog()) },
+		Loads: func() map[string]cfvdispatch.Load { return nil }, Demands: func() map[string]cfvdispatch.Demand { return nil },
+		Suspicions: func() []cfvlimit.Suspicion { return nil }, Count: func(string, int64) {},
+		PartUpdate: func(string) cfvlimit.PartUpdate { return cfvlimit.PartUpdate{} }, MergeParts: func(cfvlimit.PartUpdate) {},
+	})
+}
+
+// connectPeer makes x pull from a peer that is the given time away each way.
+func connectPeer(x, peer *Exchange, now *time.Duration, oneWay time.Duration) {
+	_, handler := peer.Handler()
+	x.client = &http.Client{Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
+		*now += oneWay
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		*now += oneWay
+		return w.Result(), nil
+	})}
+}
+
 // Guards against parts that are freed too early: entries that pulled from each other took a version of weights
 // to be older with each pull, by 30 ms and more a second.
 func TestAgesOfWeightsDoNotGrowByPulls(t *testing.T) {
@@ -33,29 +67,15 @@
 	var states []*cfvstate.State
 	var exchanges []*Exchange
 	for _, name := range []string{"a", "b"} {
-		state := cfvstate.New(cfvstate.Config{Now: clock, Log: cfvlog.Discard(), Decode: func(cfvmirror.Record) (cfvfleet.Change, error) {
-			return cfvfleet.Change{Weights: &cfvfleet.DesiredWeights{Model: "m", Version: 2}}, nil
-		}})
+		state := newWeightsState(clock)
 		state.Confirm(0, now)
-		state.Apply("test", []cfvmirror.Record{{Key: "weights", Revision: 1}}, 1, false)
+		applyWeights(state, 2)
 		state.SetWeightsSince("m", 2, now)
 		states = append(states, state)
-		exchanges = append(exchanges, New(Config{
-			Self: name, State: state, Now: clock, Log: cfvlog.Discard(), Parts: func(f func(c *cfvparts.Catalog)) { f(cfvparts.NewCatalog()) },
-			Loads: func() map[string]cfvdispatch.Load { return nil }, Demands: func() map[string]cfvdispatch.Demand { return nil },
-			Suspicions: func() []cfvlimit.Suspicion { return nil }, Count: func(string, int64) {},
-			PartUpdate: func(string) cfvlimit.PartUpdate { return cfvlimit.PartUpdate{} }, MergeParts: func(cfvlimit.PartUpdate) {},
-		}))
+		exchanges = append(exchanges, newWeightsExchange(name, state, clock))
 	}
 	for i, x := range exchanges {
-		_, handler := exchanges[1-i].Handler()
-		x.client = &http.Client{Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
-			now += oneWay
-			w := httptest.NewRecorder()
-			handler.ServeHTTP(w, r)
-			now += oneWay
-			return w.Result(), nil
-		})}
+		connectPeer(x, exchanges[1-i], &now, oneWay)
 	}
 	for range 100 {
 		for _, x := range exchanges {
@@ -71,3 +91,32 @@
 		})
 	}
 }
+
+// Guards against requests on weights whose bound has passed: an entry that started after a version had been replaced
+// was not told of it by peers that did not know its age.
+func TestPeerTellsOfVersionsOfUnknownAge(t *testing.T) {
+	now := time.Hour
+	clock := func() time.Duration { return now }
+	q, p, r := newWeightsState(clock), newWeightsState(clock), newWeightsState(clock)
+	applyWeights(q, 2) // heard at the start, so its age is not known
+	now += 3 * time.Second
+	q.Confirm(2, now)
+	for _, s := range []*cfvstate.State{q, p, r} {
+		applyWeights(s, 3)
+	}
+	pExchange, rExchange := newWeightsExchange("p", p, clock), newWeightsExchange("r", r, clock)
+	connectPeer(pExchange, newWeightsExchange("q", q, clock), &now, 0)
+	connectPeer(rExchange, pExchange, &now, 0)
+	assert.NilError(t, pExchange.pull(t.Context(), "peer"))
+	assert.NilError(t, rExchange.pull(t.Context(), "peer"))
+	for name, s := range map[string]*cfvstate.State{"told": p, "told by one that was told": r} {
+		t.Run(name, func(t *testing.T) {
+			s.Read(func(v *cfvfleet.View) {
+				history := v.Desired("m").History()
+				assert.Equal(t, len(history), 2)
+				assert.Equal(t, history[0], cfvfleet.WeightsVersion{Version: 2, Since: time.Hour})
+				assert.Assert(t, history[1].Certain)
+			})
+		})
+	}
+}
--- a/io/cfvstate/state.go
+++ b/io/cfvstate/state.go
@@ -153,6 +153,18 @@
 	}
 }
 
+// SetWeightsHeard records that a peer heard of a version of a model's weights at the given time, and does not
+// know for how long it had been set.
+func (s *State) SetWeightsHeard(model string, version int64, heard time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := len(s.view.Desired(model).History())
+	s.view.SetWeightsHeard(model, version, heard)
+	if len(s.view.Desired(model).History()) > before {
+		s.cfg.Log.Infow("a peer knows weights that were replaced", "model", model, "version", version, "heardMillis", (s.cfg.Now() - heard).Milliseconds())
+	}
+}
+
 // Read calls f with the view under the lock. f must not retain the view.
 func (s *State) Read(f func(v *cfvfleet.View)) {
 	s.mu.Lock()
