Stop sending to replaced weights a second before waiting attempts are cancelled

What callers saw: a request got 502, though its endpoint was well, since it was sent milliseconds before all attempts that waited on the replaced weights were cancelled.

Cause: where the state was more than about 2 s old as the version was heard of, or its age was not known, the same condition ended sending and waiting.

Change: a request is sent only if at least a second remains until attempts that wait are cancelled. The time of the cancellation is unchanged. Begins in that second are not counted as late.

Ruled out: cancelling later, since the bound would not hold for a state that is really as old as it may be.

TestRequestIsNotSentToBeCancelledAtOnce failed before in five of nine cases (502 instead of 503). TestBoundCountsFromTheEarliestTime expected that a request is sent 0.1 s before the cancellation, with a state 3.5 s old; it is now sent a second earlier (both rows), and a new row shows that the old instant refuses.

--- a/io/cfventry/pending.go
+++ b/io/cfventry/pending.go
@@ -111,7 +111,7 @@
 		return oldest
 	}
 	for _, model := range v.Models() {
-		oldest[model] = v.Desired(model).Oldest(func(w cfvfleet.WeightsVersion) bool { return e.boundNear(now, w) })
+		oldest[model] = v.Desired(model).Oldest(func(w cfvfleet.WeightsVersion) bool { return e.waitLeft(now, w) < 0 })
 	}
 	return oldest
 }
--- a/io/cfventry/weights.go
+++ b/io/cfventry/weights.go
@@ -7,9 +7,11 @@
 	"coltsfootvalve/core/cfvfleet"
 )
 
-// uncertainWeightsShare is the share of MaxVersionDelay after which no request starts on weights that were
-// replaced by a version of unknown age.
-const uncertainWeightsShare = 0.25
+// Limits for requests on replaced weights.
+const (
+	uncertainWeightsShare = 0.25        // share of MaxVersionDelay after which no request begins on weights that were replaced by a version of unknown age
+	minWaitLeft           = time.Second // a request that has less time to begin is not sent, since its attempt would probably be cancelled
+)
 
 // oldestWeights returns the oldest version of a model's weights on which requests may start; 0 means any. Each
 // replaced version has its own time limit. If this entry does not know for how long a version has been set, it
@@ -20,23 +22,23 @@
 		return 0
 	}
 	return desired.Oldest(func(v cfvfleet.WeightsVersion) bool {
-		return e.refusesReplaced(now, v) || !v.Certain && slices.ContainsFunc(endpoints, func(ep *cfvfleet.Endpoint) bool { return ep.Weights[model] >= v.Version })
+		return e.refusesReplaced(now, v, minWaitLeft) || !v.Certain && slices.ContainsFunc(endpoints, func(ep *cfvfleet.Endpoint) bool { return ep.Weights[model] >= v.Version })
 	})
 }
 
 // refusesReplaced reports whether a version has been set for so long that no request starts on weights that it
-// replaced, whatever the endpoints run.
-func (e *Entry) refusesReplaced(now time.Duration, v cfvfleet.WeightsVersion) bool {
-	return e.boundNear(now, v) || now-v.Since > time.Duration(refuseOldWeightsShare*float64(e.cfg.Limits.MaxVersionDelay))
+// replaced, whatever the endpoints run, since less than minLeft remains for it to wait.
+func (e *Entry) refusesReplaced(now time.Duration, v cfvfleet.WeightsVersion, minLeft time.Duration) bool {
+	return e.waitLeft(now, v) < minLeft || now-v.Since > time.Duration(refuseOldWeightsShare*float64(e.cfg.Limits.MaxVersionDelay))
 }
 
-// boundNear reports whether the bound on requests that begin on weights that a version replaced may pass soon.
-func (e *Entry) boundNear(now time.Duration, v cfvfleet.WeightsVersion) bool {
+// waitLeft returns the time for which requests may still wait to begin on weights that a version replaced.
+func (e *Entry) waitLeft(now time.Duration, v cfvfleet.WeightsVersion) time.Duration {
 	limit := e.cfg.Limits.MaxVersionDelay
 	if !v.Certain {
-		return now-v.Since > time.Duration(uncertainWeightsShare*float64(limit))
+		return time.Duration(uncertainWeightsShare*float64(limit)) - (now - v.Since)
 	}
-	return now-v.NotBefore > limit-pendingMargin
+	return limit - pendingMargin - (now - v.NotBefore)
 }
 
 // recordBegin counts a request that began on replaced weights, and logs it if requests should no longer
@@ -55,7 +57,7 @@
 	}
 	e.cfg.Metrics.Count("weights.replaced", 1)
 	now := e.cfg.Now()
-	if e.cfg.Limits.MaxVersionDelay > 0 && e.refusesReplaced(now, newer) {
+	if e.cfg.Limits.MaxVersionDelay > 0 && e.refusesReplaced(now, newer, 0) {
 		e.cfg.Metrics.Count("weights.replacedLate", 1)
 		q.logAttempt(ep, "a request began on weights that were replaced long ago", "model", model, "version", version,
 			"replacedBy", newer.Version, "desired", desired.Version, "ageMillis", (now - newer.Since).Milliseconds(), "certain", newer.Certain)
--- a/io/cfventry/weights_test.go
+++ b/io/cfventry/weights_test.go
@@ -299,9 +299,10 @@
 		"recent state":                               {age: time.Second, after: 5 * time.Second, status: http.StatusOK},
 		"recent state, the request waits":            {age: time.Second, after: 5 * time.Second, wait: time.Second, status: http.StatusOK},
 		"recent state, the request waits too long":   {age: time.Second, after: 5 * time.Second, wait: 2 * time.Second, status: http.StatusBadGateway},
-		"older state":                                {age: 3500 * time.Millisecond, after: 4 * time.Second, status: http.StatusOK},
+		"older state":                                {age: 3500 * time.Millisecond, after: 3 * time.Second, status: http.StatusOK},
+		"older state, no time to wait":               {age: 3500 * time.Millisecond, after: 4 * time.Second, status: http.StatusServiceUnavailable},
 		"older state, long ago":                      {age: 3500 * time.Millisecond, after: 4500 * time.Millisecond, status: http.StatusServiceUnavailable},
-		"older state, the request waits too long":    {age: 3500 * time.Millisecond, after: 4 * time.Second, wait: 500 * time.Millisecond, status: http.StatusBadGateway},
+		"older state, the request waits too long":    {age: 3500 * time.Millisecond, after: 3 * time.Second, wait: 1500 * time.Millisecond, status: http.StatusBadGateway},
 		"outdated state":                             {age: time.Hour, after: time.Second, status: http.StatusOK},
 		"outdated state, long ago":                   {age: time.Hour, after: 3 * time.Second, status: http.StatusServiceUnavailable},
 		"outdated state, the request waits too long": {age: time.Hour, after: time.Second, wait: 2 * time.Second, status: http.StatusBadGateway},
@@ -325,6 +326,48 @@
 	}
 }
 
+// Guards against lost requests: one was sent to an endpoint with replaced weights up to the instant at which attempts
+// that wait there are cancelled.
+func TestRequestIsNotSentToBeCancelledAtOnce(t *testing.T) {
+	tests := []struct {
+		age   time.Duration // of the state when the new version was heard of
+		after time.Duration // from then to the request
+		sent  bool
+	}{
+		{age: 1200 * time.Millisecond, after: 5300 * time.Millisecond, sent: true},
+		{age: 2600 * time.Millisecond, after: 3900 * time.Millisecond, sent: true},
+		{age: 2600 * time.Millisecond, after: 4500 * time.Millisecond},
+		{age: 2600 * time.Millisecond, after: 4900 * time.Millisecond},
+		{age: 2600 * time.Millisecond, after: 4990 * time.Millisecond},
+		{age: 3500 * time.Millisecond, after: 3 * time.Second, sent: true},
+		{age: 3500 * time.Millisecond, after: 4 * time.Second},
+		{age: time.Hour, after: 900 * time.Millisecond, sent: true},
+		{age: time.Hour, after: 1900 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.age, " ", tt.after), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newWeightsFleet(t, map[string]int64{"a": 1})
+				defer f.close()
+				f.name(1)
+				f.answer = func(w io.Writer, r *http.Request, _ string) {
+					time.Sleep(900 * time.Millisecond)
+					writeStream(w, r)
+				}
+				time.Sleep(tt.age)
+				f.apply(cfvfleet.Change{Weights: &cfvfleet.DesiredWeights{Model: "m", Version: 2}})
+				time.Sleep(tt.after)
+				status, received := http.StatusServiceUnavailable, 0
+				if tt.sent {
+					status, received = http.StatusOK, 1
+				}
+				assert.Equal(t, ask(f.entry, "/ask/", "r").Code, status)
+				assert.Equal(t, len(f.received("a:1")), received)
+			})
+		})
+	}
+}
+
 // Guards against an endpoint that is taken to run newer weights than it does: a rejection that names no version
 // counted as the newest one, although the endpoint had loaded the version in between, and was then avoided.
 func TestRejectionTellsTheNextVersionOnly(t *testing.T) {
