Count the earliest time of a peer's weights from when its answer was asked for

What callers may see: requests begin on weights whose bound has passed, by as much as a peer's answer took.

Cause: the earliest time at which a version may have been set was counted, like the latest one, from the receipt of the peer's answer, so that a slow answer made it later than the real time.

Change: it is counted from when the pull was sent; the latest time still counts from the receipt, so that ages don't grow by pulls.

Ruled out: that rounding alone explains it (1 ms at most). Not done: sending the earliest time along, which would also cover the time of the answers between several peers that told each other.

TestSlowAnswerOfAPeerDoesNotDelayTheBound failed before (300.9 ms too late, with 300 ms each way). In other tests the calls of SetWeightsSince name the same time twice; what they expect is unchanged.

--- a/core/cfvfleet/weights.go
+++ b/core/cfvfleet/weights.go
@@ -58,16 +58,16 @@
 }
 
 // setSince corrects the time at which a version was set, if a peer knows of an earlier one, or adds the version.
-func (d DesiredVersion) setSince(version int64, since time.Duration) DesiredVersion {
+func (d DesiredVersion) setSince(version int64, earliest, latest time.Duration) DesiredVersion {
 	history := slices.Clone(d.history)
 	i, known := slices.BinarySearchFunc(history, version, func(v WeightsVersion, version int64) int { return cmp.Compare(v.Version, version) })
 	switch {
 	case known && !history[i].Certain:
-		history[i] = WeightsVersion{Version: version, Since: min(since, history[i].Since), NotBefore: since - MaxWeightsLag, Certain: true}
+		history[i] = WeightsVersion{Version: version, Since: min(latest, history[i].Since), NotBefore: earliest - MaxWeightsLag, Certain: true}
 	case known:
-		history[i].Since = min(since, history[i].Since)
+		history[i].Since = min(latest, history[i].Since)
 	case version < d.Version && len(history) < maxWeightsHistory:
-		history = slices.Insert(history, i, WeightsVersion{Version: version, Since: since, NotBefore: since - MaxWeightsLag, Certain: true})
+		history = slices.Insert(history, i, WeightsVersion{Version: version, Since: latest, NotBefore: earliest - MaxWeightsLag, Certain: true})
 	}
 	d.history = history
 	if n := len(history); n > 0 {
@@ -93,12 +93,12 @@
 	return d
 }
 
-// SetWeightsSince records that a peer has known a version of a model's weights since the given time. It also
-// adds a version that this process missed, since a newer one had replaced it. Newer versions than the desired
+// SetWeightsSince records that a peer has known a version of a model's weights since a time between the given
+// ones, which differ by the time that its answer may have taken. It also adds a version that this process missed, since a newer one had replaced it. Newer versions than the desired
 // one are ignored.
-func (v *View) SetWeightsSince(model string, version int64, since time.Duration) {
+func (v *View) SetWeightsSince(model string, version int64, earliest, latest time.Duration) {
 	if d, ok := v.weights[model]; ok {
-		v.weights[model] = d.setSince(version, since)
+		v.weights[model] = d.setSince(version, earliest, latest)
 	}
 }
 
--- a/core/cfvfleet/weights_test.go
+++ b/core/cfvfleet/weights_test.go
@@ -34,20 +34,20 @@
 			events: func(v *View) {
 				set(v, 5*time.Second, 2)
 				v.MarkWeightsUncertain(5 * time.Second)
-				v.SetWeightsSince("m", 2, time.Second)
+				v.SetWeightsSince("m", 2, time.Second, time.Second)
 			},
 			want: WeightsVersion{Version: 2, Since: time.Second, NotBefore: time.Second - MaxWeightsLag, Certain: true},
 		},
 		"a peer heard later": {
-			events: func(v *View) { set(v, 5*time.Second, 2); v.SetWeightsSince("m", 2, 6*time.Second) },
+			events: func(v *View) { set(v, 5*time.Second, 2); v.SetWeightsSince("m", 2, 6*time.Second, 6*time.Second) },
 			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, NotBefore: 5 * time.Second, Certain: true},
 		},
 		"a peer knows another version": {
-			events: func(v *View) { set(v, 5*time.Second, 2); v.SetWeightsSince("m", 3, time.Second) },
+			events: func(v *View) { set(v, 5*time.Second, 2); v.SetWeightsSince("m", 3, time.Second, time.Second) },
 			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, NotBefore: 5 * time.Second, Certain: true},
 		},
 		"a peer knows an older version": {
-			events: func(v *View) { set(v, 5*time.Second, 2); v.SetWeightsSince("m", 1, time.Second) },
+			events: func(v *View) { set(v, 5*time.Second, 2); v.SetWeightsSince("m", 1, time.Second, time.Second) },
 			want:   WeightsVersion{Version: 2, Since: 5 * time.Second, NotBefore: 5 * time.Second, Certain: true},
 		},
 		"newer ones later": {
@@ -124,7 +124,7 @@
 			now:    4*time.Second + limit + 1, want: 3,
 		},
 		"a peer knows the first of two versions": {
-			events: func(v *View) { set(v, 4*time.Second, 3); v.SetWeightsSince("m", 2, 0) },
+			events: func(v *View) { set(v, 4*time.Second, 3); v.SetWeightsSince("m", 2, 0, 0) },
 			now:    limit + 1, want: 2,
 		},
 	}
@@ -153,7 +153,7 @@
 	p.MarkWeightsUncertain(107 * time.Second)
 	for _, w := range q.Desired("m").History() {
 		if w.Certain {
-			p.SetWeightsSince("m", w.Version, w.Since)
+			p.SetWeightsSince("m", w.Version, w.Since, w.Since)
 		} else {
 			p.SetWeightsHeard("m", w.Version, w.Since)
 		}
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -196,9 +196,10 @@
 	if msg.GetAgeMillis() >= 0 {
 		x.cfg.State.Confirm(msg.GetAsOf(), sentAt-time.Duration(msg.GetAgeMillis())*time.Millisecond)
 	}
-	receivedAt := x.cfg.Now() // not when the pull was sent: an age must not grow by the time of each pull
+	receivedAt := x.cfg.Now() // an age must not grow by the time of each pull
 	for _, w := range msg.GetWeights() {
-		x.cfg.State.SetWeightsSince(w.GetModel(), w.GetVersion(), receivedAt-time.Duration(w.GetAgeMillis())*time.Millisecond)
+		age := time.Duration(w.GetAgeMillis()) * time.Millisecond // rounded down
+		x.cfg.State.SetWeightsSince(w.GetModel(), w.GetVersion(), sentAt-age-time.Millisecond, receivedAt-age)
 	}
 	for _, w := range msg.GetHeardWeights() {
 		x.cfg.State.SetWeightsHeard(w.GetModel(), w.GetVersion(), receivedAt-time.Duration(w.GetAgeMillis())*time.Millisecond)
--- a/io/cfvexchange/weights_test.go
+++ b/io/cfvexchange/weights_test.go
@@ -70,7 +70,7 @@
 		state := newWeightsState(clock)
 		state.Confirm(0, now)
 		applyWeights(state, 2)
-		state.SetWeightsSince("m", 2, now)
+		state.SetWeightsSince("m", 2, now, now)
 		states = append(states, state)
 		exchanges = append(exchanges, newWeightsExchange(name, state, clock))
 	}
@@ -120,3 +120,30 @@
 		})
 	}
 }
+
+// Guards against requests on weights whose bound has passed: the earliest time at which a peer's version may have been
+// set was counted from when the peer's answer came, so a slow answer made it later than the real time.
+func TestSlowAnswerOfAPeerDoesNotDelayTheBound(t *testing.T) {
+	const oneWay = 300 * time.Millisecond
+	named := time.Hour
+	now := named
+	clock := func() time.Duration { return now }
+	q, p := newWeightsState(clock), newWeightsState(clock)
+	applyWeights(q, 1)
+	q.Confirm(1, now)
+	now += cfvfleet.MaxWeightsLag
+	applyWeights(q, 2)
+	heard := now
+	now += 2*time.Second + 900*time.Microsecond
+	applyWeights(p, 2)
+	x := newWeightsExchange("p", p, clock)
+	connectPeer(x, newWeightsExchange("q", q, clock), &now, oneWay)
+	assert.NilError(t, x.pull(t.Context(), "peer"))
+	p.Read(func(v *cfvfleet.View) {
+		w := v.Desired("m").WeightsVersion
+		assert.Assert(t, w.Certain)
+		assert.Assert(t, w.NotBefore <= named, "%s too late", w.NotBefore-named)
+		assert.Assert(t, w.NotBefore > named-oneWay-2*time.Millisecond, "%s too early", named-w.NotBefore)
+		assert.Assert(t, w.Since >= heard, "%s too early", heard-w.Since)
+	})
+}
--- a/io/cfvstate/state.go
+++ b/io/cfvstate/state.go
@@ -141,12 +141,12 @@
 	return records, s.mirror.Revision(), full
 }
 
-// SetWeightsSince records that a peer has known a version of a model's weights since the given time.
-func (s *State) SetWeightsSince(model string, version int64, since time.Duration) {
+// SetWeightsSince records that a peer has known a version of a model's weights since a time between the given ones.
+func (s *State) SetWeightsSince(model string, version int64, earliest, latest time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.view.Desired(model)
-	s.view.SetWeightsSince(model, version, since)
+	s.view.SetWeightsSince(model, version, earliest, latest)
 	if after := s.view.Desired(model); after.WeightsVersion != before.WeightsVersion {
 		s.cfg.Log.Infow("a peer knows since when weights are set", "model", model, "version", version,
 			"ageMillis", (s.cfg.Now() - after.Since).Milliseconds(), "ageBeforeMillis", (s.cfg.Now() - before.Since).Milliseconds(), "certainBefore", before.Certain)
