Read a state's revision and age for a peer under one lock

What it could cause: an entry whose state counts as more recent than it is, so that the bounds that count from the age of its state come too late.

Cause: an answer to a pull took the records and the revision under one lock and the age under the next. A record that was applied and confirmed in between gave the older revision the confirmation of the newer one.

Change: Delta returns the age too.

Ruled out: the weights that are read after it, since a receiver ignores versions that it has not heard of.

TestAnswerConfirmsItsOwnRevision failed in 10 of 10 runs with two locks (5 of 5 with the race detector), and in none of 5 after with it.

--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -248,10 +248,10 @@
 		x.applyLoad(l)
 	}
 	x.mergeSuspicions(req.Msg)
-	records, asOf, full := x.cfg.State.Delta(req.Msg.GetAsOf())
-	out := &cfvwireentry.PullResponse{AsOf: asOf, AgeMillis: -1, Full: full, Records: recordsToWire(records)}
-	if age, ok := x.cfg.State.Age(); ok {
-		out.AgeMillis = age.Milliseconds() + 1 // rounded up, since an age must never be understated
+	d := x.cfg.State.Delta(req.Msg.GetAsOf())
+	out := &cfvwireentry.PullResponse{AsOf: d.AsOf, AgeMillis: -1, Full: d.Full, Records: recordsToWire(d.Records)}
+	if d.Known {
+		out.AgeMillis = d.Age.Milliseconds() + 1 // rounded up, since an age must never be understated
 	}
 	x.cfg.State.Read(func(v *cfvfleet.View) { out.Weights, out.HeardWeights = weightsToWire(x.cfg.Now(), v) })
 	out.Loads = append(out.Loads, x.loadFor(req.Msg.GetEntry()))
--- a/io/cfvexchange/weights_test.go
+++ b/io/cfvexchange/weights_test.go
@@ -1,6 +1,7 @@
 package cfvexchange
 
 import (
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -13,7 +14,9 @@
 	"coltsfootvalve/core/cfvmirror"
 	"coltsfootvalve/core/cfvparts"
 	"coltsfootvalve/io/cfvstate"
+	"coltsfootvalve/io/cfvwire/cfvwireentry"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 )
 
@@ -147,3 +150,33 @@
 		assert.Assert(t, w.Since >= heard, "%s too early", heard-w.Since)
 	})
 }
+
+// Guards against a state that counts as more recent than it is: a record that was applied during a pull gave the older
+// revision in the answer the confirmation of the newer one.
+func TestAnswerConfirmsItsOwnRevision(t *testing.T) {
+	const start = time.Hour
+	state := newWeightsState(func() time.Duration { return start })
+	x := newWeightsExchange("q", state, func() time.Duration { return start })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range int64(30_000) { // each revision is confirmed at its own time
+			applyWeights(state, i+1)
+			state.Confirm(i+1, time.Duration(i+1)*time.Millisecond)
+		}
+	}()
+	for answers := 0; ; answers++ {
+		resp, err := x.Pull(t.Context(), connect.NewRequest(&cfvwireentry.PullRequest{Entry: "p", AsOf: math.MaxInt64}))
+		assert.NilError(t, err)
+		if age := resp.Msg.GetAgeMillis(); age >= 0 {
+			confirmed := start.Milliseconds() + 1 - age
+			assert.Assert(t, confirmed <= resp.Msg.GetAsOf(), "revision %d is confirmed as of revision %d", resp.Msg.GetAsOf(), confirmed)
+		}
+		select {
+		case <-done:
+			t.Log(answers, "answers")
+			return
+		default:
+		}
+	}
+}
--- a/io/cfvstate/state.go
+++ b/io/cfvstate/state.go
@@ -129,16 +129,25 @@
 	return s.mirror.Age(s.cfg.Now())
 }
 
-// Delta returns the records that a peer lacks whose state is complete up to revision since, and
-// the revision up to which they are complete. If full is set, they are all records.
-func (s *State) Delta(since int64) (records []cfvmirror.Record, asOf int64, full bool) {
+// Delta is what a peer lacks of a state.
+type Delta struct {
+	Records []cfvmirror.Record
+	AsOf    int64         // revision up to which the records are complete
+	Full    bool          // they are all records
+	Age     time.Duration // how long ago the state was known to be complete up to AsOf
+	Known   bool          // it was at some time
+}
+
+// Delta returns what a peer lacks whose state is complete up to revision since.
+func (s *State) Delta(since int64) (d Delta) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if since >= s.mirror.Revision() {
-		return nil, s.mirror.Revision(), false
+	d.AsOf = s.mirror.Revision()
+	d.Age, d.Known = s.mirror.Age(s.cfg.Now()) // under the same lock: a revision must not get the confirmation of a newer one
+	if since < d.AsOf {
+		d.Records, d.Full = s.mirror.Delta(since)
 	}
-	records, full = s.mirror.Delta(since)
-	return records, s.mirror.Revision(), full
+	return d
 }
 
 // SetWeightsSince records that a peer has known a version of a model's weights since a time between the given ones.
