--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -196,9 +196,13 @@
 	if msg.GetAgeMillis() >= 0 {
 		x.cfg.State.Confirm(msg.GetAsOf(), sentAt-time.Duration(msg.GetAgeMillis())*time.Millisecond)
 	}
-	receivedAt := x.cfg.Now() // not when the pull was sent: an age must not grow by the time of each pull
+	receivedAt := x.cfg.Now() // an age must not grow by the time of each pull
 	for _, w := range msg.GetWeights() {
-		x.cfg.State.SetWeightsSince(w.GetModel(), w.GetVersion(), receivedAt-time.Duration(w.GetAgeMillis())*time.Millisecond)
+		age := time.Duration(w.GetAgeMillis()) * time.Millisecond // rounded down
+		x.cfg.State.SetWeightsSince(w.GetModel(), w.GetVersion(), sentAt-age-time.Millisecond, receivedAt-age)
+	}
+	for _, w := range msg.GetHeardWeights() {
+		x.cfg.State.SetWeightsHeard(w.GetModel(), w.GetVersion(), receivedAt-time.Duration(w.GetAgeMillis())*time.Millisecond)
 	}
 	for _, l := range msg.GetLoads() {
 		x.applyLoad(l)
@@ -244,12 +248,12 @@
 		x.applyLoad(l)
 	}
 	x.mergeSuspicions(req.Msg)
-	records, asOf, full := x.cfg.State.Delta(req.Msg.GetAsOf())
-	out := &cfvwireentry.PullResponse{AsOf: asOf, AgeMillis: -1, Full: full, Records: recordsToWire(records)}
-	if age, ok := x.cfg.State.Age(); ok {
-		out.AgeMillis = age.Milliseconds() + 1 // rounded up, since an age must never be understated
+	d := x.cfg.State.Delta(req.Msg.GetAsOf())
+	out := &cfvwireentry.PullResponse{AsOf: d.AsOf, AgeMillis: -1, Full: d.Full, Records: recordsToWire(d.Records)}
+	if d.Known {
+		out.AgeMillis = d.Age.Milliseconds() + 1 // rounded up, since an age must never be understated
 	}
-	x.cfg.State.Read(func(v *cfvfleet.View) { out.Weights = weightsToWire(x.cfg.Now(), v) })
+	x.cfg.State.Read(func(v *cfvfleet.View) { out.Weights, out.HeardWeights = weightsToWire(x.cfg.Now(), v) })
 	out.Loads = append(out.Loads, x.loadFor(req.Msg.GetEntry()))
 	x.cfg.Parts(func(c *cfvparts.Catalog) {
 		for _, update := range c.UpdatesSince(x.cfg.Now(), positionsFromWire(req.Msg.GetStores())) {
--- a/io/cfvstate/state.go
+++ b/io/cfvstate/state.go
@@ -129,30 +129,51 @@
 	return s.mirror.Age(s.cfg.Now())
 }
 
-// Delta returns the records that a peer lacks whose state is complete up to revision since, and
-// the revision up to which they are complete. If full is set, they are all records.
-func (s *State) Delta(since int64) (records []cfvmirror.Record, asOf int64, full bool) {
+// Delta is what a peer lacks of a state.
+type Delta struct {
+	Records []cfvmirror.Record
+	AsOf    int64         // revision up to which the records are complete
+	Full    bool          // they are all records
+	Age     time.Duration // how long ago the state was known to be complete up to AsOf
+	Known   bool          // it was at some time
+}
+
+// Delta returns what a peer lacks whose state is complete up to revision since.
+func (s *State) Delta(since int64) (d Delta) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if since >= s.mirror.Revision() {
-		return nil, s.mirror.Revision(), false
+	d.AsOf = s.mirror.Revision()
+	d.Age, d.Known = s.mirror.Age(s.cfg.Now()) // under the same lock: a revision must not get the confirmation of a newer one
+	if since < d.AsOf {
+		d.Records, d.Full = s.mirror.Delta(since)
 	}
-	records, full = s.mirror.Delta(since)
-	return records, s.mirror.Revision(), full
+	return d
 }
 
-// SetWeightsSince records that a peer has known a version of a model's weights since the given time.
-func (s *State) SetWeightsSince(model string, version int64, since time.Duration) {
+// SetWeightsSince records that a peer has known a version of a model's weights since a time between the given ones.
+func (s *State) SetWeightsSince(model string, version int64, earliest, latest time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.view.Desired(model)
-	s.view.SetWeightsSince(model, version, since)
+	s.view.SetWeightsSince(model, version, earliest, latest)
 	if after := s.view.Desired(model); after.WeightsVersion != before.WeightsVersion {
 		s.cfg.Log.Infow("a peer knows since when weights are set", "model", model, "version", version,
 			"ageMillis", (s.cfg.Now() - after.Since).Milliseconds(), "ageBeforeMillis", (s.cfg.Now() - before.Since).Milliseconds(), "certainBefore", before.Certain)
 	}
 }
 
+// SetWeightsHeard records that a peer heard of a version of a model's weights at the given time, and does not
+// know for how long it had been set.
+func (s *State) SetWeightsHeard(model string, version int64, heard time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := len(s.view.Desired(model).History())
+	s.view.SetWeightsHeard(model, version, heard)
+	if len(s.view.Desired(model).History()) > before {
+		s.cfg.Log.Infow("a peer knows weights that were replaced", "model", model, "version", version, "heardMillis", (s.cfg.Now() - heard).Milliseconds())
+	}
+}
+
 // Read calls f with the view under the lock. f must not retain the view.
 func (s *State) Read(f func(v *cfvfleet.View)) {
 	s.mu.Lock()
