Explain crashes with sound parts by the dropped ones too

Callers saw requests without a deadly part refused for three minutes (BUDGET), when a deadly part had more crashes than are kept of a part (16) and a sound part that had been answered before was in some of them.

Cause: a part counts as explained if each of its crashes is also one of a more suspect part, but crashes that the deadly part had dropped were compared as if they had not happened.

Change: of a dropped crash, a part keeps the endpoint and the time, up to 256 of them; they count when crashes are explained and when it is compared which of two parts has more, and for nothing else. They aren't exchanged.

Ruled out: only a larger cap, since the fault comes back above it and messages grow; dropping the same crashes from all parts, since entries that know different crashes can't agree which.

Measured: TestSoundPartIsExplainedByManyCrashes failed before with 40 and 192 crashes and passes; core/cfvlimit passes (without the race detector).

--- a/core/cfvlimit/part_evidence.go
+++ b/core/cfvlimit/part_evidence.go
@@ -3,14 +3,16 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
 // suspectPart is the merged evidence against a part.
 type suspectPart struct {
-	crashes   map[string]*partCrash // by endpoint incarnation
-	open      int                   // crashes that no answer has cleared
+	crashes   map[string]*partCrash    // by endpoint incarnation
+	dropped   map[string]time.Duration // times of uncleared crashes that there was no room for
+	open      int                      // crashes that no answer has cleared
 	answered  bool
 	changedAt time.Duration
 	change    uint64 // number of the last change of any part, at this one's last change
@@ -33,6 +35,12 @@
 		return true
 	}
 	least := s.leastImportant()
+	if d := s.crashes[least]; !d.cleared && len(s.dropped) < maxDroppedPerPart {
+		if s.dropped == nil {
+			s.dropped = make(map[string]time.Duration)
+		}
+		s.dropped[least] = d.at
+	}
 	s.remove(least)
 	return least != endpoint
 }
@@ -71,11 +79,20 @@
 	return out
 }
 
+// unclearedByEndpoint returns the endpoints of the uncleared crashes, with the dropped ones. An answer clears the
+// oldest first, so dropped ones that are older than all others don't count.
 func (s *suspectPart) unclearedByEndpoint() map[string]bool {
-	out := make(map[string]bool, len(s.crashes))
+	out := make(map[string]bool, len(s.crashes)+len(s.dropped))
+	first := time.Duration(math.MaxInt64)
 	for e, c := range s.crashes {
 		if !c.cleared {
 			out[e] = true
+			first = min(first, c.at)
+		}
+	}
+	for e, at := range s.dropped {
+		if at >= first {
+			out[e] = true
 		}
 	}
 	return out
--- a/core/cfvlimit/parts.go
+++ b/core/cfvlimit/parts.go
@@ -59,6 +59,7 @@
 const (
 	maxSuspectParts     = 2048
 	maxCrashesPerPart   = 16
+	maxDroppedPerPart   = 256  // crashes of which only the endpoint and the time are kept
 	maxAnsweredParts    = 4096 // in each generation
 	maxServedServices   = 256
 	maxUrgentPerUpdate  = 16
@@ -281,14 +282,16 @@
 func (q *PartQuarantine) explained(now time.Duration, key PartKey, request []string) bool {
 	s := q.parts[key]
 	left := s.unclearedByEndpoint()
+	total := len(left)
 	for other, o := range q.parts {
 		if other.Service != key.Service || slices.Contains(request, other.Part) || !q.suspected(now, other) {
 			continue
 		}
-		if o.answered && !s.answered || o.answered == s.answered && o.open < s.open {
+		crashes := o.unclearedByEndpoint()
+		if o.answered && !s.answered || o.answered == s.answered && len(crashes) < total {
 			continue
 		}
-		for e := range o.unclearedByEndpoint() {
+		for e := range crashes {
 			delete(left, e)
 		}
 	}
