Tell peers again that crashes are cleared

Cause: a change is sent twice, about a second apart, and counts as told even if the pull failed. Parts are also sent in turn afterwards, but only those with uncleared crashes.

Change: cleared parts are sent in turn too. The turn is each peer's own: it was one for all, so with some numbers of peers and parts a peer could have got the same few parts each time (found by reading, not shown by a run).

Ruled out: to count a change as told only once the pull succeeded, since the answer to a pull isn't confirmed either.

--- a/core/cfvlimit/part_update.go
+++ b/core/cfvlimit/part_update.go
@@ -14,6 +14,7 @@
 	resent  uint64
 	markAt  time.Duration
 	usedAt  time.Duration
+	turn    int // place in the order of the part that was sent last in turn
 }
 
 // Update returns what a peer should know: the changes since the last update for this peer, about
@@ -38,7 +39,7 @@
 	urgent, rest := q.mostCrashes(urgent, maxUrgentPerUpdate)
 	changed, p.sent = q.firstChanged(append(changed, q.changedSince(rest, p.sent)...), maxChangedPerUpdate, q.changes)
 	repeated, p.resent = q.firstChanged(repeated, maxRepeatsPerUpdate, p.settled)
-	keys := slices.Concat(urgent, changed, repeated, q.rotate(maxRotatedPerUpdate))
+	keys := slices.Concat(urgent, changed, repeated, q.rotate(p, maxRotatedPerUpdate))
 	out := PartUpdate{Served: make(map[string]time.Duration)}
 	for _, key := range keys {
 		out.Suspicions = append(out.Suspicions, q.suspicion(now, key))
@@ -64,16 +65,13 @@
 	return p, due
 }
 
-// rotate returns the next n parts of all that have uncleared crashes, in turn.
-func (q *PartQuarantine) rotate(n int) (out []PartKey) {
+// rotate returns the next n parts of all, in turn for each peer. Cleared ones are among them, since their
+// clearing may have got lost.
+func (q *PartQuarantine) rotate(p *peerProgress, n int) (out []PartKey) {
 	for range min(n, len(q.order)) {
-		key := q.order[0]
-		q.order = q.order[1:]
-		if s := q.parts[key]; s != nil {
-			q.order = append(q.order, key)
-			if s.open > 0 {
-				out = append(out, key)
-			}
+		p.turn = (p.turn + 1) % len(q.order)
+		if key := q.order[p.turn]; q.parts[key] != nil {
+			out = append(out, key)
 		}
 	}
 	return out
--- a/core/cfvlimit/parts.go
+++ b/core/cfvlimit/parts.go
@@ -329,7 +329,8 @@
 			delete(q.parts, key)
 		}
 	}
-	if len(q.order) > 2*maxSuspectParts {
+	q.order = slices.DeleteFunc(q.order, func(key PartKey) bool { return q.parts[key] == nil })
+	if len(q.order) > 2*maxSuspectParts { // evicted parts that came back are in it twice
 		q.order = slices.SortedFunc(maps.Keys(q.parts), compareKeys)
 	}
 	for name, p := range q.peers {
