Tell a restarted relay of parts again

Cause: an entry that pulls remembers how far it has told a peer by the peer's address alone. For answers to pulls it already was the name and the start.

Change: the key has the start of the process that last responded at the address. The first pull after a restart still uses the old one.

Ruled out: to ask the peer for its start first, which would cost a round trip for each pull.

Measured: TestRestartedRelayIsToldAgain failed before (the same key) and passes; io/cfvexchange passes (without the race detector).

--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -64,6 +64,7 @@
 	sequence int64
 	loads    map[string]peerLoad      // by entry
 	failedAt map[string]time.Duration // last failure of peers that do not respond, by name
+	started  map[string]int64         // start of the process that last responded at an address, in Unix milliseconds
 	round    int                      // number of pulls so far
 }
 
@@ -82,7 +83,7 @@
 
 // New returns an exchange.
 func New(cfg Config) *Exchange {
-	return &Exchange{cfg: cfg, client: cfvhttp.NewClient(pullTimeout/2, 1), loads: make(map[string]peerLoad), failedAt: make(map[string]time.Duration)}
+	return &Exchange{cfg: cfg, client: cfvhttp.NewClient(pullTimeout/2, 1), loads: make(map[string]peerLoad), failedAt: make(map[string]time.Duration), started: make(map[string]int64)}
 }
 
 // Handler returns the path and the handler of the pulls of peers.
@@ -190,6 +191,11 @@
 		return err
 	}
 	msg := resp.Msg
+	if loads := msg.GetLoads(); len(loads) > 0 {
+		x.mu.Lock()
+		x.started[addr] = loads[0].GetStarted()
+		x.mu.Unlock()
+	}
 	if msg.GetAsOf() > x.cfg.State.AsOf() {
 		x.cfg.State.Apply(addr, recordsFromWire(msg.GetRecords()), msg.GetAsOf(), msg.GetFull())
 	}
@@ -230,7 +236,10 @@
 // pullRequest returns the request of a pull from the peer at addr. It also tells the peer what this entry
 // has seen, since a relay seldom pulls from an entry that is none.
 func (x *Exchange) pullRequest(addr string) *cfvwireentry.PullRequest {
-	u := x.cfg.PartUpdate(addr)
+	x.mu.Lock()
+	peer := fmt.Sprintf("%s/%d", addr, x.started[addr]) // a restarted one has to be told all again
+	x.mu.Unlock()
+	u := x.cfg.PartUpdate(peer)
 	return &cfvwireentry.PullRequest{
 		Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(),
 		Parts: partsToWire(u.Suspicions), Served: servedToWire(u.Served), Suspicions: suspicionsToWire(time.Now(), x.cfg.Suspicions()),
--- a/io/cfvexchange/parts_test.go
+++ b/io/cfvexchange/parts_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,3 +71,30 @@
 	assert.DeepEqual(t, got.Endpoints, []string{"a/1", "b/2"})
 	assert.Assert(t, got.Until.Sub(until).Abs() < 10*time.Second, "until %s", got.Until.Sub(until))
 }
+
+// Failure: a relay that was started again at its address counted as told of all that the one before had been told.
+func TestRestartedRelayIsToldAgain(t *testing.T) {
+	var told []string
+	entry, _ := newSuspectingExchange("entry")
+	entry.cfg.PartUpdate = func(peer string) (u cfvlimit.PartUpdate) {
+		told = append(told, peer)
+		return u
+	}
+	entry.cfg.Parts = func(f func(*cfvparts.Catalog)) { f(cfvparts.NewCatalog()) }
+	mux := http.NewServeMux()
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	relay, _ := newSuspectingExchange("relay")
+	mux.Handle(relay.Handler())
+	addr := strings.TrimPrefix(server.URL, "http://")
+	pull := func(startMillis int64) string {
+		relay.cfg.StartMillis = startMillis
+		assert.NilError(t, entry.pull(context.Background(), addr))
+		return told[len(told)-1]
+	}
+	pull(1)
+	first := pull(1)
+	assert.Equal(t, pull(1), first)
+	pull(2)
+	assert.Assert(t, pull(2) != first)
+}
