Abort no stream because of a mere suspicion

Others were sent on after a crash without a check.

Cause: whether a request may be sent again asked only for two crashes with a part that was never answered: two of one moment sufficed, and crashes that a deadly part beside it explains counted. And that an endpoint had gone down under the request was forgotten once another endpoint rejected it.

A stream that has started ends only for a part that is blocked. A rejection leaves the crash before it remembered.

Ruled out: to drop the check altogether, since it saves an endpoint of each deadly part.

Measured: TestWhenRequestMayBeSentAgain (two of its cases), TestStartedStreamIsNotAbortedOnSuspicion and TestCrashIsRememberedAfterRejection failed before and pass; core/cfvlimit and io/cfventry pass (without the race detector).

--- a/core/cfvlimit/parts.go
+++ b/core/cfvlimit/parts.go
@@ -40,7 +40,7 @@
 	CrashesInOutage  int           // the same, while nothing else of the service is answered either
 	Spread           time.Duration // least time between the first and the last of these crashes
 	UnansweredSpread time.Duration // the same for a part that was never answered
-	RetryCrashes     int           // crashed endpoints from which a request with a part that was never answered isn't sent again
+	RetryCrashes     int           // crashed endpoints, UnansweredSpread apart, from which a request with a part that was never answered is not sent again
 	BlockTime        time.Duration // how long a part is blocked after its last crash; doubled each time it crashes again afterwards
 	MaxBlockTime     time.Duration
 	Retention        time.Duration // how long the crashes of a part that was never blocked are kept
@@ -226,9 +226,15 @@
 
 // MaySendAgain reports whether a request that an endpoint crashed under may be sent to another one. It
 // returns the part because of which it may not.
-func (q *PartQuarantine) MaySendAgain(service string, parts []string) (part string, ok bool) {
+func (q *PartQuarantine) MaySendAgain(now time.Duration, service string, parts []string) (part string, ok bool) {
 	for _, part := range parts {
-		if s := q.parts[PartKey{service, part}]; s != nil && !s.answered && s.open >= q.cfg.RetryCrashes {
+		key := PartKey{service, part}
+		s := q.parts[key]
+		if s == nil || s.answered || s.open < q.cfg.RetryCrashes {
+			continue
+		}
+		list := s.uncleared()
+		if list[len(list)-1].at-list[0].at >= q.cfg.UnansweredSpread && !q.explained(now, key, parts) {
 			return part, false
 		}
 	}
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -140,7 +140,7 @@
 func (q *request) attempt(choice cfvdispatch.Choice, opts cfvcall.ForwardOptions) outcome {
 	e, ep := q.entry, choice.Endpoint
 	q.attempts++
-	q.answer = answerProgress{}
+	q.answer = answerProgress{crashed: q.answer.crashed} // a rejection doesn't undo the crash before
 	pendingTokens := q.promptTokens()
 	prefillDone := func() {
 		if pendingTokens > 0 {
--- a/io/cfventry/parts.go
+++ b/io/cfventry/parts.go
@@ -18,7 +18,7 @@
 	began    time.Duration
 	batches  int  // batches of events
 	recorded bool // the answer has cleared the parts of the prompt
-	crashed  bool // the endpoint went down before the answer had gone on
+	crashed  bool // the last endpoint that went down did so before the answer had gone on
 }
 
 // sharedPartIDs returns the IDs of the parts of the prompt that other requests may have.
@@ -114,8 +114,8 @@
 	}
 	e, now := q.entry, q.entry.cfg.Now()
 	part, blocked := e.parts.Blocked(now, q.service.Name, q.sharedPartIDs())
-	if !blocked && q.answer.crashed {
-		suspect, ok := e.parts.MaySendAgain(q.service.Name, q.sharedPartIDs())
+	if !blocked && q.answer.crashed && !q.stream.hasStarted() {
+		suspect, ok := e.parts.MaySendAgain(now, q.service.Name, q.sharedPartIDs())
 		part, blocked = suspect, !ok
 	}
 	if !blocked {
