--- a/core/cfvlimit/parts.go
+++ b/core/cfvlimit/parts.go
@@ -40,7 +40,7 @@
 	CrashesInOutage  int           // the same, while nothing else of the service is answered either
 	Spread           time.Duration // least time between the moments of these crashes
 	UnansweredSpread time.Duration // the same for a part that was never answered
-	RetryCrashes     int           // crashed endpoints from which a request with a part that was never answered isn't sent again
+	RetryCrashes     int           // crashed endpoints, UnansweredSpread apart, from which a request with a part that was never answered is not sent again
 	BlockTime        time.Duration // how long a part is blocked after its last crash; doubled each time it crashes again afterwards
 	MaxBlockTime     time.Duration
 	Retention        time.Duration // how long the crashes of a part that was never blocked are kept
@@ -59,6 +59,7 @@
 const (
 	maxSuspectParts     = 2048
 	maxCrashesPerPart   = 16
+	maxDroppedPerPart   = 256  // crashes of which only the endpoint and the time are kept
 	maxAnsweredParts    = 4096 // in each generation
 	maxServedServices   = 256
 	maxServedTimes      = 256  // of each service
@@ -207,9 +208,15 @@
 
 // MaySendAgain reports whether a request that an endpoint crashed under may be sent to another one. It
 // returns the part because of which it may not.
-func (q *PartQuarantine) MaySendAgain(service string, parts []string) (part string, ok bool) {
+func (q *PartQuarantine) MaySendAgain(now time.Duration, service string, parts []string) (part string, ok bool) {
 	for _, part := range parts {
-		if s := q.parts[PartKey{service, part}]; s != nil && !s.answered && s.open >= q.cfg.RetryCrashes {
+		key := PartKey{service, part}
+		s := q.parts[key]
+		if s == nil || s.answered || s.open < q.cfg.RetryCrashes {
+			continue
+		}
+		list := s.uncleared()
+		if list[len(list)-1].at-list[0].at >= q.cfg.UnansweredSpread && !q.explained(now, key, parts) {
 			return part, false
 		}
 	}
@@ -278,14 +285,16 @@
 func (q *PartQuarantine) explained(now time.Duration, key PartKey, request []string) bool {
 	s := q.parts[key]
 	left := s.unclearedByEndpoint()
+	total := len(left)
 	for other, o := range q.parts {
 		if other.Service != key.Service || slices.Contains(request, other.Part) || !q.suspected(now, other) {
 			continue
 		}
-		if o.answered && !s.answered || o.answered == s.answered && o.open < s.open {
+		crashes := o.unclearedByEndpoint()
+		if o.answered && !s.answered || o.answered == s.answered && len(crashes) < total {
 			continue
 		}
-		for e := range o.unclearedByEndpoint() {
+		for e := range crashes {
 			delete(left, e)
 		}
 	}
@@ -323,7 +332,8 @@
 			delete(q.parts, key)
 		}
 	}
-	if len(q.order) > 2*maxSuspectParts {
+	q.order = slices.DeleteFunc(q.order, func(key PartKey) bool { return q.parts[key] == nil })
+	if len(q.order) > 2*maxSuspectParts { // evicted parts that came back are in it twice
 		q.order = slices.SortedFunc(maps.Keys(q.parts), compareKeys)
 	}
 	for _, downs := range q.downs {
