Count a cancelled attempt as not run if its answer says so

What callers saw: 502 for a request that its endpoint had rejected, if the attempt was cancelled in the instant in which the rejection arrived.

Cause: a cancelled attempt that had been sent counted as possibly run, whatever its answer said.

Change: the answer counts if it is one to this request. It is still not forwarded.

Ruled out: forwarding the answer, since it may have begun on weights whose bound has passed, and its body can't be read any more.

TestAnswerInTheInstantOfTheCancellation failed before in the cases "not run" and "misdirected" (502 instead of 503); its case "begun" fails (200 instead of 502) if a cancelled attempt that was answered is forwarded, which no test had noticed. The log's field is now called mayHaveRun.

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -171,10 +171,12 @@
 	resp, err := q.send(dog.WatchHead(sent.trace(ctx)), ep, opts)
 	e.pending.remove(pending)
 	if reason, ok := pending.cancelled(); ok && !q.callerGone() {
+		mayHaveRun := sent.mayHaveSent()
 		if err == nil {
+			mayHaveRun = mayHaveRun && !q.saysNotRun(resp)
 			_ = resp.Body.Close()
 		}
-		return q.handleObsolete(ep, reason, sent.mayHaveSent())
+		return q.handleObsolete(ep, reason, mayHaveRun)
 	}
 	if err != nil {
 		return q.handleSendError(ep, &sent, hedge.fired() || dog.Expired(), err)
@@ -209,6 +211,12 @@
 	return q.forwardResponse(ep, resp, hedge)
 }
 
+// saysNotRun reports whether a response tells that the endpoint did not run the request.
+func (q *request) saysNotRun(resp *http.Response) bool {
+	meta := q.entry.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
+	return (meta.RequestID == "" || meta.RequestID == q.meta.ID) && (meta.NotRun || meta.Misdirected)
+}
+
 // send sends the request to an endpoint and returns when the response headers have arrived.
 func (q *request) send(ctx context.Context, ep *cfvfleet.Endpoint, opts cfvcall.ForwardOptions) (*http.Response, error) {
 	req := &http.Request{
--- a/io/cfventry/pending.go
+++ b/io/cfventry/pending.go
@@ -122,11 +122,11 @@
 }
 
 // handleObsolete handles an attempt that was cancelled for a reason other than the endpoint's failure.
-func (q *request) handleObsolete(ep *cfvfleet.Endpoint, reason string, wasSent bool) outcome {
+func (q *request) handleObsolete(ep *cfvfleet.Endpoint, reason string, mayHaveRun bool) outcome {
 	q.entry.cfg.Metrics.Count("attempts.obsolete", 1)
-	q.logAttempt(ep, "an attempt was cancelled while it waited", "why", reason, "wasSent", wasSent)
+	q.logAttempt(ep, "an attempt was cancelled while it waited", "why", reason, "mayHaveRun", mayHaveRun)
 	q.excluded[ep.ID] = true
-	if !wasSent {
+	if !mayHaveRun {
 		return outcomeNotRun
 	}
 	q.possibleRuns++
--- a/io/cfventry/pending_test.go
+++ b/io/cfventry/pending_test.go
@@ -1,9 +1,11 @@
 package cfventry
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"slices"
 	"strconv"
 	"sync"
@@ -66,3 +68,47 @@
 		})
 	}
 }
+
+// Guards against answers on outdated weights and against lost requests: an attempt may be cancelled in the instant in
+// which its answer arrives. Its answer is not forwarded, and counts as not run only if it says so.
+func TestAnswerInTheInstantOfTheCancellation(t *testing.T) {
+	tests := map[string]struct {
+		answer string
+		status int
+	}{
+		"begun":                                 {answer: "HTTP/1.1 200 OK\r\nId: r\r\nStamp: s\r\nContent-Length: 0\r\n\r\n", status: http.StatusBadGateway},
+		"not run":                               {answer: "HTTP/1.1 503 Busy\r\nId: r\r\nStamp: s\r\nNotrun: 1\r\nContent-Length: 0\r\n\r\n", status: http.StatusServiceUnavailable},
+		"misdirected":                           {answer: "HTTP/1.1 421 Other\r\nId: r\r\nStamp: s\r\nContent-Length: 0\r\n\r\n", status: http.StatusServiceUnavailable},
+		"not run, an answer to another request": {answer: "HTTP/1.1 503 Busy\r\nId: x\r\nStamp: s\r\nNotrun: 1\r\nContent-Length: 0\r\n\r\n", status: http.StatusBadGateway},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newWeightsFleet(t, map[string]int64{"a": 1})
+			defer func() {
+				f.cancel()
+				f.entry.connPools.retain(nil)
+			}()
+			sent, locked := make(chan struct{}), make(chan struct{})
+			f.answer = func(w io.Writer, _ *http.Request, _ string) {
+				close(sent)
+				<-locked
+				_, _ = io.WriteString(w, tt.answer)
+			}
+			status := make(chan int)
+			go func() { status <- ask(f.entry, "/book/", "r").Code }()
+			<-sent
+			p := f.entry.pending
+			p.mu.Lock()
+			close(locked)
+			for stack := make([]byte, 1<<20); !bytes.Contains(stack[:runtime.Stack(stack, true)], []byte("(*pendingAttempts).remove(")); {
+				time.Sleep(time.Millisecond)
+			}
+			for a := range p.set { // as cancel does
+				a.reason.Store("the weights are outdated")
+				a.cancel()
+			}
+			p.mu.Unlock()
+			assert.Equal(t, <-status, tt.status)
+		})
+	}
+}
