Stop a request from going back and forth between versions

The requests' notes show why: just after the first two endpoints of a move had swapped, their owners, which read load reports every 0.5 s, knew none at the new version and granted both for the old one.

A request that fell back to the old version no longer follows the move because an endpoint has left it.

--- a/io/cfvserve/completion.go
+++ b/io/cfvserve/completion.go
@@ -106,7 +106,7 @@
 	if !p.Active() || checker.NextOffset() > 0 || r.attempts >= maxAttempts {
 		return false
 	}
-	gone := cause.Reason == cfverror.ReasonNoEndpoint || cause.Reason == cfverror.ReasonVersionMissing
+	gone := cause.Reason == cfverror.ReasonNoEndpoint || cause.Reason == cfverror.ReasonVersionMissing && !r.fellBack
 	if r.version == p.From && gone && s.cfg.VersionFor(r.service, moveKey(r)) == p.To {
 		r.trace.Note("version %s is gone: %s", p.From, cause.Reason)
 		r.version = p.To
@@ -118,7 +118,7 @@
 	switch cause.Reason {
 	case cfverror.ReasonNoEndpoint, cfverror.ReasonEndpointsFull, cfverror.ReasonEndpointsCold, cfverror.ReasonQueueTimeout, cfverror.ReasonQueueFull:
 		r.trace.Note("version %s has no room: %s", p.To, cause.Reason)
-		r.version = p.From
+		r.version, r.fellBack = p.From, true
 		return true
 	}
 	return false
--- a/io/cfvserve/server.go
+++ b/io/cfvserve/server.go
@@ -96,6 +96,7 @@
 	version           string
 	exclude           []string // endpoints that failed this request
 	attempts          int
+	fellBack          bool // a version had no room, and the request goes to the old one
 	mayHaveRun        bool // an attempt before the current one may have run
 	started           time.Time
 	trace             *Trace
