Count streams that end whole with their connection as no crashes

Cause: such a stream is served as whole, but was recorded as a crash of its endpoint, since a deadly part may end one like this.

Change: the end is kept for three seconds and counts as a crash only if the endpoint is found to be down meanwhile: a connection that is refused or breaks, or another endpoint at its address.

Ruled out: to count no such end, since a deadly part that ends streams after one event would stay unseen; to let later answers of the same start of an endpoint refute crashes, since a stale view may give a restarted endpoint its old start. So resets and cut links still count as crashes.

--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -90,6 +90,7 @@
 	dispatcher   *cfvdispatch.Dispatcher
 	quarantine   *cfvlimit.Quarantine
 	parts        *cfvlimit.PartQuarantine
+	doubtfulEnds map[string][]doubtfulEnd                // by endpoint incarnation
 	blockedParts map[cfvlimit.PartKey]bool               // as last logged
 	retryBudgets map[string]*cfvlimit.RetryWindow        // by service
 	baselines    map[string]*cfvdispatch.FailureBaseline // by route
@@ -106,6 +107,7 @@
 	e := &Entry{
 		cfg: cfg, dispatcher: cfvdispatch.New(cfg.Name), quarantine: cfvlimit.NewQuarantineWith(cfvlimit.QuarantineConfig{CrashThreshold: quarantineCrashes, Duration: suspicionTTL}),
 		parts:        cfvlimit.NewPartQuarantine(cfvlimit.DefaultPartConfig()),
+		doubtfulEnds: make(map[string][]doubtfulEnd),
 		retryBudgets: make(map[string]*cfvlimit.RetryWindow), baselines: make(map[string]*cfvdispatch.FailureBaseline),
 		keepAlives: make(map[string]time.Duration), poolSizers: make(map[string]*cfvdispatch.PoolSizer), admissions: make(map[string]*cfvdispatch.Admission), entryCount: 1, grantTable: cfvdispatch.NewGrantTable(),
 		rollouts: cfvrollout.NewCounter(),
--- a/io/cfventry/health.go
+++ b/io/cfventry/health.go
@@ -17,6 +17,7 @@
 	e.mu.Lock()
 	alreadyUnavailable := e.dispatcher.Unavailable(now, ep.ID)
 	retryAt := e.dispatcher.RecordConnectionFailure(now, ep)
+	e.confirmDoubtfulEnds(ep)
 	e.mu.Unlock()
 	if alreadyUnavailable {
 		return
--- a/io/cfventry/parts_test.go
+++ b/io/cfventry/parts_test.go
@@ -30,12 +30,14 @@
 	testParts     = "Parts"
 	partEndpoints = 12
 	deadlyPart    = "deadly"
+	chunkedPart   = "chunked" // always answered with chunks
 )
 
 // partFleet is a number of endpoints that go down when they begin to answer a request with the deadly part.
 type partFleet struct {
 	breakOff string // sent before an endpoint goes down; %s is the id of the request
 	answer   string // to any other request
+	hangUp   bool   // close the connection after each answer without chunks
 	restart  func(addr string)
 	mu       sync.Mutex
 	deadly   int // requests with the deadly part that have arrived
@@ -70,7 +72,14 @@
 				f.crash(addr)
 				return
 			}
-			_, _ = io.WriteString(far, strings.ReplaceAll(f.answer, "%s", req.Header.Get(testRequestID)))
+			answer := f.answer
+			if strings.Contains(req.Header.Get(testParts), chunkedPart) {
+				answer = chunkedAnswer
+			}
+			_, _ = io.WriteString(far, strings.ReplaceAll(answer, "%s", req.Header.Get(testRequestID)))
+			if f.hangUp && answer != chunkedAnswer {
+				return
+			}
 		}
 	}()
 	return near, nil
@@ -180,6 +189,7 @@
 		"one event is sent":                  {most: 4, breakOff: streamHead + "Transfer-Encoding: chunked\r\n\r\n6\r\nid:1\n\n\r\n"},
 		"a part of an event":                 {most: 4, breakOff: streamHead + "Transfer-Encoding: chunked\r\n\r\n3\r\nid:\r\n"},
 		"the head, without chunks":           {most: 4, breakOff: streamHead + "Connection: close\r\n\r\n"},
+		"one event is sent, without chunks":  {most: 4, breakOff: streamHead + "Connection: close\r\n\r\nid:1\n\n"},
 		"a part of an event, without chunks": {most: 4, breakOff: streamHead + "Connection: close\r\n\r\nid:"},
 	}
 	for name, tt := range tests {
