Remember no parts with long names

Callers choose the names of parts, and entries kept each name of suspected and answered parts whatever its length, up to thousands of them, and told peers.

Change: parts whose name has more than 256 bytes are not remembered, so they are never blocked either.

Ruled out: to cut names off, since parts of which only the ends differ would count as one.

Measured: TestLongPartsAreNotRemembered failed before and passes; core/cfvlimit passes with the race detector.

--- a/core/cfvlimit/parts.go
+++ b/core/cfvlimit/parts.go
@@ -60,6 +60,7 @@
 	maxSuspectParts     = 2048
 	maxCrashesPerPart   = 16
 	maxDroppedPerPart   = 256  // crashes of which only the endpoint and the time are kept
+	maxPartBytes        = 256  // parts with longer names are not remembered
 	maxAnsweredParts    = 4096 // in each generation
 	maxServedServices   = 256
 	maxUrgentPerUpdate  = 16
@@ -145,7 +146,7 @@
 
 // addCrash merges a crash into the evidence against a part.
 func (q *PartQuarantine) addCrash(now time.Duration, key PartKey, endpoint string, c partCrash) {
-	if now-c.at > q.cfg.MaxBlockTime {
+	if now-c.at > q.cfg.MaxBlockTime || len(key.Part) > maxPartBytes {
 		return
 	}
 	s := q.parts[key]
@@ -195,6 +196,9 @@
 // recordAnswered records when an answer on a part began. It keeps two generations, so that
 // the table stays bounded.
 func (q *PartQuarantine) recordAnswered(key PartKey, began time.Duration) {
+	if len(key.Part) > maxPartBytes {
+		return
+	}
 	if at, ok := q.lastAnswer(key); ok && at > began {
 		began = at
 	}
--- a/core/cfvlimit/parts_cost_test.go
+++ b/core/cfvlimit/parts_cost_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // manySuspects returns a quarantine that suspects n parts, in six crashes of one of some endpoints each.
@@ -45,3 +48,18 @@
 		}
 	}
 }
+
+// Failure: callers could let an entry remember any number of bytes as the names of parts.
+func TestLongPartsAreNotRemembered(t *testing.T) {
+	q, now := NewPartQuarantine(DefaultPartConfig()), time.Minute
+	long := strings.Repeat("x", maxPartBytes+1)
+	for i := range 3 {
+		now += time.Second
+		q.RecordCrash(now, "s", []string{long, long[1:]}, fmt.Sprint("e", i), false)
+		q.RecordAnswer(now, now, "s", []string{long + "answered"})
+	}
+	assert.Equal(t, len(q.parts), 1)
+	assert.Equal(t, len(q.answered), 0)
+	_, blocked := q.Blocked(now, "s", []string{long[1:]})
+	assert.Assert(t, blocked)
+}
