--- a/core/cfvlimit/part_history.go
+++ b/core/cfvlimit/part_history.go
@@ -74,6 +74,9 @@
 // recordAnswered records when an answer on a part began. It keeps two generations, so that
 // the table stays bounded.
 func (q *PartQuarantine) recordAnswered(key PartKey, began time.Duration) {
+	if len(key.Part) > maxPartBytes {
+		return
+	}
 	if at, ok := q.lastAnswer(key); ok && at > began {
 		began = at
 	}
--- a/core/cfvlimit/parts.go
+++ b/core/cfvlimit/parts.go
@@ -60,6 +60,7 @@
 	maxSuspectParts     = 2048
 	maxCrashesPerPart   = 16
 	maxDroppedPerPart   = 256  // crashes of which only the endpoint and the time are kept
+	maxPartBytes        = 256  // parts with longer names are not remembered
 	maxAnsweredParts    = 4096 // in each generation
 	maxServedServices   = 256
 	maxServedTimes      = 256  // of each service
@@ -154,7 +155,7 @@
 
 // addCrash merges a crash into the evidence against a part.
 func (q *PartQuarantine) addCrash(now time.Duration, key PartKey, endpoint string, c partCrash) {
-	if now-c.at > q.cfg.MaxBlockTime {
+	if now-c.at > q.cfg.MaxBlockTime || len(key.Part) > maxPartBytes {
 		return
 	}
 	q.recordDown(key.Service, endpoint, c.at)
@@ -286,19 +287,39 @@
 	s := q.parts[key]
 	left := s.unclearedByEndpoint()
 	total := len(left)
+	for len(left) > 0 {
+		before := len(left)
+		for e := range left {
+			if o := q.explainer(now, key, e, total, request); o != nil {
+				for e := range o.unclearedByEndpoint() {
+					delete(left, e)
+				}
+			}
+			break
+		}
+		if len(left) == before {
+			return false
+		}
+	}
+	return true
+}
+
+// explainer returns a part that explains a crash with a part that has a number of uncleared crashes; nil if there is
+// none. What costs most is asked last.
+func (q *PartQuarantine) explainer(now time.Duration, key PartKey, endpoint string, total int, request []string) *suspectPart {
+	s := q.parts[key]
 	for other, o := range q.parts {
-		if other.Service != key.Service || slices.Contains(request, other.Part) || !q.suspected(now, other) {
+		if o.open < q.cfg.Crashes || o.answered && !s.answered || !o.mayHave(endpoint) || other.Service != key.Service {
 			continue
 		}
-		crashes := o.unclearedByEndpoint()
-		if o.answered && !s.answered || o.answered == s.answered && len(crashes) < total {
+		if slices.Contains(request, other.Part) || !q.suspected(now, other) {
 			continue
 		}
-		for e := range crashes {
-			delete(left, e)
+		if crashes := o.unclearedByEndpoint(); crashes[endpoint] && (o.answered != s.answered || len(crashes) >= total) {
+			return o
 		}
 	}
-	return len(left) == 0
+	return nil
 }
 
 // evictPart deletes the part with the fewest crashes, of these the one that changed first,
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -222,21 +222,6 @@
 	return nil
 }
 
-// suspicionMessage is a message that tells which requests and parts of prompts are suspected.
-type suspicionMessage interface {
-	GetParts() []*cfvwireentry.PartSuspicion
-	GetServed() []*cfvwireentry.ServedAge
-	GetSuspicions() []*cfvwireentry.Suspicion
-}
-
-// mergeSuspicions merges the suspicions of a peer.
-func (x *Exchange) mergeSuspicions(msg suspicionMessage) {
-	x.cfg.MergeParts(cfvlimit.PartUpdate{Suspicions: partsFromWire(msg.GetParts()), Served: servedFromWire(msg.GetServed())})
-	for _, s := range suspicionsFromWire(time.Now(), msg.GetSuspicions()) {
-		x.cfg.AddSuspicion(s)
-	}
-}
-
 // pullRequest returns the request of a pull from the peer at addr. It also tells the peer what this entry
 // has seen, since a relay seldom pulls from an entry that is none.
 func (x *Exchange) pullRequest(addr string) *cfvwireentry.PullRequest {
--- a/io/cfvexchange/parts.go
+++ b/io/cfvexchange/parts.go
@@ -7,6 +7,21 @@
 	"coltsfootvalve/io/cfvwire/cfvwireentry"
 )
 
+// suspicionMessage is a message that tells which requests and parts of prompts are suspected.
+type suspicionMessage interface {
+	GetParts() []*cfvwireentry.PartSuspicion
+	GetServed() []*cfvwireentry.ServedAge
+	GetSuspicions() []*cfvwireentry.Suspicion
+}
+
+// mergeSuspicions merges the suspicions of a peer.
+func (x *Exchange) mergeSuspicions(msg suspicionMessage) {
+	x.cfg.MergeParts(cfvlimit.PartUpdate{Suspicions: partsFromWire(msg.GetParts()), Served: servedFromWire(msg.GetServed())})
+	for _, s := range suspicionsFromWire(time.Now(), msg.GetSuspicions()) {
+		x.cfg.AddSuspicion(s)
+	}
+}
+
 func partsToWire(list []cfvlimit.PartSuspicion) (out []*cfvwireentry.PartSuspicion) {
 	for _, s := range list {
 		w := &cfvwireentry.PartSuspicion{Service: s.Service, Part: s.Part, Answered: s.Answered}
