Trust another leader's clock only as far as the order's age allows

What callers would see: a version that turns bad in the middle of its roll-out is completed, with several times the exposure that the operators allow (EXPOSURE), if the leader changes and the new one's clock is seconds ahead.

Cause: a new leader takes the time since the order from the recorded time of day, up to a minute more than it knows, so that it believes the duration nearly over and completes what is not yet found bad.

Change: the view knows before which time an order was not given (when it learned of it, less the age of the state then), and neither the time of day nor a recorded elapsed time moves the order before that. A process that started after the order still has no bound and trusts the clock.

The cases "clock ahead" and "clock behind" of the good versions added the gap to every leader, the first too, so that they tested nothing; it counts from the second leader on now. The new case "late, clock ahead" fails without the change at 8, 88 and 295 entries.

--- a/core/cfvfleet/rollout.go
+++ b/core/cfvfleet/rollout.go
@@ -42,6 +42,7 @@
 	RolloutOrder
 	Revision  int64         // of the order
 	LearnedAt time.Duration // when this process learned of the order
+	NotBefore time.Duration // the order was not given before this time; 0: not known
 	// Progress is that of this order. Until the leader has recorded any, it is running with a share of 0.
 	Progress   RolloutProgress
 	ProgressAt time.Duration // when this process learned of the progress; 0: there is none
@@ -89,6 +90,7 @@
 	order          RolloutOrder
 	revision       int64
 	learnedAt      time.Duration
+	notBefore      time.Duration
 	progress       *RolloutProgress // nil: not recorded, or removed
 	progressAt     time.Duration
 	recordRevision int64
@@ -99,11 +101,22 @@
 	if revision <= s.revision {
 		return false
 	}
-	s.order, s.revision, s.learnedAt = o, revision, now
+	s.order, s.revision, s.learnedAt, s.notBefore = o, revision, now, 0
 	v.rollouts[o.Service] = s
 	return true
 }
 
+// SetRolloutsNotBefore records that the orders that this process learned of at time now were not given before
+// another time.
+func (v *View) SetRolloutsNotBefore(now, notBefore time.Duration) {
+	for service, s := range v.rollouts {
+		if s.learnedAt == now && s.notBefore == 0 {
+			s.notBefore = notBefore
+			v.rollouts[service] = s
+		}
+	}
+}
+
 // applyRolloutProgress applies a record of progress. One without a target was removed.
 func (v *View) applyRolloutProgress(now time.Duration, revision int64, p RolloutProgress) bool {
 	s := v.rollouts[p.Service]
@@ -121,7 +134,7 @@
 	if !ok || s.order.Target == "" {
 		return nil
 	}
-	r := &Rollout{RolloutOrder: s.order, Revision: s.revision, LearnedAt: s.learnedAt, RecordRevision: s.recordRevision}
+	r := &Rollout{RolloutOrder: s.order, Revision: s.revision, LearnedAt: s.learnedAt, NotBefore: s.notBefore, RecordRevision: s.recordRevision}
 	if s.progress != nil && s.progress.OrderRevision == s.revision {
 		r.Progress, r.ProgressAt = *s.progress, s.progressAt
 	}
--- a/core/cfvrollout/policy.go
+++ b/core/cfvrollout/policy.go
@@ -76,7 +76,7 @@
 	}
 	p.adoptElapsed(r)
 	if r.Progress.StartMillis > 0 {
-		p.adoptStart(now, millis, r.Progress.StartMillis)
+		p.adoptStart(now, millis, r)
 		return p
 	}
 	p.startMillis = millis - (now - p.startedAt).Milliseconds()
@@ -86,15 +86,16 @@
 // adoptElapsed uses the recorded elapsed time if it is longer than the known one.
 func (p *Policy) adoptElapsed(r *cfvfleet.Rollout) {
 	if r.ProgressAt > 0 {
-		p.startedAt = min(p.startedAt, r.ProgressAt-r.Progress.Elapsed)
+		p.startedAt = min(p.startedAt, max(r.ProgressAt-r.Progress.Elapsed, r.NotBefore))
 	}
 }
 
 // adoptStart uses the recorded time of the order if more time has passed since then. It is the only measure
-// of a time in which no leader was there.
-func (p *Policy) adoptStart(now time.Duration, millis, startMillis int64) {
-	p.startMillis = startMillis
-	byClock := now - time.Duration(millis-startMillis)*time.Millisecond
+// of a time in which no leader was there. The clocks of two VMs may differ by seconds, so it counts only as far
+// as this process doesn't know better.
+func (p *Policy) adoptStart(now time.Duration, millis int64, r *cfvfleet.Rollout) {
+	p.startMillis = r.Progress.StartMillis
+	byClock := max(now-time.Duration(millis-p.startMillis)*time.Millisecond, r.NotBefore)
 	if p.startedAt-byClock <= maxClockGap {
 		p.startedAt = min(p.startedAt, byClock)
 	}
--- a/core/cfvrollout/policy_test.go
+++ b/core/cfvrollout/policy_test.go
@@ -264,7 +264,11 @@
 	}
 	r := s.rollout()
 	if s.policy == nil {
-		s.policy = NewPolicy(orderedAt+s.now, orderMillis+(s.now+s.clockGap).Milliseconds(), r, testLimits)
+		millis := orderMillis + s.now.Milliseconds()
+		if len(s.records) > 0 { // another leader began
+			millis += s.clockGap.Milliseconds()
+		}
+		s.policy = NewPolicy(orderedAt+s.now, millis, r, testLimits)
 	}
 	f := Fleet{Stable: 18, OldVersions: []string{"v1"}}
 	if s.now >= s.startAfter {
@@ -296,7 +300,7 @@
 // rollout returns the roll-out as the leader knows it.
 func (s *simulation) rollout() *cfvfleet.Rollout {
 	r := &cfvfleet.Rollout{
-		RolloutOrder: cfvfleet.RolloutOrder{Service: testService, Target: "v2", Duration: s.duration}, Revision: testRevision, LearnedAt: orderedAt,
+		RolloutOrder: cfvfleet.RolloutOrder{Service: testService, Target: "v2", Duration: s.duration}, Revision: testRevision, LearnedAt: orderedAt, NotBefore: orderedAt - time.Second,
 	}
 	if n := len(s.records); n > 0 {
 		r.Progress, r.ProgressAt = s.records[n-1].RolloutProgress, orderedAt+s.records[n-1].at
@@ -411,6 +415,9 @@
 		"two minutes, late": func(w *world) { w.duration, w.slow = 2*time.Minute, since(80*time.Second, 0.5) },
 		"handover":          func(w *world) { w.handovers, w.failures = []time.Duration{5 * time.Second}, since(6*time.Second, 0.5) },
 		"slow writes":       func(w *world) { w.slowWrites, w.slow = time.Second, constant(0.5) },
+		"late, clock ahead": func(w *world) {
+			w.handovers, w.clockGap, w.slow = []time.Duration{4 * time.Second}, 10*time.Second, since(8*time.Second, 0.5)
+		},
 	}
 	for name, change := range tests {
 		for _, entries := range []int{8, 88, 295} {
--- a/io/cfvstate/state.go
+++ b/io/cfvstate/state.go
@@ -64,6 +64,9 @@
 			s.logChange(from, c, age, known)
 		}
 	}
+	if known {
+		s.view.SetRolloutsNotBefore(now, now-age)
+	}
 	if known && age <= cfvfleet.MaxWeightsLag {
 		s.view.SetWeightsNotBefore(now, now-age)
 	} else {
