Keep a version that was rolled back out after its order is withdrawn

What callers would see: requests at a version that was found bad, once operators withdraw the order whose roll-out was rolled back.

Cause: without an order the view knew of no roll-out, so that all endpoints of the service were alike.

Change: a roll-out that has ended stays known by its record when its order is withdrawn.

TestRolledBackVersionStaysOutWithoutItsOrder failed before (two endpoints serve instead of one).

--- a/core/cfvfleet/rollout.go
+++ b/core/cfvfleet/rollout.go
@@ -131,9 +131,12 @@
 // Rollout returns the newest roll-out of a service, which may have ended; nil if none is ordered.
 func (v *View) Rollout(service string) *Rollout {
 	s, ok := v.rollouts[service]
-	if !ok || s.order.Target == "" {
+	if !ok {
 		return nil
 	}
+	if s.order.Target == "" {
+		return s.ended()
+	}
 	r := &Rollout{RolloutOrder: s.order, Revision: s.revision, LearnedAt: s.learnedAt, NotBefore: s.notBefore, RecordRevision: s.recordRevision}
 	if s.progress != nil && s.progress.OrderRevision == s.revision {
 		r.Progress, r.ProgressAt = *s.progress, s.progressAt
@@ -141,6 +144,18 @@
 	return r
 }
 
+// ended returns the roll-out that ended before its order was withdrawn; nil if there is none. A version that was
+// rolled back stays out, and so do the versions that were replaced.
+func (s rolloutState) ended() *Rollout {
+	if s.progress == nil || s.progress.Phase == RolloutRunning {
+		return nil
+	}
+	return &Rollout{
+		RolloutOrder: RolloutOrder{Service: s.progress.Service, Target: s.progress.Target}, Revision: s.progress.OrderRevision,
+		Progress: *s.progress, ProgressAt: s.progressAt, RecordRevision: s.recordRevision,
+	}
+}
+
 // Rollouts returns the newest roll-out of each service that has one, sorted by service.
 func (v *View) Rollouts() []*Rollout {
 	var out []*Rollout
--- a/core/cfvfleet/rollout_test.go
+++ b/core/cfvfleet/rollout_test.go
@@ -90,3 +90,17 @@
 	order(7, "")
 	assert.Assert(t, v.Rollout("s") == nil, "the order was withdrawn")
 }
+
+// Guards against a version that was rolled back and serves again once its order is withdrawn.
+func TestRolledBackVersionStaysOutWithoutItsOrder(t *testing.T) {
+	v := NewView()
+	for id, version := range map[string]string{"a": "v1", "b": "v2"} {
+		v.Apply(1, Change{Endpoint: &EndpointChange{ID: id, Endpoint: &Endpoint{ID: id, Service: "s", SoftwareVersion: version}}})
+	}
+	v.Apply(2, Change{Revision: 5, RolloutOrder: &RolloutOrder{Service: "s", Target: "v2", Duration: time.Minute}})
+	v.Apply(3, Change{Revision: 6, RolloutProgress: &RolloutProgress{Service: "s", OrderRevision: 5, Target: "v2", Phase: RolloutRolledBack}})
+	assert.Equal(t, len(v.Serving("s", false)), 1)
+	v.Apply(4, Change{Revision: 7, RolloutOrder: &RolloutOrder{Service: "s"}})
+	assert.Equal(t, len(v.Serving("s", false)), 1)
+	assert.Equal(t, len(v.Serving("s", true)), 0)
+}
