Leave the share of a roll-out alone while other versions are missing

What callers would see: all requests at an unproven version, and its completion without evidence, if the service's other endpoints are drained, crashed or unknown to the leader for a moment.

Cause: without other endpoints the leader set the share to 1, which later looks like the last step of the ramp.

Change: the share is 1 at once only if no other version was known since the order. An entry without stable endpoints still sends a candidate its share alone.

--- a/core/cfvrollout/policy.go
+++ b/core/cfvrollout/policy.go
@@ -143,6 +143,9 @@
 		next.Phase, next.Share = cfvfleet.RolloutCompleted, 1
 	default:
 		next.Share = p.nextShare(now, f, suspicion)
+		if f.Stable == 0 && f.Target > 0 && len(next.Replaced) == 0 {
+			next.Share = 1 // the service has no other version
+		}
 	}
 	return next, p.worthRecording(r, next)
 }
@@ -231,9 +234,6 @@
 	if f.Target == 0 {
 		return p.share
 	}
-	if f.Stable == 0 {
-		return 1
-	}
 	if suspicion != "" {
 		return min(p.canaryShare(now), max(p.share, p.baseShare()))
 	}
