Renew the announcements of the soak's endpoints after a load of weights

Cause: the platform's endpoints announce the weights that they run and renew the announcement with their heartbeats; the soak's stand-in announced version 1 for ever. Since each replaced version has a bound of its own, an entry that got no request during several changes of the weights has no endpoint left that it may use by what it knows, and learns nothing of them from announcements.

Change: the stand-in announces an endpoint again after a load. No check is changed.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -61,6 +61,9 @@
 	removedAt     map[string]time.Time // when the write that removed the key was acknowledged
 }
 
+// heartbeatInterval is the time between two announcements of an endpoint.
+const heartbeatInterval = 500 * time.Millisecond
+
 // buildBinary compiles the program once for all runs.
 func buildBinary(t *testing.T) string {
 	bin := filepath.Join(t.TempDir(), "coltsfootvalve")
@@ -103,10 +106,29 @@
 	endpointProxy := newProxy(f.t, f.startServer(r.Handler()))
 	f.endpoints, f.endpointProxies = append(f.endpoints, r), append(f.endpointProxies, endpointProxy)
 	item := map[string]any{"service": service, "addr": endpointProxy.addr(), "zone": "north", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1}
-	if cfg.Model != "" {
-		item["models"] = []map[string]any{{"name": cfg.Model, "version": 1}}
+	if cfg.Model == "" {
+		f.putRecord("servers/"+id, item)
+		return
+	}
+	announce := func(version int64) {
+		item["models"] = []map[string]any{{"name": cfg.Model, "version": version}}
+		f.putRecord("servers/"+id, item)
+	}
+	announce(1)
+	go f.renewAnnouncement(r, announce)
+}
+
+// renewAnnouncement announces an endpoint again after it has loaded other weights, as the platform's endpoints
+// do with their heartbeats.
+func (f *fleet) renewAnnouncement(r *cfvfakereplica.Replica, announce func(version int64)) {
+	announced := int64(1)
+	for f.t.Context().Err() == nil {
+		time.Sleep(heartbeatInterval)
+		if version, _ := r.WeightsVersion(); version != announced {
+			announced = version
+			announce(version)
+		}
 	}
-	f.putRecord("servers/"+id, item)
 }
 
 func (f *fleet) putRecord(key string, item any) {
