Wait for the end of a roll-out instead of a second in its test

Cause: TestRolloutsAreCarriedOut slept for a second of real time until all entries should know the end, so that its verdict depended on the host's load. No failure was seen.

Change: it waits until each entry knows that the roll-out has ended, and after a rollback until no entry has a request running at the version. The assertions are unchanged.

--- a/commands/hosted_rollout_test.go
+++ b/commands/hosted_rollout_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/standins/cfvfakereplica"
 	"coltsfootvalve/standins/cfvfault"
 
@@ -27,6 +28,24 @@
 	return w.State
 }
 
+// rolloutOver reports whether each entry knows that the roll-out of a service has ended, and sent no request to the
+// given endpoints that still runs, unless they serve from then on.
+func (f *fleet) rolloutOver(service string, ids []string) bool {
+	for _, e := range f.entries {
+		var r *cfvfleet.Rollout
+		e.state.Read(func(v *cfvfleet.View) { r = v.Rollout(service) })
+		if r == nil || r.Progress.Phase == cfvfleet.RolloutRunning {
+			return false
+		}
+		for _, id := range ids {
+			if r.Progress.Phase == cfvfleet.RolloutRolledBack && e.entry.Loads()[id].Running > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // startVersion starts two endpoints of another software version.
 func (f *fleet) startVersion(service, version string, faults cfvfault.Fault) (ids []string) {
 	for i := range 2 {
@@ -83,7 +102,7 @@
 			ids := f.startVersion("desk", "v2", tt.faults)
 			f.eventually("the roll-out has ended", func() bool { return f.rolloutState("desk") != "running" })
 			assert.Equal(t, f.rolloutState("desk"), tt.want, f.logs.String())
-			time.Sleep(time.Second) // all entries know of the end
+			f.eventually("all entries know of the end, and no request runs at the version", func() bool { return f.rolloutOver("desk", ids) })
 			seen, after := len(f.endpoints[ids[0]].Runs())+len(f.endpoints[ids[1]].Runs()), requests.Load()
 			f.eventually("more requests are sent", func() bool { return requests.Load() > after+100 })
 			close(stop)
