Bound the exposure to a version by what each entry has sent

Callers saw a bad version of mesa-pedidos get more requests than allowed between its order and its deadline. Cause: the shares of the schedule gave the target 0.15 to 0.32 of all requests, so the bound of 0.1 and 50 held only if the judge found a fault early, and whatever delayed it broke the rule.

Each entry now counts its requests to a service since it learned of the order, and sends the target at most a part of them until the deadline, before and after the completion. The sum is within the bound in every schedule. The leader keeps the canary share until the allowed exposure covers the rest, and moves all requests in the last part of the duration.

Ruled out: limiting the leader's share only, since its counts lack those of killed entries. Cost: fewer requests show a fault before the end.

--- a/commands/hosted_entry.go
+++ b/commands/hosted_entry.go
@@ -63,7 +63,7 @@
 		},
 		Limits: cfventry.Limits{
 			MaxRevokeDelay: b.MaxRevokeDelay, MaxVersionDelay: b.MaxVersionDelay, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
-			RetryWindow: b.RetryWindow, ShutdownTimeout: settings.ShutdownTimeout,
+			RetryWindow: b.RetryWindow, ShutdownTimeout: settings.ShutdownTimeout, Exposure: exposureLimits(b),
 		},
 		State: h.state, Parts: h.parts, Now: cfvclock.SinceBoot, Random: rand.Float64, Log: log.Component("entry"), Metrics: h.metrics,
 		Listen:    func(network, addr string) (net.Listener, error) { return h.listen(network, addr) },
--- a/commands/hosted_loops.go
+++ b/commands/hosted_loops.go
@@ -118,7 +118,7 @@
 	return cfvrollout.NewController(cfvrollout.ControllerConfig{
 		View: h.state.Read, Conflict: platform.ErrConflict, Now: cfvclock.SinceBoot, Log: h.log.Component("rollout"), Count: h.metrics.Count,
 		Millis: func() int64 { return time.Now().UnixMilli() },
-		Limits: cfvrollout.Limits{ExposureShare: b.ExposureShare, ExposureSlack: b.ExposureSlack},
+		Limits: exposureLimits(b),
 		Record: func(ctx context.Context, w cfvrollout.Write) (int64, error) {
 			writes, err := platform.RolloutWrites(w.Progress)
 			if err != nil {
@@ -128,3 +128,8 @@
 		},
 	})
 }
+
+// exposureLimits returns the bounds on the requests that a version may get while it is rolled out.
+func exposureLimits(b platform.Bounds) cfvrollout.Limits {
+	return cfvrollout.Limits{ExposureShare: b.ExposureShare, ExposureSlack: b.ExposureSlack}
+}
--- a/common/cfverror/refusal.go
+++ b/common/cfverror/refusal.go
@@ -32,6 +32,7 @@
 	ReasonPartQuarantined   Reason = "partQuarantined"
 	ReasonConnect           Reason = "connectFailed"
 	ReasonVersionMissing    Reason = "versionNotLoaded"
+	ReasonExposureSpent     Reason = "exposureSpent"
 	ReasonEndpointFailed    Reason = "endpointFailed"
 	ReasonEndpointSilent    Reason = "endpointSilent"
 	ReasonTimeout           Reason = "requestTimeout"
--- a/core/cfvfleet/rollout.go
+++ b/core/cfvfleet/rollout.go
@@ -50,6 +50,19 @@
 	RecordRevision int64
 }
 
+// Elapsed returns the least time that has passed since the order. It is what this process knows itself or the
+// record of progress tells, but no more than the order's age allows.
+func (r *Rollout) Elapsed(now time.Duration) time.Duration {
+	elapsed := now - r.LearnedAt
+	if r.ProgressAt > 0 {
+		elapsed = max(elapsed, r.Progress.Elapsed+now-r.ProgressAt)
+	}
+	if r.NotBefore > 0 {
+		elapsed = min(elapsed, now-r.NotBefore)
+	}
+	return max(elapsed, 0)
+}
+
 // Split divides the endpoints of the service into those that serve most requests and the candidates, which
 // serve the roll-out's share of them. Endpoints that may not be used are in neither.
 func (r *Rollout) Split(endpoints []*Endpoint) (stable, candidates []*Endpoint) {
@@ -71,6 +84,16 @@
 	return stable, target[:candidateCount(len(target), r.Progress.Share)]
 }
 
+// OtherVersions returns the endpoints that run another version than the target.
+func (r *Rollout) OtherVersions(endpoints []*Endpoint) (out []*Endpoint) {
+	for _, e := range endpoints {
+		if e.SoftwareVersion != r.Target {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // minCandidates is the lowest number of candidates that serve a share, so that long and short prompts can go to
 // different ones.
 const minCandidates = 2
--- a/core/cfvrollout/policy.go
+++ b/core/cfvrollout/policy.go
@@ -26,16 +26,15 @@
 
 // Shares and thresholds of the policy.
 const (
-	baseCanaryShare    = 0.05 // of a service with many requests
-	maxCanaryShare     = 0.5  // of a service with so few requests that the slack covers them
-	canaryPart         = 0.5  // part of the allowed share that the canary share is planned to use
-	canarySlackPart    = 0.8  // likewise of the slack
-	guardPart          = 0.6  // part of it from which on the canary share is the base
-	pausePart          = 0.85 // part of it from which on the canary share is 0
-	canaryChange       = 1.25 // smaller factors between two canary shares aren't worth a write
-	capacityPart       = 0.5  // endpoints of the target version that more than the canary share needs, per other endpoint
-	minRequests        = 20   // requests to the service of which some must reach the target version
-	minRequestsPerStep = 10   // requests of the target version that each step needs before the next one
+	baseCanaryShare = 0.05 // of a service with many requests
+	maxCanaryShare  = 0.5  // of a service with so few requests that the slack covers them
+	canaryPart      = 0.5  // part of the allowed share that the canary share is planned to use
+	canarySlackPart = 0.5  // likewise of the slack
+	guardPart       = 0.6  // part of it from which on the canary share is the base
+	pausePart       = 0.85 // part of it from which on the canary share is 0
+	canaryChange    = 1.25 // smaller factors between two canary shares aren't worth a write
+	capacityPart    = 0.5  // endpoints of the target version that more than the canary share needs, per other endpoint
+	minRequests     = 20   // requests to the service of which some must reach the target version
 )
 
 // Times of the policy.
@@ -60,10 +59,10 @@
 	createdAt   time.Duration
 	startedAt   time.Duration // estimated time of the order
 	startMillis int64         // likewise by the clock of the leader that recorded it first
+	unrecorded  time.Duration // of the elapsed time at most, if this process only knows the recorded one
 	verdict     string        // why the version is rolled back; it is never withdrawn
 	share       float64       // the last recorded share
 	sharedAt    time.Duration // when the policy learned of it
-	sharedFrom  float64       // requests of the target version at that time
 	writeTook   time.Duration // how long the last write took
 }
 
@@ -71,10 +70,13 @@
 // process's clock, millis is the time of day.
 func NewPolicy(now time.Duration, millis int64, r *cfvfleet.Rollout, l Limits) *Policy {
 	p := &Policy{
-		limits: l, order: r.RolloutOrder, revision: r.Revision, schedule: newSchedule(r.Duration), createdAt: now, startedAt: r.LearnedAt,
+		limits: l, order: r.RolloutOrder, revision: r.Revision, schedule: newSchedule(r.Duration, l), createdAt: now, startedAt: r.LearnedAt,
 		judge: NewJudge(r.Service, r.Target, r.Revision, r.Duration), share: r.Progress.Share, sharedAt: now,
 	}
 	p.adoptElapsed(r)
+	if r.NotBefore == 0 && r.ProgressAt > 0 {
+		p.unrecorded = max(r.Duration/recordParts, minRecordInterval)
+	}
 	if r.Progress.StartMillis > 0 {
 		p.adoptStart(now, millis, r)
 		return p
@@ -119,8 +121,10 @@
 // RecordWrite tells how long it took to record a progress. What follows is decided so much earlier.
 func (p *Policy) RecordWrite(took time.Duration) { p.writeTook = min(took, maxWriteRoom) }
 
-// due reports whether a time of the schedule has come.
-func (p *Policy) due(now, at time.Duration) bool { return p.Elapsed(now)+p.writeTook >= at }
+// due reports whether a time of the schedule has come, or may have come.
+func (p *Policy) due(now, at time.Duration) bool {
+	return p.Elapsed(now)+p.unrecorded+p.writeTook >= at
+}
 
 // Next returns the progress to record, and false if the recorded one is to stay. A roll-out that has ended
 // stays as it is, whoever ended it.
@@ -156,7 +160,6 @@
 		return
 	}
 	p.share, p.sharedAt = share, now
-	p.sharedFrom, _ = p.judge.Requests()
 }
 
 // worthRecording reports whether a progress differs enough from the recorded one.
@@ -212,7 +215,8 @@
 	if suspicion != "" {
 		return false
 	}
-	if p.share >= 1 && p.due(now, p.schedule.finish) && now-p.sharedAt >= minDrain {
+	drain := p.schedule.finish - p.schedule.full
+	if p.share >= 1 && p.due(now, p.schedule.finish) && now-p.sharedAt+p.writeTook >= drain {
 		return true
 	}
 	return p.due(now, p.schedule.decision) && p.hasEvidence(now)
@@ -237,40 +241,27 @@
 	if suspicion != "" {
 		return min(p.canaryShare(now), max(p.share, p.baseShare()))
 	}
-	step := p.step()
-	if p.mayStep(now, f, step) {
-		return max(rampShares[step], p.share)
-	}
-	if step > 0 && p.due(now, p.schedule.steps[step-1]-maxWriteRoom) {
-		return p.share
+	if p.share >= 1 || p.mayServeAll(now, f) {
+		return 1
 	}
 	return p.canaryShare(now)
 }
 
-// step returns the number of steps that have been taken.
-func (p *Policy) step() int {
-	return len(rampShares) - len(slices.DeleteFunc(slices.Clone(rampShares), func(s float64) bool { return s <= p.share }))
-}
-
-// mayStep reports whether the next step may be taken. A step that is overdue is taken with little evidence,
-// but not without any.
-func (p *Policy) mayStep(now time.Duration, f Fleet, step int) bool {
-	if step == len(rampShares) || !p.due(now, p.schedule.steps[step]) || !p.hasCapacity(f) || !p.hasEvidence(now) {
-		return false
-	}
-	if now-p.sharedAt < minStep || now < f.WarmAt+evidenceDelay && !p.due(now, p.schedule.finish) {
+// mayServeAll reports whether the target version may get all requests. If that is overdue, little evidence is
+// enough, but not none.
+func (p *Policy) mayServeAll(now time.Duration, f Fleet) bool {
+	full := min(p.schedule.full, p.schedule.finish-p.writeTook) // the roll-out is completed by another write after this one
+	if !p.due(now, full) || !p.hasCapacity(f) || !p.hasEvidence(now) {
 		return false
 	}
 	target, all := p.judge.Requests()
 	switch {
 	case all == 0 || target == 0 && all >= minRequests:
 		return false
-	case p.due(now, p.schedule.steps[step]+p.schedule.interval/2):
+	case p.due(now, min((p.schedule.full+p.schedule.finish)/2, p.schedule.finish-p.writeTook)):
 		return true
-	case target-p.sharedFrom < minRequestsPerStep:
-		return false
 	}
-	return step < len(rampShares)-1 || p.judge.Proven()
+	return now >= f.WarmAt+evidenceDelay && p.judge.Proven()
 }
 
 // baseShare is the canary share of a service with many requests.
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -204,6 +204,7 @@
 		return outcomeFailed
 	}
 	q.possibleRuns++
+	q.recordArrival()
 	q.recordBegin(ep, max(meta.WeightVersion, opts.WeightVersion))
 	if resp.StatusCode/100 == 2 && q.route.Kind == cfvfleet.Streaming {
 		return q.forwardStream(ep, resp, hedge, dog, prefillDone)
--- a/io/cfventry/choose.go
+++ b/io/cfventry/choose.go
@@ -32,6 +32,7 @@
 		return choice, opts, refusal
 	}
 	now := e.cfg.Now()
+	rollout := e.rollout(q.service.Name)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if refusal := q.partRefusalLocked(); refusal != nil { // a part may have been blocked while the request was held
@@ -47,6 +48,15 @@
 	if q.candidate && (e.dispatcher.Unavailable(now, choice.Endpoint.ID) || q.tooBusy(choice.Endpoint)) {
 		return choice, opts, q.noEndpointRefusal(cfvdispatch.AllAtEntryLimit, len(query.Endpoints))
 	}
+	if !q.takeExposure(now, rollout, choice.Endpoint) {
+		if q.candidate {
+			return choice, opts, q.noEndpointRefusal(cfvdispatch.AllAtEntryLimit, len(query.Endpoints))
+		}
+		query.Restrict(rollout.OtherVersions(query.Endpoints))
+		if choice, reason = e.dispatcher.Choose(now, query, e.cfg.Random()); reason != cfvdispatch.Chosen {
+			return choice, opts, q.exposureRefusal(now, rollout)
+		}
+	}
 	q.mixed = q.sharesWithLongPrompts(query, choice)
 	opts = q.forwardOptions(now, query, choice)
 	e.dispatcher.Start(now, choice.Endpoint, q.promptTokens())
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -49,6 +49,7 @@
 	RetrySlack      float64       // retries of all entries in addition to the ratio
 	RetryWindow     time.Duration
 	ShutdownTimeout time.Duration
+	Exposure        cfvrollout.Limits // of callers to a version that is rolled out
 }
 
 // Config configures an Entry.
@@ -99,6 +100,8 @@
 	poolSizers   map[string]*cfvdispatch.PoolSizer // by service
 	admissions   map[string]*cfvdispatch.Admission // by service; used while this entry is the placer
 	rollouts     *cfvrollout.Counter
+	exposure     *cfvrollout.Exposure
+	seat         cfvrollout.Seat
 	entryCount   int
 }
 
@@ -110,7 +113,7 @@
 		doubtfulEnds: make(map[string][]doubtfulEnd),
 		retryBudgets: make(map[string]*cfvlimit.RetryWindow), baselines: make(map[string]*cfvdispatch.FailureBaseline),
 		keepAlives: make(map[string]time.Duration), poolSizers: make(map[string]*cfvdispatch.PoolSizer), admissions: make(map[string]*cfvdispatch.Admission), entryCount: 1, grantTable: cfvdispatch.NewGrantTable(),
-		rollouts: cfvrollout.NewCounter(),
+		rollouts: cfvrollout.NewCounter(), exposure: cfvrollout.NewExposure(cfg.Limits.Exposure),
 	}
 	e.pending = newPendingAttempts()
 	e.connPools = newConnPools(func() { cfg.Metrics.Count("endpoints.dials", 1) }, cfg.Dial)
@@ -228,6 +231,7 @@
 	e.dispatcher.Retain(all)
 	e.dispatcher.SetEntries(names)
 	e.entryCount = max(len(names), 1)
+	e.seat = cfvrollout.SeatOf(e.cfg.Name, names)
 	e.quarantine.Expire(time.Now())
 	for _, b := range e.retryBudgets {
 		b.SetSlack(e.retrySlack())
--- a/io/cfventry/rollout.go
+++ b/io/cfventry/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"coltsfootvalve/common/cfverror"
 	"coltsfootvalve/core/cfvdispatch"
 	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/core/cfvrollout"
@@ -18,14 +19,51 @@
 // pickVersion decides whether the request goes to the software version that is rolled out, once for all
 // attempts.
 func (q *request) pickVersion() {
-	share := q.entry.candidateShare(q.service.Name)
-	q.candidate = share > 0 && q.entry.cfg.Random() < share
+	e := q.entry
+	r, share := e.candidateShare(q.service.Name)
+	if share <= 0 {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	q.candidate = e.exposure.Due(r, e.seat, share, e.cfg.Random())
+}
+
+// takeExposure reports whether the request may be sent to an endpoint, as far as the exposure of its software version
+// is bounded. The caller must hold the entry's lock.
+func (q *request) takeExposure(now time.Duration, r *cfvfleet.Rollout, ep *cfvfleet.Endpoint) bool {
+	if r == nil || ep.SoftwareVersion != r.Target || q.entry.exposure.Take(now, r, q.entry.seat) {
+		return true
+	}
+	q.entry.cfg.Metrics.Count("rollout.exposureSpent", 1)
+	return false
+}
+
+// recordArrival counts a request that has reached an endpoint since the order of a roll-out.
+func (q *request) recordArrival() {
+	e := q.entry
+	r := e.rollout(q.service.Name)
+	if r == nil || q.times.sentAt < r.LearnedAt {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.exposure.CountArrival(r, e.seat)
+}
+
+// exposureRefusal refuses a request that only the new version of a completed roll-out could serve. Its exposure is
+// bounded until the deadline of the roll-out.
+func (q *request) exposureRefusal(now time.Duration, r *cfvfleet.Rollout) *httpRefusal {
+	if q.stream.hasStarted() {
+		q.abortStream("no endpoint to go on at: " + string(cfverror.ReasonExposureSpent))
+	}
+	return q.unserved(max(r.Duration-r.Elapsed(now), 0), cfverror.ReasonExposureSpent, "version %s gets no more requests until its roll-out's deadline", r.Target)
 }
 
 // usesCandidate reports whether the next attempt goes to a candidate. Only the first attempt does, and only
 // if the roll-out still allows it.
 func (q *request) usesCandidate() bool {
-	q.candidate = q.candidate && q.attempts == 0 && q.entry.candidateShare(q.service.Name) > 0
+	q.candidate = q.candidate && q.attempts == 0 && q.entry.mayUseCandidates(q.service.Name)
 	return q.candidate
 }
 
@@ -44,24 +82,35 @@
 	return objective > 0 && q.meta.Prompt.Tokens > 0 && q.entry.dispatcher.PrefillWait(ep.ID, 0) > objective/maxCandidateWaitPart
 }
 
-// candidateShare returns the share of a service's requests that go to the candidates of its roll-out.
-func (e *Entry) candidateShare(service string) float64 {
-	var r *cfvfleet.Rollout
+// rollout returns the newest roll-out of a service; nil if there is none.
+func (e *Entry) rollout(service string) (r *cfvfleet.Rollout) {
 	e.cfg.State.Read(func(v *cfvfleet.View) { r = v.Rollout(service) })
+	return r
+}
+
+// mayUseCandidates reports whether requests may go to the candidates of a service's roll-out.
+func (e *Entry) mayUseCandidates(service string) bool {
+	_, share := e.candidateShare(service)
+	return share > 0
+}
+
+// candidateShare returns the roll-out of a service, and the share of the requests that goes to its candidates.
+func (e *Entry) candidateShare(service string) (r *cfvfleet.Rollout, share float64) {
+	r = e.rollout(service)
 	if r == nil || r.Progress.Phase != cfvfleet.RolloutRunning || r.Progress.Share <= 0 {
-		return 0
+		return r, 0
 	}
 	if age, known := e.cfg.State.Age(); !known || age >= maxRolloutStateAge {
 		e.cfg.Metrics.Count("rollout.stateOutdated", 1)
-		return 0
+		return r, 0
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.rollouts.Rejected(service, r.Revision) {
 		e.cfg.Metrics.Count("rollout.rejectedHere", 1)
-		return 0
+		return r, 0
 	}
-	return r.Progress.Share
+	return r, r.Progress.Share
 }
 
 // attemptTimes are the times of an attempt at an endpoint.
--- a/io/cfventry/rollout_test.go
+++ b/io/cfventry/rollout_test.go
@@ -17,6 +17,7 @@
 	"coltsfootvalve/core/cfvcall"
 	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/core/cfvmirror"
+	"coltsfootvalve/core/cfvrollout"
 	"coltsfootvalve/io/cfvreserve"
 	"coltsfootvalve/io/cfvstate"
 
@@ -376,3 +377,39 @@
 		assert.Assert(t, tv.seen("v2") > 0)
 	})
 }
+
+// Failure: entries sent as much to a version as the leader's share told, however much that was of what they had sent to its
+// service.
+func TestEntryBoundsTheExposureByItself(t *testing.T) {
+	const n = 1000
+	tests := map[string]struct {
+		phase   cfvfleet.RolloutPhase
+		v1      int // endpoints
+		after   time.Duration
+		most    int // requests to v2
+		refused bool
+	}{
+		"a share of all":               {phase: cfvfleet.RolloutRunning, v1: 6, most: n / 10},
+		"completed":                    {phase: cfvfleet.RolloutCompleted, v1: 6, most: n / 10, refused: true},
+		"completed, deadline is over":  {phase: cfvfleet.RolloutCompleted, v1: 6, after: time.Minute, most: n},
+		"the others are gone":          {phase: cfvfleet.RolloutRunning, most: 0, refused: true},
+		"the others are gone, finally": {phase: cfvfleet.RolloutCompleted, after: time.Minute, most: n},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tv := newTwoVersions(t, tt.v1, 3)
+				tv.exposure = cfvrollout.NewExposure(cfvrollout.Limits{ExposureShare: 0.1})
+				order := tv.order()
+				tv.ask("/look/", n/10)
+				tv.wait(tt.after)
+				tv.progress(order, tt.phase, 1)
+				got := tv.ask("/look/", n)
+				v2 := tv.seen("v2")
+				assert.Assert(t, v2 <= tt.most, "v2 got %d", v2)
+				assert.Equal(t, got[http.StatusServiceUnavailable] > 0, tt.refused)
+				assert.Equal(t, got[http.StatusOK]+got[http.StatusServiceUnavailable], n)
+			})
+		})
+	}
+}
