Send no request to a candidate before its times count

Part of the cause: candidates that had just started or come back cold served the canary share. Slow responses of cold endpoints are not counted as slow, but count as requests, so the evidence was diluted and the 50 bad responses were spent before the judge could see one.

Candidates are now the first warm endpoints of the target. Until there is one, the stable endpoints serve all requests; with a share of 1 all endpoints of the target serve. TestColdCandidatesGetNoRequests failed in all four cases before except the warm one. Other tests of roll-outs wait until their endpoints are warm.

Ruled out: counting slow responses of cold endpoints, which would condemn good versions.

--- a/core/cfvfleet/rollout.go
+++ b/core/cfvfleet/rollout.go
@@ -84,6 +84,24 @@
 	return stable, target[:candidateCount(len(target), r.Progress.Share)]
 }
 
+// Candidates returns as many candidates as Split does, but only endpoints that are ready.
+func (r *Rollout) Candidates(endpoints []*Endpoint, ready func(*Endpoint) bool) (out []*Endpoint) {
+	if r.Progress.Phase != RolloutRunning {
+		return nil
+	}
+	n := 0
+	for _, e := range endpoints {
+		if e.SoftwareVersion != r.Target {
+			continue
+		}
+		n++
+		if ready(e) {
+			out = append(out, e)
+		}
+	}
+	return out[:min(len(out), candidateCount(n, r.Progress.Share))]
+}
+
 // OtherVersions returns the endpoints that run another version than the target.
 func (r *Rollout) OtherVersions(endpoints []*Endpoint) (out []*Endpoint) {
 	for _, e := range endpoints {
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -1,7 +1,6 @@
 package cfventry
 
 import (
-	"slices"
 	"time"
 
 	"coltsfootvalve/common/cfverror"
@@ -139,7 +138,8 @@
 	candidate := false
 	e.cfg.State.Read(func(v *cfvfleet.View) {
 		if ep = v.Endpoint(endpoint); ep != nil {
-			candidate = slices.Contains(v.Serving(ep.Service, true), ep)
+			r := v.Rollout(ep.Service)
+			candidate = r != nil && r.Progress.Phase == cfvfleet.RolloutRunning && ep.SoftwareVersion == r.Target
 		}
 	})
 	e.mu.Lock()
@@ -236,6 +236,9 @@
 	cold := make(map[string]time.Duration)
 	e.cfg.State.Read(func(v *cfvfleet.View) {
 		q.Endpoints = v.Serving(service.Name, candidate)
+		if candidate {
+			q.Endpoints = warmCandidates(now, v, service.Name)
+		}
 		for _, ep := range q.Endpoints {
 			if until := v.ColdUntil(ep.ID); until > now {
 				cold[ep.ID] = until
--- a/io/cfventry/rollout.go
+++ b/io/cfventry/rollout.go
@@ -21,7 +21,7 @@
 func (q *request) pickVersion() {
 	e := q.entry
 	r, share := e.candidateShare(q.service.Name)
-	if share <= 0 {
+	if share <= 0 || !e.hasWarmCandidate(q.service.Name) {
 		return
 	}
 	e.mu.Lock()
@@ -88,6 +88,28 @@
 	return r
 }
 
+// warmCandidates returns the candidates of a service's roll-out whose responses tell about their version. Before the
+// target gets all requests, the others get none: a slow version could not be told from a cold one.
+func warmCandidates(now time.Duration, v *cfvfleet.View, service string) []*cfvfleet.Endpoint {
+	r := v.Rollout(service)
+	if r == nil || r.Progress.Share >= 1 {
+		return v.Serving(service, true)
+	}
+	return r.Candidates(v.Usable(service), func(ep *cfvfleet.Endpoint) bool { return isWarm(now, v, ep) })
+}
+
+// hasWarmCandidate reports whether a candidate of a service's roll-out may get requests.
+func (e *Entry) hasWarmCandidate(service string) (ok bool) {
+	now := e.cfg.Now()
+	e.cfg.State.Read(func(v *cfvfleet.View) { ok = len(warmCandidates(now, v, service)) > 0 })
+	return ok
+}
+
+// isWarm reports whether an endpoint has served for a while, so that its times tell about its version.
+func isWarm(now time.Duration, v *cfvfleet.View, ep *cfvfleet.Endpoint) bool {
+	return now-v.KnownSince(now, ep.ID) >= cfvrollout.WarmUpTime && v.ColdUntil(ep.ID) <= now
+}
+
 // mayUseCandidates reports whether requests may go to the candidates of a service's roll-out.
 func (e *Entry) mayUseCandidates(service string) bool {
 	_, share := e.candidateShare(service)
@@ -191,7 +213,7 @@
 	var r *cfvfleet.Rollout
 	e.cfg.State.Read(func(v *cfvfleet.View) {
 		r = v.Rollout(s.Service)
-		s.Warm = now-v.KnownSince(now, ep.ID) >= cfvrollout.WarmUpTime && v.ColdUntil(ep.ID) <= now
+		s.Warm = isWarm(now, v, ep)
 	})
 	e.mu.Lock()
 	cause := e.rollouts.Record(r, s)
--- a/io/cfventry/rollout_test.go
+++ b/io/cfventry/rollout_test.go
@@ -75,6 +75,7 @@
 	for i := range v2 {
 		tv.addEndpoint(fmt.Sprint("v2-", i), "v2")
 	}
+	tv.wait(cfvrollout.WarmUpTime)
 	t.Cleanup(func() {
 		for _, endpoint := range tv.endpoints {
 			endpoint.close()
@@ -413,3 +414,45 @@
 		})
 	}
 }
+
+// Failure: candidates that had come back cold got half a hundred requests whose times told nothing, so a slow version was
+// found only when it was warm, and requests reached it too long after its 50th slow response.
+func TestColdCandidatesGetNoRequests(t *testing.T) {
+	tests := map[string]struct {
+		cold time.Duration // at the announcement of the first of three candidates
+		wait time.Duration
+		want map[string]bool // which of the candidates get requests
+	}{
+		"just announced":   {want: map[string]bool{}},
+		"warm":             {wait: cfvrollout.WarmUpTime, want: map[string]bool{"v2-0": true, "v2-1": true}},
+		"one is cold":      {cold: time.Minute, wait: cfvrollout.WarmUpTime, want: map[string]bool{"v2-1": true, "v2-2": true}},
+		"one is warm late": {cold: 4 * time.Second, wait: 5 * time.Second, want: map[string]bool{"v2-0": true, "v2-1": true}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tv := newTwoVersions(t, 4, 0)
+				tv.progress(tv.order(), cfvfleet.RolloutRunning, 0.5)
+				for i := range 3 {
+					id := fmt.Sprint("v2-", i)
+					tv.addEndpoint(id, "v2")
+					if i == 0 && tt.cold > 0 {
+						tv.apply(id, cfvfleet.Change{Endpoint: &cfvfleet.EndpointChange{ID: id, Endpoint: &cfvfleet.Endpoint{
+							ID: id, Service: "s", Addr: id + ":1", Slots: 4, SoftwareVersion: "v2", ColdFor: tt.cold,
+						}}})
+					}
+				}
+				tv.wait(tt.wait)
+				assert.DeepEqual(t, tv.ask("/look/", 200), map[int]int{http.StatusOK: 200})
+				got := make(map[string]bool)
+				for i := range 3 {
+					id := fmt.Sprint("v2-", i)
+					if tv.endpoints[id+":1"].seen > 0 {
+						got[id] = true
+					}
+				}
+				assert.DeepEqual(t, got, tt.want)
+			})
+		})
+	}
+}
