Trust no leader's clock for the end of a roll-out's exposure

An entry that was there when the order was given now uses its own time; one that started later, which has little to send, uses the record.

A due request that the bound held back was counted as sent, so entries with few requests sent half of what they might. It is now counted when it is sent.

--- a/core/cfvfleet/rollout.go
+++ b/core/cfvfleet/rollout.go
@@ -50,16 +50,13 @@
 	RecordRevision int64
 }
 
-// Elapsed returns the least time that has passed since the order. It is what this process knows itself or the
-// record of progress tells, but no more than the order's age allows.
+// Elapsed returns the least time that has passed since the order. A process that was there when the order was given
+// doesn't rely on the record of progress, since its leader may have judged the time by its clock.
 func (r *Rollout) Elapsed(now time.Duration) time.Duration {
 	elapsed := now - r.LearnedAt
-	if r.ProgressAt > 0 {
+	if r.NotBefore == 0 && r.ProgressAt > 0 {
 		elapsed = max(elapsed, r.Progress.Elapsed+now-r.ProgressAt)
 	}
-	if r.NotBefore > 0 {
-		elapsed = min(elapsed, now-r.NotBefore)
-	}
 	return max(elapsed, 0)
 }
 
--- a/core/cfvrollout/exposure.go
+++ b/core/cfvrollout/exposure.go
@@ -70,11 +70,7 @@
 		return random < share
 	}
 	c.credit = min(c.credit+share, 1)
-	if c.credit < 1 {
-		return false
-	}
-	c.credit--
-	return true
+	return c.credit >= 1 && x.allows(r, c)
 }
 
 // Take reports whether a request may be sent to the target of a roll-out, and counts it.
@@ -83,17 +79,23 @@
 	if c == nil || r.Elapsed(now) >= r.Duration {
 		return true
 	}
-	part := runningExposurePart
-	if r.Progress.Phase == cfvfleet.RolloutCompleted {
-		part = finalExposurePart
-	}
-	if c.target+1 > math.Floor(part*x.limits.ExposureShare*c.all+c.offset) {
+	if !x.allows(r, c) {
 		return false
 	}
 	c.target++
+	c.credit = max(c.credit-1, 0)
 	return true
 }
 
+// allows reports whether the target may get another request.
+func (x *Exposure) allows(r *cfvfleet.Rollout, c *exposureCount) bool {
+	part := runningExposurePart
+	if r.Progress.Phase == cfvfleet.RolloutCompleted {
+		part = finalExposurePart
+	}
+	return c.target+1 <= math.Floor(part*x.limits.ExposureShare*c.all+c.offset)
+}
+
 // count returns the count of a roll-out; nil if its exposure is not bounded.
 func (x *Exposure) count(r *cfvfleet.Rollout, s Seat) *exposureCount {
 	if r == nil || x.limits.ExposureShare == 0 || r.Revision == 0 {
--- a/core/cfvrollout/exposure_test.go
+++ b/core/cfvrollout/exposure_test.go
@@ -41,3 +41,30 @@
 		}
 	}
 }
+
+// Failure: the leader and most entries were killed with what they had counted, and requests reached a bad version more than
+// five seconds after its 50th bad response.
+func TestLostEvidenceDoesNotProlongTheExposure(t *testing.T) {
+	faults := map[string]func(w *world){
+		"all fail":  func(w *world) { w.failures = constant(1) },
+		"half fail": func(w *world) { w.failures = constant(0.5) },
+		"half slow": func(w *world) { w.slow = constant(0.5) },
+		"late":      func(w *world) { w.slow = since(7*time.Second, 0.5) },
+	}
+	for name, fault := range faults {
+		for _, perSecond := range []float64{100, 600, 2000} {
+			for _, entries := range []int{8, 88} {
+				t.Run(fmt.Sprintf("%s, %v per second, %d entries", name, perSecond, entries), func(t *testing.T) {
+					for at := 5 * time.Second; at < 14*time.Second; at += 500 * time.Millisecond {
+						w := steady()
+						w.perSecond, w.entries, w.noise, w.kills = perSecond, entries, 0.05, []time.Duration{at}
+						fault(&w)
+						got := w.run(seeds(1)[0])
+						assert.Assert(t, got.sentAfterBound == 0, "killed after %v: %v requests sent too late, bad after %v, ended after %v", at, got.sentAfterBound, got.badAt, got.endedAt)
+						assert.Assert(t, got.target <= testLimits.allowed(got.all), "killed after %v: %v of %v requests", at, got.target, got.all)
+					}
+				})
+			}
+		}
+	}
+}
--- a/core/cfvrollout/policy_test.go
+++ b/core/cfvrollout/policy_test.go
@@ -48,6 +48,7 @@
 	handovers  []time.Duration  // the leader ends; another one follows
 	clockGap   time.Duration    // difference of the other leader's clock
 	slowWrites time.Duration    // time that a write takes
+	kills      []time.Duration  // the leader and 0.6 of the entries are killed; their processes start again
 }
 
 // handoverTime is the time without a leader.
@@ -88,9 +89,11 @@
 	phases   []time.Duration // of the reports of each entry
 	counters []map[string]*Evidence
 	exposure []*Exposure // of each entry
+	starts   []int64     // of the entries' processes
 	due      map[time.Duration][]sentRequest
 	policy   *Policy
 	leaderIn time.Duration // when the next leader begins
+	lostAt   time.Duration // when the last one was lost
 	writing  *recordedProgress
 	raisedAt time.Duration // when the share grew last
 	badCount float64
@@ -124,8 +127,10 @@
 		s.phases = append(s.phases, time.Duration(s.r.Int64N(int64(w.reportInterval())))/simulationStep*simulationStep)
 		s.counters = append(s.counters, make(map[string]*Evidence))
 		s.exposure = append(s.exposure, NewExposure(testLimits))
+		s.starts = append(s.starts, 0)
 	}
 	for s.now = 0; s.now < w.duration+10*time.Second; s.now += simulationStep {
+		s.kill()
 		s.send()
 		s.answer()
 		s.report()
@@ -136,14 +141,50 @@
 
 func (s *simulation) during(span [2]time.Duration) bool { return s.now >= span[0] && s.now < span[1] }
 
-// known returns the progress that an entry knows.
-func (s *simulation) known(entry int) cfvfleet.RolloutProgress {
+// known returns the progress that an entry knows, and when it was recorded.
+func (s *simulation) known(entry int) recordedProgress {
 	for i := len(s.records) - 1; i >= 0; i-- {
 		if s.records[i].at+s.delays[entry] <= s.now {
-			return s.records[i].RolloutProgress
+			return s.records[i]
+		}
+	}
+	return recordedProgress{}
+}
+
+// unreportedTime is how long an entry sends to the version after its last report, firstVerdictTime how long it doesn't
+// after the first report to another leader.
+const (
+	unreportedTime   = 1500 * time.Millisecond
+	firstVerdictTime = 1500 * time.Millisecond
+)
+
+// loseLeader ends the leader. Another one follows.
+func (s *simulation) loseLeader() {
+	if s.policy != nil {
+		s.lostAt = s.now
+	}
+	s.policy, s.leaderIn = nil, s.now+handoverTime
+}
+
+// hasLeader reports whether a leader judges what entries report, or did a moment ago.
+func (s *simulation) hasLeader() bool {
+	return s.policy != nil && s.now >= s.leaderIn+firstVerdictTime || s.policy == nil && s.now <= s.lostAt+unreportedTime
+}
+
+// killedShare is the share of the entries that are killed together.
+const killedShare = 0.6
+
+// kill ends the leader and some entries. What they have counted is lost.
+func (s *simulation) kill() {
+	for _, at := range s.kills {
+		if s.now != at {
+			continue
+		}
+		s.loseLeader()
+		for i := range int(killedShare * float64(s.entries)) {
+			s.counters[i], s.exposure[i], s.starts[i] = make(map[string]*Evidence), NewExposure(testLimits), s.now.Milliseconds()
 		}
 	}
-	return cfvfleet.RolloutProgress{}
 }
 
 func (s *simulation) send() {
@@ -158,7 +199,7 @@
 		}
 		p := s.known(q.entry)
 		ended := p.Phase != cfvfleet.RolloutRunning
-		if s.now >= s.warmAt() && (!ended && p.Share > 0 && s.exposure[q.entry].Due(s.knownRollout(q.entry), Seat{q.entry, s.entries}, p.Share, s.r.Float64()) || p.Phase == cfvfleet.RolloutCompleted) {
+		if s.now >= s.warmAt() && (!ended && p.Share > 0 && s.hasLeader() && s.exposure[q.entry].Due(s.knownRollout(q.entry), Seat{q.entry, s.entries}, p.Share, s.r.Float64()) || p.Phase == cfvfleet.RolloutCompleted) {
 			q.version = "v2"
 		}
 		if q.version == "v2" && !s.exposure[q.entry].Take(orderedAt+s.now, s.knownRollout(q.entry), Seat{q.entry, s.entries}) {
@@ -175,7 +216,14 @@
 // knownRollout returns the roll-out as an entry knows it.
 func (s *simulation) knownRollout(entry int) *cfvfleet.Rollout {
 	r := s.rollout()
-	r.Progress, r.ProgressAt = s.known(entry), 0
+	p := s.known(entry)
+	r.Progress, r.ProgressAt = p.RolloutProgress, 0
+	if p.at > 0 {
+		r.ProgressAt = orderedAt + max(p.at+s.delays[entry], time.Duration(s.starts[entry])*time.Millisecond)
+	}
+	if s.starts[entry] > 0 {
+		r.NotBefore, r.LearnedAt = 0, orderedAt+time.Duration(s.starts[entry])*time.Millisecond
+	}
 	return r
 }
 
@@ -239,7 +287,7 @@
 
 func (s *simulation) answer() {
 	for _, q := range s.due[s.now] {
-		s.exposure[q.entry].CountArrival(s.rollout(), Seat{q.entry, s.entries})
+		s.exposure[q.entry].CountArrival(s.knownRollout(q.entry), Seat{q.entry, s.entries})
 		key := q.version + " " + q.route
 		e, ok := s.counters[q.entry][key]
 		if !ok {
@@ -262,7 +310,7 @@
 		if s.policy == nil || s.now%s.reportInterval() != phase {
 			continue
 		}
-		report := Report{Entry: fmt.Sprint(i)}
+		report := Report{Entry: fmt.Sprint(i), StartMillis: s.starts[i]}
 		for _, e := range s.counters[i] {
 			report.Evidence = append(report.Evidence, *e)
 		}
@@ -273,7 +321,7 @@
 func (s *simulation) lead() {
 	for _, at := range s.handovers {
 		if s.now == at {
-			s.policy, s.leaderIn = nil, s.now+handoverTime
+			s.loseLeader()
 		}
 	}
 	s.finishWrite()
