Send nothing to a version while no leader judges it

An entry now sends to candidates only while the leader has accepted its evidence, all but that of the last 1.5 s, and for 1.5 s after the first report to another leader not at all, which is the time that this one needs for a verdict.

Ruled out: a shorter age of the state, since the state stays fresh without a leader.

--- a/commands/hosted_entry.go
+++ b/commands/hosted_entry.go
@@ -39,6 +39,7 @@
 	exchange      *cfvexchange.Exchange
 	reserver      *cfvreserve.Reserver
 	rollouts      *cfvrollout.Controller
+	reporter      *cfvrollout.Reporter
 
 	listen     func(network, addr string) (net.Listener, error)
 	peerServer *http.Server
@@ -71,7 +72,8 @@
 		Reserve: func(ctx context.Context, r cfvreserve.Request) (cfvreserve.Grant, bool) {
 			return h.reserver.Reserve(ctx, r)
 		},
-		Settle: func(g cfvreserve.Grant, request string, over bool) { h.reserver.Settle(g, request, over) },
+		Settle:          func(g cfvreserve.Grant, request string, over bool) { h.reserver.Settle(g, request, over) },
+		EvidenceCurrent: func() bool { return h.reporter.Current() },
 	})
 	h.reserver = cfvreserve.New(cfvreserve.Config{
 		Self: settings.Node, Relays: func() []cfvfleet.Entry { return h.roster().Relays() }, Place: h.entry.Place, Settle: h.entry.Settle, Now: cfvclock.SinceBoot,
@@ -82,7 +84,7 @@
 		Suspicions: h.entry.Suspicions, AddSuspicion: h.entry.AddSuspicion, PartUpdate: h.entry.PartUpdate, MergeParts: h.entry.MergeParts, Log: log.Component("exchange"), Count: h.metrics.Count,
 		StartMillis: time.Now().UnixMilli(),
 	})
-	h.rollouts = h.newRollouts()
+	h.rollouts, h.reporter = h.newRollouts(), h.newReporter()
 	return h
 }
 
--- a/commands/hosted_loops.go
+++ b/commands/hosted_loops.go
@@ -30,7 +30,7 @@
 	go h.exchange.Run(ctx)
 	go h.reserver.Run(ctx)
 	go inventory.Run(ctx)
-	go h.newReporter().Run(ctx)
+	go h.reporter.Run(ctx)
 	go h.announce(ctx)
 }
 
@@ -38,7 +38,7 @@
 func (h *hostedEntry) newReporter() *cfvrollout.Reporter {
 	return cfvrollout.NewReporter(cfvrollout.ReporterConfig{
 		Self: h.settings.Node, StartMillis: time.Now().UnixMilli(), Evidence: h.entry.RolloutEvidence, Leader: h.currentLeader,
-		Entries: func() int { return len(h.roster().Entries()) }, Send: cfvrollout.SendReports(), Log: h.log.Component("rollout"), Count: h.metrics.Count,
+		Entries: func() int { return len(h.roster().Entries()) }, Send: cfvrollout.SendReports(), Now: cfvclock.SinceBoot, Log: h.log.Component("rollout"), Count: h.metrics.Count,
 	})
 }
 
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -64,6 +64,7 @@
 	Parts           *PartCatalog
 	PeerLoads       func() (map[string]cfvdispatch.Load, map[string]cfvdispatch.Demand) // running work of all peers
 	Reserve         func(context.Context, cfvreserve.Request) (cfvreserve.Grant, bool)  // requests the placement of a long prompt; nil disables it
+	EvidenceCurrent func() bool                                                         // reports whether the leader has the evidence about roll-outs; nil: always
 	Settle          func(g cfvreserve.Grant, request string, over bool)                 // reports that the prefill is done, or that the request is over
 	Now             func() time.Duration                                                // a clock that also runs while the VM is suspended
 	Random          func() float64
--- a/io/cfventry/rollout.go
+++ b/io/cfventry/rollout.go
@@ -126,6 +126,10 @@
 		e.cfg.Metrics.Count("rollout.stateOutdated", 1)
 		return r, 0
 	}
+	if e.cfg.EvidenceCurrent != nil && !e.cfg.EvidenceCurrent() {
+		e.cfg.Metrics.Count("rollout.evidenceUnreported", 1)
+		return r, 0
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.rollouts.Rejected(service, r.Revision) {
--- a/io/cfvrollout/reporter.go
+++ b/io/cfvrollout/reporter.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"coltsfootvalve/common/cfvclock"
@@ -20,6 +21,9 @@
 	minReportInterval   = 500 * time.Millisecond
 	maxReportsPerSecond = 300 // that the leader gets from all entries
 	reportTimeout       = 400 * time.Millisecond
+	maxUnreportedTime   = 1500 * time.Millisecond // the leader has all evidence but that of the last while of this length
+	maxMissedReports    = 2                       // or the time of so many reports, if that is longer
+	firstVerdictTime    = 1500 * time.Millisecond // from the first report to a leader until it has judged all evidence
 )
 
 // Leader is the present leader.
@@ -37,6 +41,7 @@
 	Leader      func() (Leader, bool)                                             // false: none is known
 	Entries     func() int                                                        // number of entries that report
 	Send        func(ctx context.Context, addr string, r cfvrollout.Report) error // SendReports returns such a function
+	Now         func() time.Duration
 	Log         cfvlog.Logger
 	Count       func(name string, n int64)
 }
@@ -47,11 +52,34 @@
 	accepted []cfvrollout.Evidence // of the last report that a leader accepted
 	term     int64                 // of that leader
 	failing  bool                  // the last report was not accepted
+
+	mu         sync.Mutex
+	reportedAt time.Duration // when the leader had all evidence
+	termAt     time.Duration // when this leader accepted the first report
 }
 
 // NewReporter returns a reporter. Run makes it report.
 func NewReporter(cfg ReporterConfig) *Reporter { return &Reporter{cfg: cfg} }
 
+// Current reports whether the leader has all evidence but that of the last moments, and has had the time to judge it.
+// What an entry sends to a version without that is not judged by anyone.
+func (r *Reporter) Current() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Now()
+	return now-r.reportedAt <= max(maxUnreportedTime, (maxMissedReports+1)*r.interval()) && (r.termAt == 0 || now-r.termAt >= firstVerdictTime)
+}
+
+// recordCurrent records that the leader of a term has all evidence.
+func (r *Reporter) recordCurrent(term int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reportedAt = r.cfg.Now()
+	if term != r.term {
+		r.term, r.termAt = term, r.reportedAt
+	}
+}
+
 // SendReports returns a function that sends a report to the leader at an address.
 func SendReports() func(ctx context.Context, addr string, r cfvrollout.Report) error {
 	client := cfvhttp.NewClient(reportTimeout, 1)
@@ -82,6 +110,7 @@
 	evidence := r.cfg.Evidence()
 	if len(evidence) == 0 {
 		r.accepted, r.failing = nil, false
+		r.recordCurrent(r.term)
 		return
 	}
 	leader, ok := r.cfg.Leader()
@@ -90,6 +119,7 @@
 		return
 	}
 	if leader.Term == r.term && slices.Equal(evidence, r.accepted) {
+		r.recordCurrent(r.term)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -103,7 +133,8 @@
 		r.cfg.Log.Infow("the leader accepts the evidence of a roll-out", "leader", leader.Name, "term", leader.Term)
 	}
 	r.cfg.Count("rollout.reports", 1)
-	r.accepted, r.term, r.failing = evidence, leader.Term, false
+	r.accepted, r.failing = evidence, false
+	r.recordCurrent(leader.Term)
 }
 
 // recordFailure records that a report was not accepted. The next one contains all its evidence.
--- a/io/cfvrollout/reporter_test.go
+++ b/io/cfvrollout/reporter_test.go
@@ -26,6 +26,7 @@
 	refusing map[string]bool
 	got      map[string][]cfvrollout.Report
 	sent     int
+	reporter *Reporter
 }
 
 // run runs the reporter for some time, and calls change at times in between.
@@ -44,10 +45,13 @@
 				change()
 			})
 		}
-		NewReporter(ReporterConfig{
+		start := time.Now()
+		r.reporter = NewReporter(ReporterConfig{
+			Now:  func() time.Duration { return time.Since(start) },
 			Self: "entry", StartMillis: 5, Log: cfvlog.Discard(), Count: func(string, int64) {}, Entries: func() int { return r.entries },
 			Evidence: r.currentEvidence, Leader: r.currentLeader, Send: r.send,
-		}).Run(ctx)
+		})
+		r.reporter.Run(ctx)
 	})
 }
 
@@ -142,3 +146,26 @@
 		assert.Equal(t, r.interval(), want)
 	}
 }
+
+// Failure: entries went on sending to a version while its leader was lost, and nobody judged what they saw.
+func TestReporterIsCurrentWhileTheLeaderHasTheEvidence(t *testing.T) {
+	r := &reports{leader: Leader{Name: "a", Addr: "a", Term: 1}, refusing: make(map[string]bool)}
+	want := map[time.Duration]bool{
+		2100 * time.Millisecond: true,
+		3100 * time.Millisecond: true,  // nothing new since the last report
+		5100 * time.Millisecond: true,  // the leader was lost less than 1.5 s ago
+		6100 * time.Millisecond: false, // it was lost with evidence unreported
+		8100 * time.Millisecond: false, // another leader has the evidence since a moment ago
+		9600 * time.Millisecond: true,  // and the time to judge it
+	}
+	got := make(map[time.Duration]bool)
+	changes := map[time.Duration]func(){
+		4050 * time.Millisecond: func() { r.refusing["a"] = true; r.evidence[0].Requests++ },
+		7050 * time.Millisecond: func() { r.leader = Leader{Name: "b", Addr: "b", Term: 2} },
+	}
+	for at := range want {
+		changes[at] = func() { got[at] = r.reporter.Current() }
+	}
+	r.run(t, 10*time.Second, changes)
+	assert.DeepEqual(t, got, want)
+}
