Make up for canary requests that were not sent

Since candidates get nothing while they are cold or no leader judges them, the canary share was in force for a part of the time only, and faults of a rare route or at few requests were found less often than before. The leader now raises the share, up to twice the planned one, to spend the planned exposure.

--- a/core/cfvrollout/judge.go
+++ b/core/cfvrollout/judge.go
@@ -191,6 +191,9 @@
 		if cause := c.compare(strata, route, old); cause != "" {
 			return cause
 		}
+		if route != allRoutes && targetRequests(recent, route) < minRouteRequests {
+			continue // few requests in one of many windows are often bad by chance
+		}
 		if cause := c.compare(recent, route, old); cause != "" {
 			return cause + " of late"
 		}
@@ -198,6 +201,14 @@
 	return ""
 }
 
+// targetRequests returns how many requests the target version got on a route in some strata.
+func targetRequests(strata []stratum, route string) (n float64) {
+	for _, s := range strata {
+		n += s.routes[route].target.requests
+	}
+	return n
+}
+
 // Proven reports whether the evidence on each route that the replaced versions serve is enough to show a
 // fault of the target version.
 func (j *Judge) Proven() bool {
--- a/core/cfvrollout/policy.go
+++ b/core/cfvrollout/policy.go
@@ -32,6 +32,7 @@
 	canarySlackPart = 0.5  // likewise of the slack
 	guardPart       = 0.6  // part of it from which on the canary share is the base
 	pausePart       = 0.85 // part of it from which on the canary share is 0
+	maxCatchUp      = 2    // times the planned share that the canary share may be
 	canaryChange    = 1.25 // smaller factors between two canary shares aren't worth a write
 	capacityPart    = 0.5  // endpoints of the target version that more than the canary share needs, per other endpoint
 	minRequests     = 20   // requests to the service of which some must reach the target version
@@ -291,7 +292,9 @@
 	}
 	planned := all * float64(p.order.Duration) / float64(p.Elapsed(now))
 	use := canaryPart*p.limits.ExposureShare*planned + canarySlackPart*p.limits.ExposureSlack
-	share := min(max(use/planned, base), maxCanaryShare)
+	average := use / planned
+	remaining := max(use-target, 0) / max(planned-all, 1) // more than the average after a time without candidates or without a leader
+	share := min(max(min(remaining, maxCatchUp*average), base), maxCanaryShare)
 	if p.share > 0 && share < p.share*canaryChange && share > p.share/canaryChange {
 		return p.share
 	}
