Record the evidence of a roll-out for the next leader

The record of progress now holds the counts of requests, failures and slow responses. A new leader takes the larger of what is recorded and what is reported, per count, so what live entries report is not counted twice. Ten more bad responses are worth a write.

TestNewLeaderJudgesByTheRecordedCounts.

--- a/core/cfvfleet/rollout.go
+++ b/core/cfvfleet/rollout.go
@@ -24,6 +24,11 @@
 	RolloutRolledBack
 )
 
+// RolloutCounts counts the requests of one or more versions during a roll-out, by their outcome.
+type RolloutCounts struct {
+	Requests, Failures, Slow float64
+}
+
 // RolloutProgress is the progress of a roll-out as the leader recorded it.
 type RolloutProgress struct {
 	Service       string
@@ -35,6 +40,8 @@
 	Elapsed       time.Duration // from the order to the record
 	StartMillis   int64         // time of the order in Unix milliseconds, by the clock of the leader that recorded it first
 	Cause         string        // of the rollback
+	TargetCounts  RolloutCounts // outcomes that the leader knew of
+	OtherCounts   RolloutCounts // likewise of the versions that the target replaces
 }
 
 // Rollout is the roll-out of a service's software version as an entry knows it.
--- a/core/cfvrollout/counter.go
+++ b/core/cfvrollout/counter.go
@@ -146,7 +146,7 @@
 			p.old = p.old.plus(t)
 		}
 	}
-	if p.old.requests < minOldRequests {
+	if p.old.Requests < minOldRequests {
 		return ""
 	}
 	all := []stratum{{routes: map[string]pair{route: p}}}
--- a/core/cfvrollout/judge.go
+++ b/core/cfvrollout/judge.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/core/cfvmove"
 )
 
@@ -34,16 +35,19 @@
 )
 
 // tally is a sum of evidence.
-type tally struct {
-	requests, failures, slow float64
-}
+type tally cfvfleet.RolloutCounts
 
 func (t tally) plus(o tally) tally {
-	return tally{t.requests + o.requests, t.failures + o.failures, t.slow + o.slow}
+	return tally{t.Requests + o.Requests, t.Failures + o.Failures, t.Slow + o.Slow}
 }
 
 func (t tally) minus(o tally) tally {
-	return tally{t.requests - o.requests, t.failures - o.failures, t.slow - o.slow}
+	return tally{t.Requests - o.Requests, t.Failures - o.Failures, t.Slow - o.Slow}
+}
+
+// beyond returns by how much each count exceeds that of another tally.
+func (t tally) beyond(o tally) tally {
+	return tally{max(t.Requests-o.Requests, 0), max(t.Failures-o.Failures, 0), max(t.Slow-o.Slow, 0)}
 }
 
 // pair is the evidence of the target version and that of the versions that it replaces.
@@ -77,6 +81,8 @@
 	stratumLength   time.Duration
 	reports         map[process]map[string]pair // the latest by entry process and route
 	totals          map[string]pair             // their sum by route
+	recorded        pair                        // evidence on all routes that an earlier leader knew of
+	lost            pair                        // what of it no process reports any more
 	closed          map[string]pair             // the sum of all closed strata by route
 	strata          []stratum
 	cold            bool // of the open stratum
@@ -109,7 +115,7 @@
 		}
 	}
 	have, got := j.reports[id][allRoutes], routes[allRoutes]
-	if got.target.requests < have.target.requests || got.old.requests < have.old.requests {
+	if got.target.Requests < have.target.Requests || got.old.Requests < have.old.Requests {
 		return
 	}
 	for route, p := range j.reports[id] {
@@ -119,6 +125,20 @@
 		j.totals[route] = j.totals[route].plus(p)
 	}
 	j.reports[id] = routes
+	j.updateLost()
+}
+
+// adoptRecord adopts the evidence that an earlier leader knew of. What is reported is less than that if processes have ended.
+func (j *Judge) adoptRecord(recorded pair) {
+	j.recorded = recorded
+	j.updateLost()
+}
+
+// updateLost counts the evidence that was recorded and is not reported any more.
+func (j *Judge) updateLost() {
+	reported := j.totals[allRoutes].minus(j.lost)
+	j.lost = pair{target: j.recorded.target.beyond(reported.target), old: j.recorded.old.beyond(reported.old)}
+	j.totals[allRoutes] = reported.plus(j.lost)
 }
 
 // Observe closes the current stratum if it is long enough. warm reports whether the times of the target version
@@ -144,7 +164,7 @@
 // Requests returns how many requests the target version and all versions have got.
 func (j *Judge) Requests() (target, all float64) {
 	p := j.totals[allRoutes]
-	return p.target.requests, p.target.requests + p.old.requests
+	return p.target.Requests, p.target.Requests + p.old.Requests
 }
 
 // Describe returns the evidence on each route, for the log.
@@ -161,7 +181,7 @@
 }
 
 func (t tally) describe() string {
-	return fmt.Sprintf("%.0f of %.0f failed, %.0f slow", t.failures, t.requests, t.slow)
+	return fmt.Sprintf("%.0f of %.0f failed, %.0f slow", t.Failures, t.Requests, t.Slow)
 }
 
 // Fault returns why the version is bad, or "" if the evidence doesn't show it.
@@ -204,7 +224,7 @@
 // targetRequests returns how many requests the target version got on a route in some strata.
 func targetRequests(strata []stratum, route string) (n float64) {
 	for _, s := range strata {
-		n += s.routes[route].target.requests
+		n += s.routes[route].target.Requests
 	}
 	return n
 }
@@ -213,11 +233,11 @@
 // fault of the target version.
 func (j *Judge) Proven() bool {
 	all := j.totals[allRoutes]
-	if all.target.requests < minRouteRequests {
+	if all.target.Requests < minRouteRequests {
 		return false
 	}
 	for _, p := range j.totals {
-		if p.old.requests >= minRouteShare*all.old.requests && p.target.requests < minRouteRequests {
+		if p.old.Requests >= minRouteShare*all.old.Requests && p.target.Requests < minRouteRequests {
 			return false
 		}
 	}
@@ -236,9 +256,9 @@
 	var failures, slow comparison
 	for _, s := range strata {
 		p := s.routes[route]
-		failures.add(p.target.failures, p.target.requests, p.old.failures, p.old.requests, expectedShare(old.failures, old.requests))
+		failures.add(p.target.Failures, p.target.Requests, p.old.Failures, p.old.Requests, expectedShare(old.Failures, old.Requests))
 		if !s.cold {
-			slow.add(p.target.slow, p.target.requests, p.old.slow, p.old.requests, expectedShare(old.slow, old.requests))
+			slow.add(p.target.Slow, p.target.Requests, p.old.Slow, p.old.Requests, expectedShare(old.Slow, old.Requests))
 		}
 	}
 	switch {
--- a/core/cfvrollout/missing_test.go
+++ b/core/cfvrollout/missing_test.go
@@ -49,3 +49,27 @@
 		assert.Assert(t, at > 9500*time.Millisecond || at < 9400*time.Millisecond || next.Share < 1, "share %v after %v", next.Share, at)
 	}
 }
+
+// Failure: a new leader knew nothing of what the entries that were killed with the one before had counted, and went on with
+// a bad version.
+func TestNewLeaderJudgesByTheRecordedCounts(t *testing.T) {
+	r := runningAt(0.05, 8*time.Second, 15*time.Second)
+	r.Progress.TargetCounts = cfvfleet.RolloutCounts{Requests: 40, Failures: 1, Slow: 19}
+	r.Progress.OtherCounts = cfvfleet.RolloutCounts{Requests: 900, Failures: 9, Slow: 30}
+	now := orderedAt + 8*time.Second
+	p := NewPolicy(now, orderMillis, r, testLimits)
+	target, all := p.Requests()
+	assert.Equal(t, target, 40.0)
+	assert.Equal(t, all, 940.0)
+	report := func(requests, slow uint64) {
+		p.AddReport(Report{Entry: "survivor", Evidence: []Evidence{{Service: testService, Order: testRevision, Version: "v2", Route: "chat", Requests: requests, Slow: slow}}})
+	}
+	report(10, 5)
+	target, _ = p.Requests()
+	assert.Equal(t, target, 40.0, "they are among the recorded ones")
+	next, _ := p.Next(now, r, Fleet{Stable: 4, Target: 4, OldVersions: []string{"v1"}})
+	assert.Equal(t, next.Phase, cfvfleet.RolloutRolledBack)
+	report(60, 5)
+	target, _ = p.Requests()
+	assert.Equal(t, target, 60.0)
+}
--- a/core/cfvrollout/policy.go
+++ b/core/cfvrollout/policy.go
@@ -35,6 +35,7 @@
 	maxCatchUp      = 2    // times the planned share that the canary share may be
 	canaryChange    = 1.25 // smaller factors between two canary shares aren't worth a write
 	capacityPart    = 0.5  // endpoints of the target version that more than the canary share needs, per other endpoint
+	minBadToRecord  = 10   // bad responses of the target version that are worth a write
 	minRequests     = 20   // requests to the service of which some must reach the target version
 )
 
@@ -74,6 +75,7 @@
 		limits: l, order: r.RolloutOrder, revision: r.Revision, schedule: newSchedule(r.Duration, l), createdAt: now, startedAt: r.LearnedAt,
 		judge: NewJudge(r.Service, r.Target, r.Revision, r.Duration), share: r.Progress.Share, sharedAt: now,
 	}
+	p.judge.adoptRecord(pair{target: tally(r.Progress.TargetCounts), old: tally(r.Progress.OtherCounts)})
 	p.adoptElapsed(r)
 	if r.NotBefore == 0 && r.ProgressAt > 0 {
 		p.unrecorded = max(r.Duration/recordParts, minRecordInterval)
@@ -140,6 +142,8 @@
 		Service: p.order.Service, OrderRevision: p.revision, Target: p.order.Target, Elapsed: p.Elapsed(now), StartMillis: p.startMillis,
 		Replaced: union(r.Progress.Replaced, f.OldVersions),
 	}
+	known := p.judge.totals[allRoutes]
+	next.TargetCounts, next.OtherCounts = cfvfleet.RolloutCounts(known.target), cfvfleet.RolloutCounts(known.old)
 	suspicion := p.decide(now, f)
 	switch {
 	case p.verdict != "":
@@ -168,9 +172,15 @@
 	if r.ProgressAt == 0 || next.Phase != r.Progress.Phase || next.Share != r.Progress.Share {
 		return true
 	}
+	if bad(next.TargetCounts)-bad(r.Progress.TargetCounts) >= minBadToRecord {
+		return true
+	}
 	return next.Elapsed-r.Progress.Elapsed >= max(p.order.Duration/recordParts, minRecordInterval, recordWrites*p.writeTook)
 }
 
+// bad returns how many responses were failures or slow.
+func bad(c cfvfleet.RolloutCounts) float64 { return c.Failures + c.Slow }
+
 // decide sets the verdict if there is reason for one, and returns the suspicion against the version.
 func (p *Policy) decide(now time.Duration, f Fleet) (suspicion string) {
 	if p.verdict != "" {
