Let versions serve only after their roll-out

Callers may be sent to a bad version outside its share: while an entry doesn't know the order (a stale read, history that was compacted), after the order was withdrawn or superseded by another one, and in the roll-out of the next version after a rollback, its endpoints counted as stable ones and got requests like all others. A leader that saw no other endpoint for a moment took the target for the service's only version and gave it all requests.

The view now keeps which versions of a service are established: those that were there first, and targets of completed roll-outs. Only these serve without a roll-out. An order for the only established version is completed at its end without a comparison, and the leader records that fact for entries that started later; nothing else gives the target all requests early.

Ruled out: holding out every version besides the oldest by name, since names need not be ordered.

--- a/core/cfvfleet/rollout.go
+++ b/core/cfvfleet/rollout.go
@@ -40,6 +40,7 @@
 	Elapsed       time.Duration // from the order to the record
 	StartMillis   int64         // time of the order in Unix milliseconds, by the clock of the leader that recorded it first
 	Cause         string        // of the rollback
+	Established   bool          // the target served requests before the order, and no other version does
 	TargetCounts  RolloutCounts // outcomes that the leader knew of
 	OtherCounts   RolloutCounts // likewise of the versions that the target replaces
 }
@@ -53,6 +54,9 @@
 	// Progress is that of this order. Until the leader has recorded any, it is running with a share of 0.
 	Progress   RolloutProgress
 	ProgressAt time.Duration // when this process learned of the progress; 0: there is none
+	// Established is set if the target served requests before the order, and no other version does, as far as this process
+	// or the leader knows.
+	Established bool
 	// RecordRevision is the revision of the service's record of progress, of whichever order; 0: there is none.
 	RecordRevision int64
 }
@@ -186,6 +190,7 @@
 	if s.progress != nil && s.progress.OrderRevision == s.revision {
 		r.Progress, r.ProgressAt = *s.progress, s.progressAt
 	}
+	r.Established = r.Progress.Phase == RolloutRunning && (r.Progress.Established || v.updateEstablished(service).names[r.Target])
 	return r
 }
 
--- a/core/cfvfleet/serving.go
+++ b/core/cfvfleet/serving.go
@@ -23,12 +23,15 @@
 	return s.stable
 }
 
-// splitUsable splits the usable endpoints of a service by its roll-out.
+// splitUsable splits the usable endpoints of a service by its roll-out. Versions that no roll-out has completed serve
+// only as its target.
 func (v *View) splitUsable(service string) (s servingEndpoints) {
+	established := v.updateEstablished(service)
 	r := v.Rollout(service)
-	if r == nil {
-		return servingEndpoints{stable: v.Usable(service)}
+	if r == nil || r.Established {
+		return servingEndpoints{stable: established.only(v.Usable(service))}
 	}
 	s.stable, s.candidates = r.Split(v.Usable(service))
+	s.stable = established.only(s.stable)
 	return s
 }
--- a/core/cfvfleet/view.go
+++ b/core/cfvfleet/view.go
@@ -93,12 +93,15 @@
 	drained    map[string]bool
 	rollouts   map[string]rolloutState // by service
 	entries    map[string]Entry
+	now        time.Duration // of the last change
 	graceUntil time.Duration // until then, removals may result from a store outage
 	hasRemoved bool          // some removed endpoints are kept until graceUntil
 
 	usable  map[string][]*Endpoint      // results of Usable by service; nil after a change
 	serving map[string]servingEndpoints // the same, split by the roll-outs
-	roster  *Roster                     // nil after a change of the entries
+
+	established map[string]establishedVersions // by service
+	roster      *Roster                        // nil after a change of the entries
 }
 
 // RemovalGracePeriod is how long a removed endpoint stays usable after the key-value store
@@ -110,13 +113,14 @@
 	return &View{
 		endpoints: make(map[string]*endpointState), weights: make(map[string]DesiredVersion),
 		drained: make(map[string]bool), entries: make(map[string]Entry), rollouts: make(map[string]rolloutState),
+		established: make(map[string]establishedVersions),
 	}
 }
 
 // Apply applies a change and reports whether the view changed. It ignores configurations
 // and weight versions that are not newer than the current ones.
 func (v *View) Apply(now time.Duration, c Change) bool {
-	v.usable, v.serving = nil, nil
+	v.now, v.usable, v.serving = now, nil, nil
 	switch {
 	case c.Config != nil:
 		if v.index != nil && v.index.cfg.Version >= c.Config.Version {
@@ -181,6 +185,7 @@
 
 // Expire deletes removed endpoints once the grace period has ended.
 func (v *View) Expire(now time.Duration) {
+	v.now, v.serving = now, nil
 	if !v.hasRemoved || now < v.graceUntil {
 		return
 	}
--- a/core/cfvrollout/exposure.go
+++ b/core/cfvrollout/exposure.go
@@ -98,7 +98,7 @@
 
 // count returns the count of a roll-out; nil if its exposure is not bounded.
 func (x *Exposure) count(r *cfvfleet.Rollout, s Seat) *exposureCount {
-	if r == nil || x.limits.ExposureShare == 0 || r.Revision == 0 {
+	if r == nil || r.Established || x.limits.ExposureShare == 0 || r.Revision == 0 {
 		return nil
 	}
 	c := x.counts[r.Service]
--- a/core/cfvrollout/policy.go
+++ b/core/cfvrollout/policy.go
@@ -144,6 +144,9 @@
 	}
 	known := p.judge.totals[allRoutes]
 	next.TargetCounts, next.OtherCounts = cfvfleet.RolloutCounts(known.target), cfvfleet.RolloutCounts(known.old)
+	if r.Established {
+		return p.nextEstablished(now, r, next)
+	}
 	suspicion := p.decide(now, f)
 	switch {
 	case p.verdict != "":
@@ -152,13 +155,21 @@
 		next.Phase, next.Share = cfvfleet.RolloutCompleted, 1
 	default:
 		next.Share = p.nextShare(now, f, suspicion)
-		if f.Stable == 0 && f.Target > 0 && len(next.Replaced) == 0 {
-			next.Share = 1 // the service has no other version
-		}
+
 	}
 	return next, p.worthRecording(r, next)
 }
 
+// nextEstablished returns the next progress of an order for the version that serves all requests anyway. There is nothing
+// to compare it with, and nothing to roll back to.
+func (p *Policy) nextEstablished(now time.Duration, r *cfvfleet.Rollout, next cfvfleet.RolloutProgress) (cfvfleet.RolloutProgress, bool) {
+	next.Established = true
+	if p.due(now, p.schedule.finish) {
+		next.Phase, next.Share = cfvfleet.RolloutCompleted, 1
+	}
+	return next, !r.Progress.Established || p.worthRecording(r, next)
+}
+
 // noteShare notices a change of the recorded share.
 func (p *Policy) noteShare(now time.Duration, share float64) {
 	if share == p.share {
