--- a/core/cfvrollout/exposure.go
+++ b/core/cfvrollout/exposure.go
@@ -11,8 +11,8 @@
 // Parts of the allowed exposure that the entries use. The rest covers requests that entries count and endpoints
 // don't, such as repeats.
 const (
-	runningExposurePart = 0.65 // before the roll-out is completed; the requests from then until the deadline need the rest
-	finalExposurePart   = 0.9
+	runningExposurePart = 0.55 // before the roll-out is completed; the requests from then until the deadline need the rest
+	finalExposurePart   = 0.95
 	exposureSlackPart   = 0.5 // of the slack; rounding at many entries may need the rest
 )
 
--- a/core/cfvrollout/schedule.go
+++ b/core/cfvrollout/schedule.go
@@ -15,11 +15,12 @@
 const (
 	fullPart          = 0.5 // part of the allowed share of the duration in which the target version gets all requests
 	unboundedFullPart = 0.1 // of the duration, if the exposure is not bounded
-	minFullTime       = 300 * time.Millisecond
+	minFullTime       = 950 * time.Millisecond
 	maxFullTime       = 4 * time.Second
-	finishPart        = 0.5 // part of that time that is left for the last write and its retries
-	minFinishLeft     = 250 * time.Millisecond
+	finishPart        = 0.5                    // part of that time that is left for the last write and its retries
+	minFinishLeft     = 650 * time.Millisecond // operators read the status now and then
 	maxFinishLeft     = 1500 * time.Millisecond
+	decisionDelay     = 100 * time.Millisecond // after the planned end, an end with little evidence
 )
 
 func newSchedule(duration time.Duration, l Limits) schedule {
@@ -29,5 +30,5 @@
 	}
 	full := min(max(time.Duration(part*float64(duration)), minFullTime), maxFullTime, duration/2)
 	left := min(max(time.Duration(finishPart*float64(full)), minFinishLeft), maxFinishLeft, duration/4)
-	return schedule{full: duration - full, finish: duration - left, decision: duration - left/2}
+	return schedule{full: duration - full, finish: duration - left, decision: duration - left + decisionDelay}
 }
