Show that entries ignore the limits that endpoints name

The stand-in echoes the request's id in all responses, as the platform's endpoints do, and can add headers to them.

--- /dev/null
+++ b/commands/hosted_notices_test.go
@@ -0,0 +1,79 @@
+package commands
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"coltsfootvalve/standins/cfvfakereplica"
+
+	"gotest.tools/v3/assert"
+)
+
+const headerLimit = "Server-Limit"
+
+// sendFor sends requests to all entries in turn, with a pause between two, and counts their statuses.
+func (f *fleet) sendFor(d, pause time.Duration) map[int]int {
+	statuses := make(map[int]int)
+	for i, start := 0, time.Now(); time.Since(start) < d; i++ {
+		statuses[f.send(i%len(f.entries), http.MethodPost, "/book/", shopKey, "").status]++
+		time.Sleep(pause)
+	}
+	return statuses
+}
+
+// arrivalsSince counts the requests that an endpoint got since a time.
+func arrivalsSince(r *cfvfakereplica.Replica, t time.Time) (n int) {
+	for _, at := range r.Arrivals() {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// Failure: an endpoint that named a limit got as many requests as before from all entries.
+func TestHostedEndpointGetsNoMoreThanItsLimit(t *testing.T) {
+	t.Parallel()
+	const perSecond, seconds = 2, 4
+	f := newPlainFleet(t, 3)
+	f.endpoints["desk-0"].SetHeader(headerLimit, "2.0")
+	f.sendFor(time.Second, 10*time.Millisecond) // all entries have passed on a response that names it
+	start := time.Now()
+	statuses := f.sendFor(seconds*time.Second, 10*time.Millisecond)
+	got := arrivalsSince(f.endpoints["desk-0"], start)
+	assert.Assert(t, float64(got) <= 1.5*perSecond*seconds+5, "%d requests in %d s", got, seconds)
+	assert.Assert(t, got >= 1, "it is never asked whether the limit holds")
+	assert.DeepEqual(t, slices.Collect(maps.Keys(statuses)), []int{http.StatusOK}) // the other endpoint has no limit
+
+	f.endpoints["desk-0"].SetHeader(headerLimit, "")
+	f.eventually("the limit has ended", func() bool {
+		start := time.Now()
+		f.sendFor(500*time.Millisecond, 10*time.Millisecond)
+		return arrivalsSince(f.endpoints["desk-0"], start) > 5
+	})
+}
+
+// Failure: requests waited, or were sent all the same, while all endpoints had named limits that others used up.
+func TestHostedRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	f := newPlainFleet(t, 2)
+	for _, id := range []string{"desk-0", "desk-1"} {
+		f.endpoints[id].SetHeader(headerLimit, "1")
+	}
+	f.sendFor(time.Second, 10*time.Millisecond)
+	start := time.Now()
+	statuses := f.sendFor(2*time.Second, 20*time.Millisecond)
+	assert.Assert(t, statuses[http.StatusServiceUnavailable] > 10, "%v", statuses)
+	for _, id := range []string{"desk-0", "desk-1"} {
+		assert.Assert(t, arrivalsSince(f.endpoints[id], start) <= 8, id)
+	}
+	sent := time.Now()
+	resp := f.send(0, http.MethodPost, "/book/", shopKey, "")
+	assert.Assert(t, time.Since(sent) < 300*time.Millisecond)
+	if resp.status == http.StatusServiceUnavailable {
+		assert.Assert(t, resp.header.Get("Retry-After") != "")
+	}
+}
--- a/standins/cfvfakereplica/replica.go
+++ b/standins/cfvfakereplica/replica.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -43,6 +44,8 @@
 
 	mu           sync.Mutex
 	runs         []Run
+	arrivals     []time.Time     // of requests, also of rejected ones
+	header       http.Header     // added to all responses to requests
 	cancelled    map[string]bool // IDs of requests whose caller disconnected before the end
 	leaving      bool
 	orders       int64
@@ -53,7 +56,7 @@
 
 // New returns a replica that runs version 1 of its weights.
 func New(cfg Config) *Replica {
-	return &Replica{cfg: cfg, cancelled: make(map[string]bool), version: 1}
+	return &Replica{cfg: cfg, cancelled: make(map[string]bool), version: 1, header: make(http.Header)}
 }
 
 // SetFault injects a fault. Refuse rejects requests without running them, Fail responds with
@@ -69,6 +72,23 @@
 	r.leaving = true
 }
 
+// SetHeader adds a header to all responses to requests. An empty value removes it.
+func (r *Replica) SetHeader(name, value string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.header.Del(name)
+	if value != "" {
+		r.header.Set(name, value)
+	}
+}
+
+// Arrivals returns when requests arrived, whether they were run or not.
+func (r *Replica) Arrivals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.arrivals...)
+}
+
 // Runs returns the requests that the replica began to run.
 func (r *Replica) Runs() []Run {
 	r.mu.Lock()
@@ -155,6 +175,11 @@
 // serve runs a request.
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("X-Coltsfootvalve-Request-Id")
+	w.Header().Set("X-Coltsfootvalve-Request-Id", id)
+	r.mu.Lock()
+	r.arrivals = append(r.arrivals, time.Now())
+	maps.Copy(w.Header(), r.header)
+	r.mu.Unlock()
 	if expected := req.Header.Get("X-Coltsfootvalve-Expect-Replica"); expected != "" && expected != r.cfg.ID {
 		w.Header().Set("X-Coltsfootvalve-Replica-Id", r.cfg.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
