Keep to the limits that endpoints name

Class of fault: what an endpoint says of itself in responses was not an input at all.

The adapter reads the limit, core/cfvnotice decides, and entries tell each other with their pulls. A few entries share three quarters of a limit by token buckets, the others send nothing there; every request and probe takes a token at the one place where endpoints are chosen. Unreadable limits are counted and logged, and the one before holds. A change is logged with its source.

TestEntriesTogetherKeepToALimit draws fleets of 1 to 295 entries and limits of 0.1 to 400.

--- a/commands/hosted_entry.go
+++ b/commands/hosted_entry.go
@@ -82,7 +82,7 @@
 	h.exchange = cfvexchange.New(cfvexchange.Config{
 		Self: settings.Node, Domain: settings.Domain, Seeds: settings.Seeds, State: h.state, Now: cfvclock.SinceBoot, Loads: h.entry.Loads, Demands: h.entry.Demands, Parts: h.parts.Do,
 		Suspicions: h.entry.Suspicions, AddSuspicion: h.entry.AddSuspicion, PartUpdate: h.entry.PartUpdate, MergeParts: h.entry.MergeParts, Log: log.Component("exchange"), Count: h.metrics.Count,
-		StartMillis: time.Now().UnixMilli(),
+		StartMillis: time.Now().UnixMilli(), Notices: h.entry.Notices, MergeNotice: h.entry.MergeNotice,
 	})
 	h.rollouts, h.reporter = h.newRollouts(), h.newReporter()
 	return h
--- a/common/cfverror/refusal.go
+++ b/common/cfverror/refusal.go
@@ -33,6 +33,7 @@
 	ReasonConnect           Reason = "connectFailed"
 	ReasonVersionMissing    Reason = "versionNotLoaded"
 	ReasonExposureSpent     Reason = "exposureSpent"
+	ReasonEndpointsLimited  Reason = "endpointsLimited"
 	ReasonEndpointFailed    Reason = "endpointFailed"
 	ReasonEndpointSilent    Reason = "endpointSilent"
 	ReasonTimeout           Reason = "requestTimeout"
--- a/core/cfvcall/call.go
+++ b/core/cfvcall/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvnotice"
 )
 
 // Part is a piece of a prompt whose KV cache requests may share.
@@ -84,6 +85,7 @@
 	WeightVersion int64 // 0: not reported
 	KeepAlive     time.Duration
 	Leaving       bool // the connection closes after the response
+	Notice        cfvnotice.Notice
 }
 
 // Scopes of salts. The second is followed by the name of a workspace.
--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -131,6 +131,10 @@
 		if q.Exclude[e.ID] {
 			continue
 		}
+		if q.Blocked[e.ID] {
+			why = max(why, AllBlocked)
+			continue
+		}
 		s := d.stateOf(e)
 		if d.WeightsVersion(e, q.Model) < q.OldestWeights {
 			why = max(why, AllOnOldWeights)
--- a/core/cfvdispatch/query.go
+++ b/core/cfvdispatch/query.go
@@ -26,6 +26,7 @@
 	MayFetchOldParts      func(id string, version int64) bool // whether an endpoint may fetch parts of a replaced version; nil: none may
 	Domain                string
 	Exclude               map[string]bool // endpoints that rejected the request
+	Blocked               map[string]bool // endpoints that want no request from this entry now
 	MaxPerEntry           int             // limit of this entry's requests at one endpoint; 0: no limit
 	Fetch                 FetchEstimator  // of the stored parts; nil: fetching takes no time
 	ShortPoolSize         int             // endpoints in the short-prompt pool; 0: no pools
@@ -183,6 +184,7 @@
 	AllAtColdLimit                // cold endpoints accept no more requests now
 	AllAtEntryLimit               // all endpoints have reached MaxPerEntry
 	AllOnOldWeights               // no endpoint runs the desired weights
+	AllBlocked                    // no endpoint wants a request from this entry now
 )
 
 // inWrongPool reports whether an endpoint is in the pool for prompts of the other length.
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -173,7 +173,9 @@
 	if reason, ok := pending.cancelled(); ok && !q.callerGone() {
 		mayHaveRun := sent.mayHaveSent()
 		if err == nil {
-			mayHaveRun = mayHaveRun && !q.saysNotRun(resp)
+			meta := e.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
+			q.recordNotice(ep, meta)
+			mayHaveRun = mayHaveRun && !q.saysNotRun(meta)
 			_ = resp.Body.Close()
 		}
 		return q.handleObsolete(ep, reason, mayHaveRun)
@@ -185,6 +187,7 @@
 	defer resp.Body.Close()
 	meta := e.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
 	q.applyResponseMeta(ep, meta)
+	q.recordNotice(ep, meta)
 	switch {
 	case meta.RequestID != "" && meta.RequestID != q.meta.ID:
 		cancel()
@@ -213,8 +216,7 @@
 }
 
 // saysNotRun reports whether a response tells that the endpoint did not run the request.
-func (q *request) saysNotRun(resp *http.Response) bool {
-	meta := q.entry.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
+func (q *request) saysNotRun(meta cfvcall.ResponseMeta) bool {
 	return (meta.RequestID == "" || meta.RequestID == q.meta.ID) && (meta.NotRun || meta.Misdirected)
 }
 
--- a/io/cfventry/choose.go
+++ b/io/cfventry/choose.go
@@ -38,10 +38,15 @@
 	if refusal := q.partRefusalLocked(); refusal != nil { // a part may have been blocked while the request was held
 		return choice, opts, refusal
 	}
+	query.Blocked = e.blocked(now, query.Endpoints)
+	restricted.Blocked = query.Blocked
 	choice, reason := e.dispatcher.Choose(now, restricted, e.cfg.Random())
 	if reason != cfvdispatch.Chosen && q.grant != nil {
 		choice, reason = e.dispatcher.Choose(now, query, e.cfg.Random())
 	}
+	if reason == cfvdispatch.AllBlocked {
+		return choice, opts, q.noticeRefusal(now, query.Endpoints)
+	}
 	if reason != cfvdispatch.Chosen {
 		return choice, opts, q.noEndpointRefusal(reason, len(query.Endpoints))
 	}
@@ -59,6 +64,7 @@
 	}
 	q.mixed = q.sharesWithLongPrompts(query, choice)
 	opts = q.forwardOptions(now, query, choice)
+	e.notices.Take(now, choice.Endpoint.Incarnation())
 	e.dispatcher.Start(now, choice.Endpoint, q.promptTokens())
 	q.logPlacement(choice, opts, query)
 	return choice, opts, nil
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -23,6 +23,7 @@
 	"coltsfootvalve/core/cfvdispatch"
 	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/core/cfvlimit"
+	"coltsfootvalve/core/cfvnotice"
 	"coltsfootvalve/core/cfvparts"
 	"coltsfootvalve/core/cfvrollout"
 	"coltsfootvalve/io/cfvreserve"
@@ -102,6 +103,7 @@
 	admissions   map[string]*cfvdispatch.Admission // by service; used while this entry is the placer
 	rollouts     *cfvrollout.Counter
 	exposure     *cfvrollout.Exposure
+	notices      *cfvnotice.Board
 	seat         cfvrollout.Seat
 	entryCount   int
 }
@@ -114,7 +116,7 @@
 		doubtfulEnds: make(map[string][]doubtfulEnd),
 		retryBudgets: make(map[string]*cfvlimit.RetryWindow), baselines: make(map[string]*cfvdispatch.FailureBaseline),
 		keepAlives: make(map[string]time.Duration), poolSizers: make(map[string]*cfvdispatch.PoolSizer), admissions: make(map[string]*cfvdispatch.Admission), entryCount: 1, grantTable: cfvdispatch.NewGrantTable(),
-		rollouts: cfvrollout.NewCounter(), exposure: cfvrollout.NewExposure(cfg.Limits.Exposure),
+		rollouts: cfvrollout.NewCounter(), exposure: cfvrollout.NewExposure(cfg.Limits.Exposure), notices: cfvnotice.NewBoard(cfg.Name),
 	}
 	e.pending = newPendingAttempts()
 	e.connPools = newConnPools(func() { cfg.Metrics.Count("endpoints.dials", 1) }, cfg.Dial)
@@ -231,6 +233,8 @@
 	e.mu.Lock()
 	e.dispatcher.Retain(all)
 	e.dispatcher.SetEntries(names)
+	e.notices.SetEntries(names)
+	e.notices.Retain(e.cfg.Now(), all)
 	e.entryCount = max(len(names), 1)
 	e.seat = cfvrollout.SeatOf(e.cfg.Name, names)
 	e.quarantine.Expire(time.Now())
--- a/io/cfventry/health.go
+++ b/io/cfventry/health.go
@@ -37,6 +37,13 @@
 	if current == nil || current.Incarnation() != ep.Incarnation() || current.Leaving || e.stopping.Load() {
 		return
 	}
+	e.mu.Lock()
+	mayProbe := e.notices.Take(e.cfg.Now(), ep.Incarnation())
+	e.mu.Unlock()
+	if !mayProbe {
+		e.cfg.Metrics.Count("endpoints.probesSkipped", 1)
+		return // a probe counts as a request; the next request after the backoff shows whether the endpoint is available
+	}
 	healthy, coldFor, err := e.checkHealth(ep, service)
 	now := e.cfg.Now()
 	e.mu.Lock()
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -47,6 +47,7 @@
 	if engine := index.Service(req.Service).Engine; engine != nil {
 		q.MemoryTokens = engine.CacheTokens
 	}
+	q.Blocked = e.limited(now, q.Endpoints) // the entry that sends the request may not use them
 	choice, reason := e.dispatcher.Choose(now, q, e.cfg.Random())
 	if reason != cfvdispatch.Chosen {
 		return p, false
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -17,6 +17,7 @@
 	"coltsfootvalve/core/cfvdispatch"
 	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/core/cfvlimit"
+	"coltsfootvalve/core/cfvnotice"
 	"coltsfootvalve/core/cfvparts"
 	"coltsfootvalve/io/cfvstate"
 	"coltsfootvalve/io/cfvwire/cfvwireentry"
@@ -51,6 +52,8 @@
 	AddSuspicion func(cfvlimit.Suspicion)
 	PartUpdate   func(peer string) cfvlimit.PartUpdate // what a peer should know about parts of prompts that crash endpoints
 	MergeParts   func(cfvlimit.PartUpdate)
+	Notices      func() []cfvnotice.Update // what endpoints said of themselves
+	MergeNotice  func(receivedAt time.Duration, u cfvnotice.Update)
 	Log          cfvlog.Logger
 	Count        func(name string, n int64)
 	StartMillis  int64
@@ -219,9 +222,17 @@
 		}
 	})
 	x.mergeSuspicions(msg)
+	x.mergeNotices(sentAt, msg.GetNotices()) // an echo of an own notice must not look newer than that
 	return nil
 }
 
+// mergeNotices records what endpoints said to peers.
+func (x *Exchange) mergeNotices(receivedAt time.Duration, notices []*cfvwireentry.EndpointNotice) {
+	for _, n := range notices {
+		x.cfg.MergeNotice(receivedAt, noticeFromWire(n))
+	}
+}
+
 // pullRequest returns the request of a pull from the peer at addr. It also tells the peer what this entry
 // has seen, since a relay seldom pulls from an entry that is none.
 func (x *Exchange) pullRequest(addr string) *cfvwireentry.PullRequest {
@@ -232,6 +243,7 @@
 	return &cfvwireentry.PullRequest{
 		Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(),
 		Parts: partsToWire(u.Suspicions), Served: servedToWire(u.Served), Suspicions: suspicionsToWire(time.Now(), x.cfg.Suspicions()),
+		Notices: noticesToWire(x.cfg.Notices()),
 	}
 }
 
@@ -242,6 +254,7 @@
 		x.applyLoad(l)
 	}
 	x.mergeSuspicions(req.Msg)
+	x.mergeNotices(x.cfg.Now(), req.Msg.GetNotices())
 	d := x.cfg.State.Delta(req.Msg.GetAsOf())
 	out := &cfvwireentry.PullResponse{AsOf: d.AsOf, AgeMillis: -1, Full: d.Full, Records: recordsToWire(d.Records)}
 	if d.Known {
@@ -257,6 +270,7 @@
 	u := x.cfg.PartUpdate(fmt.Sprintf("%s/%d", req.Msg.GetEntry(), req.Msg.GetLoad().GetStarted()))
 	out.Parts, out.Served = partsToWire(u.Suspicions), servedToWire(u.Served)
 	out.Suspicions = suspicionsToWire(time.Now(), x.cfg.Suspicions())
+	out.Notices = noticesToWire(x.cfg.Notices())
 	return connect.NewResponse(out), nil
 }
 
--- a/io/cfvexchange/parts_test.go
+++ b/io/cfvexchange/parts_test.go
@@ -13,6 +13,7 @@
 	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/core/cfvlimit"
 	"coltsfootvalve/core/cfvmirror"
+	"coltsfootvalve/core/cfvnotice"
 	"coltsfootvalve/core/cfvparts"
 	"coltsfootvalve/io/cfvstate"
 
@@ -51,7 +52,7 @@
 		State: cfvstate.New(cfvstate.Config{Now: now, Log: cfvlog.Discard(), Decode: func(cfvmirror.Record) (c cfvfleet.Change, err error) { return c, nil }}),
 		Loads: func() map[string]cfvdispatch.Load { return nil }, Demands: func() map[string]cfvdispatch.Demand { return nil },
 		Parts:      func(f func(*cfvparts.Catalog)) { f(cfvparts.NewCatalog()) },
-		PartUpdate: func(string) (u cfvlimit.PartUpdate) { return u }, MergeParts: func(cfvlimit.PartUpdate) {},
+		PartUpdate: func(string) (u cfvlimit.PartUpdate) { return u }, MergeParts: func(cfvlimit.PartUpdate) {}, Notices: func() []cfvnotice.Update { return nil }, MergeNotice: func(time.Duration, cfvnotice.Update) {},
 		Suspicions:   func() []cfvlimit.Suspicion { return suspected },
 		AddSuspicion: func(s cfvlimit.Suspicion) { *received = append(*received, s) },
 	}), received
--- a/io/cfvexchange/weights_test.go
+++ b/io/cfvexchange/weights_test.go
@@ -12,6 +12,7 @@
 	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/core/cfvlimit"
 	"coltsfootvalve/core/cfvmirror"
+	"coltsfootvalve/core/cfvnotice"
 	"coltsfootvalve/core/cfvparts"
 	"coltsfootvalve/io/cfvstate"
 	"coltsfootvalve/io/cfvwire/cfvwireentry"
@@ -44,7 +45,7 @@
 		Self: name, State: state, Now: clock, Log: cfvlog.Discard(), Parts: func(f func(c *cfvparts.Catalog)) { f(cfvparts.NewCatalog()) },
 		Loads: func() map[string]cfvdispatch.Load { return nil }, Demands: func() map[string]cfvdispatch.Demand { return nil },
 		Suspicions: func() []cfvlimit.Suspicion { return nil }, Count: func(string, int64) {},
-		PartUpdate: func(string) cfvlimit.PartUpdate { return cfvlimit.PartUpdate{} }, MergeParts: func(cfvlimit.PartUpdate) {},
+		PartUpdate: func(string) cfvlimit.PartUpdate { return cfvlimit.PartUpdate{} }, MergeParts: func(cfvlimit.PartUpdate) {}, Notices: func() []cfvnotice.Update { return nil }, MergeNotice: func(time.Duration, cfvnotice.Update) {},
 	})
 }
 
