Send nothing to endpoints that say they are leaving

Requests reached endpoints later than allowed after an entry had passed on a response that says the endpoint is leaving (DRAIN): only the item in the key-value store counted, which lags, and is not there during an outage.

The adapter reads the header, and the notices that entries share carry it.

--- a/commands/hosted_notices_test.go
+++ b/commands/hosted_notices_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"coltsfootvalve/standins/cfvfakereplica"
+	"coltsfootvalve/standins/cfvfault"
 
 	"gotest.tools/v3/assert"
 )
@@ -77,3 +78,25 @@
 		assert.Assert(t, resp.header.Get("Retry-After") != "")
 	}
 }
+
+// Failure: an endpoint that said in its responses that it is leaving got requests until its item in the key-value store
+// changed, and from entries out of touch with the store for longer.
+func TestHostedEndpointThatSaysItIsLeavingGetsNothing(t *testing.T) {
+	t.Parallel()
+	const drainTime = 2 * time.Second
+	f := newPlainFleet(t, 3)
+	f.endpoints["desk-0"].SetHeader("Server-Leaving", "1")
+	f.sendFor(500*time.Millisecond, 10*time.Millisecond)
+	f.keyValueStore.SetFault(cfvfault.Fault{Mode: cfvfault.Outage, Count: 100})
+	f.sendFor(drainTime, 50*time.Millisecond)
+	start := time.Now()
+	statuses := f.sendFor(time.Second, 10*time.Millisecond)
+	assert.Equal(t, arrivalsSince(f.endpoints["desk-0"], start), 0)
+	assert.DeepEqual(t, slices.Collect(maps.Keys(statuses)), []int{http.StatusOK})
+
+	f.endpoints["desk-1"].SetHeader("Server-Leaving", "1")
+	f.sendFor(500*time.Millisecond, 10*time.Millisecond)
+	sent := time.Now()
+	assert.Equal(t, f.send(0, http.MethodPost, "/book/", shopKey, "").status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(sent) < 300*time.Millisecond, "it is refused at once")
+}
--- a/core/cfvnotice/board.go
+++ b/core/cfvnotice/board.go
@@ -57,18 +57,18 @@
 }
 
 // Observe records a notice of an endpoint. sentAt is when the request was sent to which it responded. It reports whether the
-// limit changed.
+// limit changed or the endpoint is leaving since now.
 func (b *Board) Observe(now, sentAt time.Duration, id cfvfleet.Incarnation, n Notice) (changed bool) {
 	if n.Leaving && b.leaving[id] == 0 {
-		b.leaving[id] = max(now, 1)
+		b.leaving[id], changed = max(now, 1), true
 	}
 	if n.RetryAfter > 0 {
 		b.pauses[id] = max(b.pauses[id], now+min(n.RetryAfter, MaxRetryAfter))
 	}
 	if n.LimitInvalid {
-		return false
+		return changed
 	}
-	return b.observeLimit(now, sentAt, id, n.Limit)
+	return b.observeLimit(now, sentAt, id, n.Limit) || changed
 }
 
 // observeLimit records the limit in a response. It ends with responses without one to requests that were sent after
--- a/io/cfventry/notices.go
+++ b/io/cfventry/notices.go
@@ -29,14 +29,14 @@
 	changed := e.notices.Observe(e.cfg.Now(), q.times.sentAt, ep.Incarnation(), n)
 	e.mu.Unlock()
 	if changed {
-		e.logNotice(ep.Incarnation(), n.Limit, "response")
+		e.logNotice(ep.Incarnation(), n.Limit, n.Leaving, "response")
 	}
 }
 
-// logNotice logs a change of an endpoint's limit.
-func (e *Entry) logNotice(id cfvfleet.Incarnation, limit float64, from string) {
-	e.cfg.Metrics.Count("notices.limitChanged", 1)
-	e.cfg.Log.Infow("an endpoint changed the limit that it names", "endpoint", id.ID, "born", id.StartMillis, "requestsPerSecond", limit, "from", from)
+// logNotice logs that an endpoint names another limit, or that it is leaving.
+func (e *Entry) logNotice(id cfvfleet.Incarnation, limit float64, leaving bool, from string) {
+	e.cfg.Metrics.Count("notices.changed", 1)
+	e.cfg.Log.Infow("an endpoint said something new of itself", "endpoint", id.ID, "born", id.StartMillis, "requestsPerSecond", limit, "leaving", leaving, "from", from)
 }
 
 // Notices returns what peers should know of what endpoints said of themselves.
@@ -52,7 +52,7 @@
 	changed := e.notices.Merge(receivedAt, u)
 	e.mu.Unlock()
 	if changed {
-		e.logNotice(u.Endpoint, u.Limit, "peer")
+		e.logNotice(u.Endpoint, u.Limit, u.Leaving, "peer")
 	}
 }
 
