--- a/commands/hosted_notices_test.go
+++ b/commands/hosted_notices_test.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -100,3 +101,34 @@
 	assert.Equal(t, f.send(0, http.MethodPost, "/book/", shopKey, "").status, http.StatusServiceUnavailable)
 	assert.Assert(t, time.Since(sent) < 300*time.Millisecond, "it is refused at once")
 }
+
+// Failure: an endpoint that had rejected a request and named a time to wait got other requests from the same entry meanwhile.
+func TestHostedEndpointGetsNothingBeforeItsRetryAfter(t *testing.T) {
+	t.Parallel()
+	f := newPlainFleet(t, 1)
+	f.endpoints["desk-0"].SetHeader("Retry-After", "2.5")
+	f.endpoints["desk-0"].SetFault(cfvfault.Fault{Mode: cfvfault.Refuse, Count: 1000})
+	f.eventually("it has rejected a request", func() bool {
+		f.send(0, http.MethodPost, "/book/", shopKey, "")
+		return len(f.endpoints["desk-0"].Arrivals()) > 0
+	})
+	start := time.Now()
+	statuses := f.sendFor(2*time.Second, 10*time.Millisecond)
+	assert.Equal(t, arrivalsSince(f.endpoints["desk-0"], start), 0)
+	assert.DeepEqual(t, slices.Collect(maps.Keys(statuses)), []int{http.StatusOK})
+
+	f.endpoints["desk-1"].SetHeader("Retry-After", "1.5")
+	f.endpoints["desk-1"].SetFault(cfvfault.Fault{Mode: cfvfault.Refuse, Count: 1000})
+	f.eventually("both have rejected requests", func() bool { return f.send(0, http.MethodPost, "/book/", shopKey, "").refused })
+	resp := f.send(0, http.MethodPost, "/book/", shopKey, "")
+	assert.Equal(t, resp.status, http.StatusServiceUnavailable)
+	wait, err := strconv.ParseFloat(resp.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, wait > 0 && wait <= 1.5, "Retry-After %v", wait)
+
+	for _, id := range []string{"desk-0", "desk-1"} {
+		f.endpoints[id].SetHeader("Retry-After", "")
+		f.endpoints[id].SetFault(cfvfault.Fault{})
+	}
+	f.eventually("it is over", func() bool { return f.send(0, http.MethodPost, "/book/", shopKey, "").status == http.StatusOK })
+}
