--- a/commands/hosted_state_test.go
+++ b/commands/hosted_state_test.go
@@ -192,3 +192,27 @@
 	f.eventually("the entry reports that it is not ready", func() bool { return !f.ready(0) })
 	assert.NilError(t, <-stopped)
 }
+
+// Failure, reported by operators of similar systems: entries that read an odd item among those of the endpoints ended, or
+// stopped following the list.
+func TestHostedOddItemsDoNotStopTheState(t *testing.T) {
+	t.Parallel()
+	f := newPlainFleet(t, 2)
+	odd := map[string]string{
+		"nested": `{"service":"desk","addr":"127.0.0.1:9","zone":"north","state":"ready","models":` + strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000) + `}`,
+		"port":   `{"service":"desk","addr":"127.0.0.1:123456","zone":"north","state":"ready"}`,
+		"number": `{"service":"desk","addr":"127.0.0.1:9","zone":"north","state":"ready","coldLeftMs":1e300,"slots":1e30}`,
+	}
+	for id, value := range odd {
+		f.keyValueStore.Put("servers/"+id, []byte(value))
+	}
+	f.configure(shopKey, "after")
+	f.startEntry(2, f.keyValueStoreAddr) // it reads the items in a list instead of a watch
+	f.eventually("the new entry is ready", func() bool { return f.ready(2) })
+	for i := range f.entries {
+		f.eventually("a later change is in force", func() bool { return f.send(i, http.MethodPost, "/book/", "after", "").status == http.StatusOK })
+		for range 10 {
+			assert.Equal(t, f.send(i, http.MethodPost, "/book/", shopKey, "").status, http.StatusOK)
+		}
+	}
+}
