Take no repeated rejection for one of the present request

It could happen here in two ways, each shown by a test that failed: a rejection without an id counted for any request (503 instead of 502), and a request that is sent to the same endpoint again after a rejection, for its weights, could meet the repeated rejection with its own id (all 5 repeats used a kept connection). Endpoints echo the id, so a response without it is now one to another request, and a repeat at the same endpoint uses a connection of its own.

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -189,7 +189,7 @@
 	q.applyResponseMeta(ep, meta)
 	q.recordNotice(ep, meta)
 	switch {
-	case meta.RequestID != "" && meta.RequestID != q.meta.ID:
+	case meta.RequestID != q.meta.ID:
 		cancel()
 		q.logAttempt(ep, "the response belongs to another request", "answerId", meta.RequestID)
 		e.connPools.closeIdle(ep.ID)
@@ -217,7 +217,7 @@
 
 // saysNotRun reports whether a response tells that the endpoint did not run the request.
 func (q *request) saysNotRun(meta cfvcall.ResponseMeta) bool {
-	return (meta.RequestID == "" || meta.RequestID == q.meta.ID) && (meta.NotRun || meta.Misdirected)
+	return meta.RequestID == q.meta.ID && (meta.NotRun || meta.Misdirected)
 }
 
 // send sends the request to an endpoint and returns when the response headers have arrived.
@@ -235,7 +235,11 @@
 	q.entry.mu.Lock()
 	keepAlive := q.entry.keepAlives[q.service.Name]
 	q.entry.mu.Unlock()
-	return q.entry.connPools.get(ep, conns, keepAlive).transport.RoundTrip(req.WithContext(ctx))
+	pool := q.entry.connPools.get(ep, conns, keepAlive)
+	if q.rejectedBy[ep.ID] {
+		return pool.unshared().RoundTrip(req.WithContext(ctx))
+	}
+	return pool.transport.RoundTrip(req.WithContext(ctx))
 }
 
 // maxConns returns this entry's share of the connections that an endpoint accepts.
@@ -287,6 +291,10 @@
 func (q *request) handleRejection(ep *cfvfleet.Endpoint, meta cfvcall.ResponseMeta, status int, expected int64) outcome {
 	e := q.entry
 	q.excluded[ep.ID] = true
+	if q.rejectedBy == nil {
+		q.rejectedBy = make(map[string]bool)
+	}
+	q.rejectedBy[ep.ID] = true
 	q.logAttempt(ep, "an endpoint rejected the request", "status", status, "endpointSeen", meta.EndpointID, "weightVersion", meta.WeightVersion)
 	now := e.cfg.Now()
 	switch {
--- a/io/cfventry/connpool.go
+++ b/io/cfventry/connpool.go
@@ -44,8 +44,13 @@
 	addr        string
 	transport   *http.Transport
 	keepAlive   time.Duration
+	single      func() *http.Transport // makes the transport of unshared once
 }
 
+// unshared returns a transport that makes a connection for each request. A repeated response on a kept connection has
+// the id of the request before, and can't be told from the response to the same request.
+func (p *connPool) unshared() *http.Transport { return p.single() }
+
 // newConnPools returns empty pools. If dial is nil, connections are made over TCP.
 func newConnPools(onDial func(), dial func(ctx context.Context, network, addr string) (net.Conn, error)) *connPools {
 	if dial == nil {
@@ -72,6 +77,11 @@
 		current.transport.CloseIdleConnections()
 	}
 	pool := &connPool{incarnation: e.Incarnation(), addr: e.Addr, keepAlive: keepAlive, transport: p.newTransport(conns, keepAlive)}
+	pool.single = sync.OnceValue(func() *http.Transport {
+		t := p.newTransport(conns, keepAlive)
+		t.DisableKeepAlives = true
+		return t
+	})
 	p.byID[e.ID] = pool
 	return pool
 }
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -33,6 +33,7 @@
 	deadline     time.Duration   // when the caller must have the complete response
 	fingerprint  string          // identifies identical requests in the quarantine
 	excluded     map[string]bool // endpoints that are not tried again
+	rejectedBy   map[string]bool // endpoints that rejected it, some of which are tried again
 	possibleRuns int             // attempts that an endpoint may have run
 	attempts     int             // attempts so far
 	counted      bool            // the request is counted in the demand
