Break a stream off if it can't go on at another endpoint

A response other than a success now counts as a failed attempt of a stream that has begun, and a refusal of the entry itself breaks such a stream off.

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -212,9 +212,23 @@
 	if resp.StatusCode/100 == 2 && q.route.Kind == cfvfleet.Streaming {
 		return q.forwardStream(ep, resp, hedge, dog, prefillDone)
 	}
+	if q.stream.hasStarted() {
+		return q.failResumption(ep, resp.StatusCode)
+	}
 	return q.forwardResponse(ep, resp, hedge)
 }
 
+// failResumption handles an endpoint that answers a stream which has begun with an error. The caller has the head of
+// another response already, so nothing of this one can be passed on.
+func (q *request) failResumption(ep *cfvfleet.Endpoint, status int) outcome {
+	q.logAttempt(ep, "an endpoint did not go on with a stream", "status", status, "lastEvent", q.stream.lastEventID)
+	q.excluded[ep.ID] = true
+	if status >= http.StatusInternalServerError {
+		q.recordFailure(ep)
+	}
+	return outcomeFailed
+}
+
 // saysNotRun reports whether a response tells that the endpoint did not run the request.
 func (q *request) saysNotRun(meta cfvcall.ResponseMeta) bool {
 	return meta.RequestID == q.meta.ID && (meta.NotRun || meta.Misdirected)
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -221,6 +221,9 @@
 	if s.refusal.Reason == cfverror.ReasonCallerGone {
 		return
 	}
+	if q.stream.hasStarted() {
+		q.abortStream(s.refusal.Message)
+	}
 	if s.retryAfter > 0 {
 		q.w.Header().Set("Retry-After", strconv.FormatFloat(s.retryAfter.Seconds(), 'f', 3, 64))
 	}
