Tell the echo of a notice from a newer one

With the race detector the limit of an endpoint never ended, and the package's tests timed out after ten minutes: entries tell each other of limits in both directions, and each took the echo of its own notice for a newer one, since the time that a message takes makes an age look younger. On a network with milliseconds of latency that would always happen.

A notice now has the stamp of its observation, the entry and an ascending number, by which an echo is recognised. TestEchoOfANoticeIsNoNews fails without it (the limit has not ended after 9 s). The test of the package that waited for the end gives up after 20 tries.

Ruled out: ages that are rounded up more, which delays real news.

--- a/commands/hosted_notices_test.go
+++ b/commands/hosted_notices_test.go
@@ -51,11 +51,15 @@
 	assert.DeepEqual(t, slices.Collect(maps.Keys(statuses)), []int{http.StatusOK}) // the other endpoint has no limit
 
 	f.endpoints["desk-0"].SetHeader(headerLimit, "")
-	f.eventually("the limit has ended", func() bool {
+	const tries = 20
+	for n := 0; ; n++ {
 		start := time.Now()
 		f.sendFor(500*time.Millisecond, 10*time.Millisecond)
-		return arrivalsSince(f.endpoints["desk-0"], start) > 5
-	})
+		if arrivalsSince(f.endpoints["desk-0"], start) > 5 {
+			break
+		}
+		assert.Assert(t, n < tries, "the limit has not ended")
+	}
 }
 
 // Failure: requests waited, or were sent all the same, while all endpoints had named limits that others used up.
--- a/core/cfvnotice/board.go
+++ b/core/cfvnotice/board.go
@@ -25,26 +25,36 @@
 type limitState struct {
 	limit      float64       // 0: ended
 	observedAt time.Duration // when the response that told arrived, here or at a peer
+	stamp      Stamp         // of that observation
 	endsAt     time.Duration // first response without a limit; 0: none since the last with one
 	credit     float64       // requests that this entry may send now
 	creditAt   time.Duration
 }
 
+// Stamp identifies an observation of one entry. Times of the entries' observations can be compared only roughly, so they
+// don't show that a notice is the echo of a known one.
+type Stamp struct {
+	Entry    string
+	Sequence int64 // ascending, also when the entry's process starts again
+}
+
 // Board keeps what endpoints said of themselves, for one entry. Limits and leaving hold for all entries, which tell
 // each other; a pause holds for the entry that was told. Times are readings of a clock that also advances while the
 // VM is suspended. A Board is not safe for concurrent use.
 type Board struct {
 	self    string
+	last    int64 // sequence number of the last own observation
 	entries []string
 	limits  map[cfvfleet.Incarnation]*limitState
 	leaving map[cfvfleet.Incarnation]time.Duration // when it was observed
 	pauses  map[cfvfleet.Incarnation]time.Duration // until when
 }
 
-// NewBoard returns the board of the entry named self.
-func NewBoard(self string) *Board {
+// NewBoard returns the board of the entry named self. Its observations are numbered from first on, which must be higher for each
+// process of the entry.
+func NewBoard(self string, first int64) *Board {
 	return &Board{
-		self: self, entries: []string{self}, limits: make(map[cfvfleet.Incarnation]*limitState),
+		self: self, last: first, entries: []string{self}, limits: make(map[cfvfleet.Incarnation]*limitState),
 		leaving: make(map[cfvfleet.Incarnation]time.Duration), pauses: make(map[cfvfleet.Incarnation]time.Duration),
 	}
 }
@@ -77,11 +87,11 @@
 	s := b.limits[id]
 	switch {
 	case limit > 0 && s == nil:
-		b.limits[id] = &limitState{limit: limit, observedAt: now, creditAt: now}
+		b.limits[id] = &limitState{limit: limit, observedAt: now, stamp: b.nextStamp(), creditAt: now}
 		return true
 	case limit > 0:
 		changed = s.limit != limit
-		s.limit, s.observedAt, s.endsAt = limit, now, 0
+		s.limit, s.observedAt, s.stamp, s.endsAt = limit, now, b.nextStamp(), 0
 		return changed
 	case s == nil || s.limit == 0 || sentAt < s.observedAt:
 		return false
@@ -91,10 +101,15 @@
 	case now-s.endsAt < changeInterval:
 		return false
 	}
-	s.limit, s.observedAt, s.endsAt = 0, now, 0
+	s.limit, s.observedAt, s.stamp, s.endsAt = 0, now, b.nextStamp(), 0
 	return true
 }
 
+func (b *Board) nextStamp() Stamp {
+	b.last++
+	return Stamp{Entry: b.self, Sequence: b.last}
+}
+
 // Allows reports whether this entry may send a request to an endpoint now.
 func (b *Board) Allows(now time.Duration, id cfvfleet.Incarnation) bool {
 	return b.Wait(now, id) == 0
@@ -183,12 +198,13 @@
 	Limit    float64 // 0: it has ended, unless Leaving is set
 	Leaving  bool
 	Age      time.Duration
+	Stamp    Stamp // of a limit
 }
 
 // Updates returns what other entries should know, the newest first.
 func (b *Board) Updates(now time.Duration) (out []Update) {
 	for id, s := range b.limits {
-		out = append(out, Update{Endpoint: id, Limit: s.limit, Age: now - s.observedAt})
+		out = append(out, Update{Endpoint: id, Limit: s.limit, Age: now - s.observedAt, Stamp: s.stamp})
 	}
 	for id, at := range b.leaving {
 		out = append(out, Update{Endpoint: id, Leaving: true, Age: now - at})
@@ -199,8 +215,7 @@
 	return out[:min(len(out), maxUpdates)]
 }
 
-// Merge records an update of a peer that was received at some time, which must not be later than it was sent plus its
-// age. The newer of two limits holds.
+// Merge records an update of a peer that was received at some time. The newer of two limits holds.
 func (b *Board) Merge(receivedAt time.Duration, u Update) (changed bool) {
 	at := max(receivedAt-u.Age, 1)
 	if !(u.Limit >= 0 && u.Limit <= MaxLimit) {
@@ -215,14 +230,16 @@
 	}
 	s := b.limits[u.Endpoint]
 	switch {
-	case s == nil && u.Limit == 0 || s != nil && at <= s.observedAt:
+	case s == nil && u.Limit == 0:
 		return false
 	case s == nil:
-		b.limits[u.Endpoint] = &limitState{limit: u.Limit, observedAt: at, creditAt: receivedAt}
+		b.limits[u.Endpoint] = &limitState{limit: u.Limit, observedAt: at, stamp: u.Stamp, creditAt: receivedAt}
 		return true
+	case at <= s.observedAt, u.Stamp.Entry == s.stamp.Entry && u.Stamp.Sequence <= s.stamp.Sequence, u.Stamp.Entry == b.self:
+		return false
 	}
 	changed = s.limit != u.Limit
-	s.limit, s.observedAt, s.endsAt = u.Limit, at, 0
+	s.limit, s.observedAt, s.stamp, s.endsAt = u.Limit, at, u.Stamp, 0
 	return changed
 }
 
--- a/core/cfvnotice/board_test.go
+++ b/core/cfvnotice/board_test.go
@@ -36,7 +36,7 @@
 		f.names = append(f.names, fmt.Sprint("front-", i))
 	}
 	for _, name := range f.names {
-		b := NewBoard(name)
+		b := NewBoard(name, 0)
 		b.SetEntries(f.names)
 		f.boards = append(f.boards, b)
 	}
@@ -136,7 +136,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			b := NewBoard("front-0")
+			b := NewBoard("front-0", 0)
 			for _, r := range tt.responses {
 				b.Observe(r.at, r.sentAt, testEndpoint, Notice{Limit: r.limit})
 			}
@@ -172,7 +172,7 @@
 // Guards against a board that keeps what it knows of endpoints that are gone, or forgets what holds.
 func TestBoardForgetsWhatNoLongerMatters(t *testing.T) {
 	gone := cfvfleet.Incarnation{ID: "gone", StartMillis: 1}
-	b := NewBoard("front-0")
+	b := NewBoard("front-0", 0)
 	for _, id := range []cfvfleet.Incarnation{testEndpoint, gone} {
 		b.Observe(second, 0, id, Notice{Limit: 3, Leaving: true, RetryAfter: second})
 	}
@@ -180,3 +180,29 @@
 	assert.Equal(t, len(b.Updates(2*second+forgetAfter)), 2)
 	assert.Assert(t, !b.Limited(2*second+forgetAfter, gone))
 }
+
+// Failure: two entries told each other of a limit in turn, and each took the echo of its own notice for a newer one, since a
+// message takes some time. So a limit never ended.
+func TestEchoOfANoticeIsNoNews(t *testing.T) {
+	const transit = 40 * time.Millisecond
+	f := newBoards(3)
+	f.boards[0].Observe(second, 0, testEndpoint, Notice{Limit: 1})
+	ended := time.Duration(0)
+	for at := second; at < 10*second && ended == 0; at += 100 * time.Millisecond {
+		for from := range f.boards {
+			for to := range f.boards {
+				updates := f.boards[from].Updates(at)
+				for _, u := range updates {
+					f.boards[to].Merge(at+transit, u)
+				}
+			}
+		}
+		if at%(700*time.Millisecond) == 0 {
+			f.boards[0].Observe(at, at-10*time.Millisecond, testEndpoint, Notice{})
+		}
+		if !f.boards[1].Limited(at, testEndpoint) && !f.boards[2].Limited(at, testEndpoint) && !f.boards[0].Limited(at, testEndpoint) {
+			ended = at
+		}
+	}
+	assert.Assert(t, ended > 0 && ended <= 4*second, "ended at %v", ended)
+}
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -116,7 +116,7 @@
 		doubtfulEnds: make(map[string][]doubtfulEnd),
 		retryBudgets: make(map[string]*cfvlimit.RetryWindow), baselines: make(map[string]*cfvdispatch.FailureBaseline),
 		keepAlives: make(map[string]time.Duration), poolSizers: make(map[string]*cfvdispatch.PoolSizer), admissions: make(map[string]*cfvdispatch.Admission), entryCount: 1, grantTable: cfvdispatch.NewGrantTable(),
-		rollouts: cfvrollout.NewCounter(), exposure: cfvrollout.NewExposure(cfg.Limits.Exposure), notices: cfvnotice.NewBoard(cfg.Name),
+		rollouts: cfvrollout.NewCounter(), exposure: cfvrollout.NewExposure(cfg.Limits.Exposure), notices: cfvnotice.NewBoard(cfg.Name, time.Now().UnixMicro()),
 	}
 	e.pending = newPendingAttempts()
 	e.connPools = newConnPools(func() { cfg.Metrics.Count("endpoints.dials", 1) }, cfg.Dial)
--- a/io/cfvexchange/codec.go
+++ b/io/cfvexchange/codec.go
@@ -125,6 +125,7 @@
 	for _, u := range updates {
 		out = append(out, &cfvwireentry.EndpointNotice{
 			Endpoint: u.Endpoint.ID, StartMillis: u.Endpoint.StartMillis, Limit: u.Limit, Leaving: u.Leaving, AgeMillis: u.Age.Milliseconds() + 1,
+			Entry: u.Stamp.Entry, Sequence: u.Stamp.Sequence,
 		})
 	}
 	return out
@@ -133,6 +134,6 @@
 func noticeFromWire(w *cfvwireentry.EndpointNotice) cfvnotice.Update {
 	return cfvnotice.Update{
 		Endpoint: cfvfleet.Incarnation{ID: w.GetEndpoint(), StartMillis: w.GetStartMillis()}, Limit: w.GetLimit(), Leaving: w.GetLeaving(),
-		Age: time.Duration(w.GetAgeMillis()) * time.Millisecond,
+		Age: time.Duration(w.GetAgeMillis()) * time.Millisecond, Stamp: cfvnotice.Stamp{Entry: w.GetEntry(), Sequence: w.GetSequence()},
 	}
 }
--- a/io/cfvexchange/notices_test.go
+++ b/io/cfvexchange/notices_test.go
@@ -12,7 +12,7 @@
 
 func TestNoticesKeepAllFieldsOnTheWire(t *testing.T) {
 	want := []cfvnotice.Update{
-		{Endpoint: cfvfleet.Incarnation{ID: "a", StartMillis: 7}, Limit: 11.9, Age: 5 * time.Millisecond},
+		{Endpoint: cfvfleet.Incarnation{ID: "a", StartMillis: 7}, Limit: 11.9, Age: 5 * time.Millisecond, Stamp: cfvnotice.Stamp{Entry: "front-1", Sequence: 9}},
 		{Endpoint: cfvfleet.Incarnation{ID: "b", StartMillis: 8}, Leaving: true, Age: time.Second},
 	}
 	for i, w := range noticesToWire(want) {
