Use the record for the time of an order that was learned late

An entry that was out of touch when a roll-out was ordered counted the time from when it learned of it. After the completion it kept to the bound for as long as it had been out of touch, and refused most requests to the service. It now uses the recorded time, as far as the order's age allows; an entry that learned within a second uses its own. TestElapsedTimeOfAnOrder, case "out of touch at the order", had 10 s instead of 25 s before.

--- a/core/cfvfleet/rollout.go
+++ b/core/cfvfleet/rollout.go
@@ -61,12 +61,19 @@
 	RecordRevision int64
 }
 
+// maxOwnLag is how late a process may have learned of an order whose time it tells better than the record of progress.
+const maxOwnLag = time.Second
+
 // Elapsed returns the least time that has passed since the order. A process that was there when the order was given
 // doesn't rely on the record of progress, since its leader may have judged the time by its clock.
 func (r *Rollout) Elapsed(now time.Duration) time.Duration {
 	elapsed := now - r.LearnedAt
-	if r.NotBefore == 0 && r.ProgressAt > 0 {
-		elapsed = max(elapsed, r.Progress.Elapsed+now-r.ProgressAt)
+	if r.ProgressAt > 0 && (r.NotBefore == 0 || r.LearnedAt-r.NotBefore > maxOwnLag) {
+		recorded := r.Progress.Elapsed + now - r.ProgressAt
+		if r.NotBefore > 0 {
+			recorded = min(recorded, now-r.NotBefore)
+		}
+		elapsed = max(elapsed, recorded)
 	}
 	return max(elapsed, 0)
 }
--- a/core/cfvfleet/rollout_test.go
+++ b/core/cfvfleet/rollout_test.go
@@ -104,3 +104,24 @@
 	assert.Equal(t, len(v.Serving("s", false)), 1)
 	assert.Equal(t, len(v.Serving("s", true)), 0)
 }
+
+// Guards against an entry that lifts or keeps the bound of a roll-out for too long, since it takes the time of the order from the
+// wrong source.
+func TestElapsedTimeOfAnOrder(t *testing.T) {
+	const now = 100 * time.Second
+	recorded := RolloutProgress{Elapsed: 20 * time.Second}
+	tests := map[string]struct {
+		rollout Rollout
+		want    time.Duration
+	}{
+		"nothing recorded":                 {Rollout{LearnedAt: 90 * time.Second, NotBefore: 89 * time.Second}, 10 * time.Second},
+		"there at the order":               {Rollout{LearnedAt: 90 * time.Second, NotBefore: 89 * time.Second, Progress: recorded, ProgressAt: 95 * time.Second}, 10 * time.Second},
+		"out of touch at the order":        {Rollout{LearnedAt: 90 * time.Second, NotBefore: 70 * time.Second, Progress: recorded, ProgressAt: 95 * time.Second}, 25 * time.Second},
+		"recorded before it was possible":  {Rollout{LearnedAt: 90 * time.Second, NotBefore: 85 * time.Second, Progress: recorded, ProgressAt: 95 * time.Second}, 15 * time.Second},
+		"started later":                    {Rollout{LearnedAt: 90 * time.Second, Progress: recorded, ProgressAt: 90 * time.Second}, 30 * time.Second},
+		"started later, recorded too late": {Rollout{LearnedAt: 50 * time.Second, Progress: recorded, ProgressAt: 90 * time.Second}, 50 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, tt.rollout.Elapsed(now), tt.want) })
+	}
+}
--- a/core/cfvrollout/policy.go
+++ b/core/cfvrollout/policy.go
@@ -155,7 +155,6 @@
 		next.Phase, next.Share = cfvfleet.RolloutCompleted, 1
 	default:
 		next.Share = p.nextShare(now, f, suspicion)
-
 	}
 	return next, p.worthRecording(r, next)
 }
