Wait until entries know that a deadline has passed

Traced: an entry counts the time of an order from when it learned of it, some tens of milliseconds after the write, and refuses what is beyond the exposure until then; the test counted from the write. It now waits a second longer, and wants the same 100 requests.

--- a/commands/hosted_rollout_test.go
+++ b/commands/hosted_rollout_test.go
@@ -78,6 +78,9 @@
 	return wg.Wait
 }
 
+// learnTime is how late an entry may learn of an order; it counts the order's time from then on.
+const learnTime = time.Second
+
 // Guards against orders of the operators that nobody carries out, and against callers who get a bad version's
 // responses.
 func TestRolloutsAreCarriedOut(t *testing.T) {
@@ -107,7 +110,7 @@
 			if tt.want == "completed" {
 				early := len(f.endpoints[ids[0]].Runs()) + len(f.endpoints[ids[1]].Runs())
 				assert.Assert(t, float64(early) <= 0.1*float64(requests.Load()-before)+50, "%d requests reached the version before its deadline", early)
-				time.Sleep(time.Until(deadline)) // until then the exposure is bounded
+				time.Sleep(time.Until(deadline.Add(learnTime))) // until then the exposure is bounded
 			}
 			seen, after := len(f.endpoints[ids[0]].Runs())+len(f.endpoints[ids[1]].Runs()), requests.Load()
 			f.eventually("more requests are sent", func() bool { return requests.Load() > after+100 })
