--- a/core/cfvrollout/exposure_test.go
+++ b/core/cfvrollout/exposure_test.go
@@ -56,12 +56,17 @@
 // checkLostEvidence kills the leader and most entries at many times, at some numbers of requests per second.
 func checkLostEvidence(t *testing.T, rates ...float64) {
 	t.Helper()
-	faults := map[string]func(w *world){
+	checkLostEvidenceOf(t, map[string]func(w *world){
 		"all fail":  func(w *world) { w.failures = constant(1) },
 		"half fail": func(w *world) { w.failures = constant(0.5) },
 		"half slow": func(w *world) { w.slow = constant(0.5) },
 		"late":      func(w *world) { w.slow = since(7*time.Second, 0.5) },
-	}
+	}, rates...)
+}
+
+// checkLostEvidenceOf does the same with versions of some faults.
+func checkLostEvidenceOf(t *testing.T, faults map[string]func(w *world), rates ...float64) {
+	t.Helper()
 	for name, fault := range faults {
 		for _, perSecond := range rates {
 			for _, entries := range []int{8, 88} {
@@ -79,3 +84,9 @@
 		}
 	}
 }
+
+// Guards against a version of which a third of the responses are slow, and that is completed since too few of them are known after
+// most entries were killed.
+func TestLostEvidenceOfAThirdDoesNotProlongTheExposure(t *testing.T) {
+	checkLostEvidenceOf(t, map[string]func(w *world){"a third": func(w *world) { w.slow = constant(0.3) }}, 100, 600, 2000)
+}
