Keep parts that an isolated workspace made from others

Cause: all workspaces that are not isolated had the salt scope "all", whoever was among them when a part was made. On related paths, requests kept the decision of an older configuration: held ones, attempts that wait for a connection, and parts of unused scopes, which managed stores keep for good.

Change: the shared scope has a digest of the names of the isolated workspaces (core/cfvfleet/scope.go), so its parts were made by workspaces outside that set, in any history. A request is sent with the scope in force, and transfers planned for another one are dropped. The leader frees parts of unused scopes, with a time limit on the store's clock; entries fetch nothing under a scope that has just returned. The log line of a configuration names its shared scope.

Evidence: with the old code, TestHostedWorkspaceThatBecomesIsolatedSharesNothingItMade fails in 5 of 5 cases.

Ruled out: entries that learn of the configuration too late (the fault goes on for as long as the part stays); the product's own form, which derives salts from a secret of each workspace (by reading).

The tests of salts in core/cfvcall have a type for the parts of a salt now, and check the scope, too. Tests: go test -race of the changed packages and the hosted tests pass.

--- a/commands/hosted_serving_test.go
+++ b/commands/hosted_serving_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -203,6 +204,40 @@
 	assert.Equal(t, shared[0].Weights, "1")
 }
 
+// Failure: after a workspace had become isolated, requests of the others used the cached parts that its requests had made.
+func TestHostedWorkspaceThatBecomesIsolatedSharesNothingItMade(t *testing.T) {
+	t.Parallel()
+	const thirdKey = "third-key"
+	keys := []string{shopKey, otherKey, thirdKey}
+	tests := map[string][][]string{ // isolated in one configuration after the other
+		"one becomes isolated":            {{}, {shopKey}},
+		"one more becomes isolated":       {{otherKey}, {otherKey, shopKey}},
+		"another one in its place":        {{otherKey}, {shopKey}},
+		"isolated between two changes":    {{shopKey}, {}, {shopKey, otherKey}},
+		"shared, and then isolated again": {{shopKey}, {}, {shopKey}},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newPlainFleet(t, 1)
+			makers := make(map[string][]string) // keys by salt of the parts
+			for _, isolated := range steps {
+				f.configureIsolated(isolated, keys...)
+				f.eventually("the configuration is applied", func() bool { return f.entries[0].state.AsOf() >= f.keyValueStore.Revision() })
+				for _, key := range keys {
+					runs := f.runs(f.sendPrompt(0, "/ask/1", key).id)
+					assert.Equal(t, len(runs), 1)
+					for _, maker := range makers[runs[0].Salt] {
+						assert.Assert(t, maker == key || !slices.Contains(isolated, maker) && !slices.Contains(isolated, key),
+							"a request of %s uses parts that one of %s made, while %v are isolated", key, maker, isolated)
+					}
+					makers[runs[0].Salt] = append(makers[runs[0].Salt], key)
+				}
+			}
+		})
+	}
+}
+
 func TestHostedCallerThatLeavesCancelsItsRequest(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 1, cfvfakereplica.Config{}, cfvfakereplica.Config{StreamEvents: 100000, EventInterval: time.Millisecond, Model: "m"})
--- a/commands/hosted_test.go
+++ b/commands/hosted_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -127,12 +128,18 @@
 	f.keyValueStore.Put(key, data)
 }
 
-// configure writes the next version of the configuration, with one workspace per key.
+// configure writes the next version of the configuration, with one workspace per key. That of otherKey is isolated.
 func (f *fleet) configure(keys ...string) {
+	f.configureIsolated([]string{otherKey}, keys...)
+}
+
+// configureIsolated writes the next version of the configuration, with one workspace per key. Those of the first keys are
+// isolated.
+func (f *fleet) configureIsolated(isolated []string, keys ...string) {
 	f.configVersion += 3
 	var tenants []map[string]any
 	for _, k := range keys {
-		tenants = append(tenants, map[string]any{"name": "of-" + k, "apiKeys": []string{k}, "isolated": k == otherKey})
+		tenants = append(tenants, map[string]any{"name": "of-" + k, "apiKeys": []string{k}, "isolated": slices.Contains(isolated, k)})
 	}
 	f.put("op/config", map[string]any{
 		"version": f.configVersion,
--- a/core/cfvcall/call.go
+++ b/core/cfvcall/call.go
@@ -88,42 +88,33 @@
 	Notice        cfvnotice.Notice
 }
 
-// Scopes of salts. The second is followed by the name of a workspace.
-const (
-	sharedScope   = "all"
-	isolatedScope = "only."
-)
+// Salt is a cache salt. Endpoints and stores find a cached part only under the salt that it was made with, so neither
+// versions of the weights nor cache scopes ever mix.
+type Salt struct {
+	Model   string
+	Version int64  // of the weights
+	Scope   string // cache scope
+}
 
-// Salt returns the cache salt of a request. Only requests with the same salt share parts:
-// isolated workspaces share with no other workspace, and versions of the weights never mix.
-func Salt(w *cfvfleet.Workspace, model string, version int64) string {
-	scope := sharedScope
-	if w != nil && w.Isolated {
-		scope = isolatedScope + w.Name
-	}
-	var b strings.Builder
-	b.WriteString(model)
-	b.WriteByte('.')
-	b.WriteString(formatVersion(version))
-	b.WriteByte('.')
-	b.WriteString(scope)
-	return b.String()
+// String returns the text of a salt that endpoints and stores receive.
+func (s Salt) String() string {
+	return s.Model + "." + formatVersion(s.Version) + "." + s.Scope
 }
 
-// ParseSalt returns the model and the version of the weights in a salt. Names of models may have
-// dots, so the version is the first number before a scope.
-func ParseSalt(salt string) (model string, version int64, ok bool) {
-	for i := range len(salt) {
-		if salt[i] != '.' {
+// ParseSalt parses the text of a salt. Names of models may have dots, so the version is the first number before a
+// cache scope.
+func ParseSalt(text string) (s Salt, ok bool) {
+	for i := range len(text) {
+		if text[i] != '.' {
 			continue
 		}
-		number, scope, found := strings.Cut(salt[i+1:], ".")
-		if !found || scope != sharedScope && !strings.HasPrefix(scope, isolatedScope) {
+		number, scope, found := strings.Cut(text[i+1:], ".")
+		if !found || !cfvfleet.IsCacheScope(scope) {
 			continue
 		}
-		if version, ok = parseVersion(number); ok {
-			return salt[:i], version, true
+		if version, isNumber := parseVersion(number); isNumber {
+			return Salt{Model: text[:i], Version: version, Scope: scope}, true
 		}
 	}
-	return "", 0, false
+	return s, false
 }
--- a/core/cfvcall/call_test.go
+++ b/core/cfvcall/call_test.go
@@ -20,24 +20,20 @@
 // Failure: the salt of a model with a dot in its name is read as that of another model, and parts of its replaced
 // weights are never freed.
 func TestSaltOfModelWithDots(t *testing.T) {
-	tests := map[string]struct {
-		workspace *cfvfleet.Workspace
-		model     string
-		version   int64
-	}{
-		"no dot":                     {nil, "norma", 5},
-		"a version in the name":      {nil, "llama-3.1", 5},
-		"a name that ends in a dot":  {nil, "llama.", 5},
-		"a name of numbers":          {nil, "3.1", 12},
-		"an isolated workspace":      {&cfvfleet.Workspace{Name: "chamber", Isolated: true}, "llama-3.1", 5},
-		"dots in the workspace, too": {&cfvfleet.Workspace{Name: "a.7.all", Isolated: true}, "llama-3.1", 5},
+	tests := map[string]Salt{
+		"no dot":                     {"norma", 5, "all"},
+		"a version in the name":      {"llama-3.1", 5, "all"},
+		"a name that ends in a dot":  {"llama.", 5, "all"},
+		"a name of numbers":          {"3.1", 12, "all"},
+		"beside isolated workspaces": {"llama-3.1", 5, "all.00112233445566778899aabbccddeeff"},
+		"an isolated workspace":      {"llama-3.1", 5, "only.chamber"},
+		"dots in the workspace, too": {"llama-3.1", 5, "only.a.7.all"},
 	}
-	for name, tt := range tests {
+	for name, salt := range tests {
 		t.Run(name, func(t *testing.T) {
-			model, version, ok := ParseSalt(Salt(tt.workspace, tt.model, tt.version))
+			got, ok := ParseSalt(salt.String())
 			assert.Assert(t, ok)
-			assert.Equal(t, model, tt.model)
-			assert.Equal(t, version, tt.version)
+			assert.Equal(t, got, salt)
 		})
 	}
 }
@@ -45,19 +41,22 @@
 func TestSaltsAreReadAsWritten(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		name := rapid.StringMatching(`[a-z0-9.-]{1,12}`)
-		model := name.Filter(func(s string) bool { return !strings.Contains(s+".", ".only.") }).Draw(t, "model")
-		version := rapid.Int64Range(1, 1<<40).Draw(t, "version")
-		w := &cfvfleet.Workspace{Name: name.Draw(t, "workspace"), Isolated: rapid.Bool().Draw(t, "isolated")}
-		gotModel, gotVersion, ok := ParseSalt(Salt(w, model, version))
+		w := cfvfleet.Workspace{Name: name.Draw(t, "workspace"), Isolated: rapid.Bool().Draw(t, "isolated")}
+		other := cfvfleet.Workspace{Name: "another " + name.Draw(t, "other"), Isolated: rapid.Bool().Draw(t, "otherIsolated")}
+		x := cfvfleet.NewIndex(&cfvfleet.Config{Workspaces: []cfvfleet.Workspace{w, other}})
+		salt := Salt{
+			Model:   name.Filter(func(s string) bool { return !strings.Contains(s+".", ".only.") }).Draw(t, "model"),
+			Version: rapid.Int64Range(1, 1<<40).Draw(t, "version"), Scope: x.CacheScope(w.Name),
+		}
+		got, ok := ParseSalt(salt.String())
 		assert.Assert(t, ok)
-		assert.Equal(t, gotModel, model)
-		assert.Equal(t, gotVersion, version)
+		assert.Equal(t, got, salt)
 	})
 }
 
 func TestOtherTextsAreNoSalts(t *testing.T) {
-	for _, salt := range []string{"", "norma", "norma.5", "norma.x.all", "norma.5.some", "norma.5.", "norma..all"} {
-		_, _, ok := ParseSalt(salt)
+	for _, salt := range []string{"", "norma", "norma.5", "norma.x.all", "norma.5.some", "norma.5.", "norma..all", "norma.5.all.", "norma.5.all.00", "norma.5.all.x0112233445566778899aabbccddeeff"} {
+		_, ok := ParseSalt(salt)
 		assert.Assert(t, !ok, "%q", salt)
 	}
 }
--- a/core/cfvfleet/config.go
+++ b/core/cfvfleet/config.go
@@ -111,11 +111,12 @@
 	hosts    map[string][]*Route
 	services map[string]*Service
 	keys     map[string]*Workspace
+	scopes   cacheScopes
 }
 
 // NewIndex returns an index of a configuration, which must not be modified afterwards.
 func NewIndex(cfg *Config) *Index {
-	x := &Index{cfg, make(map[string][]*Route), make(map[string]*Service), make(map[string]*Workspace)}
+	x := &Index{cfg, make(map[string][]*Route), make(map[string]*Service), make(map[string]*Workspace), newCacheScopes(cfg)}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		x.hosts[r.Host] = append(x.hosts[r.Host], r)
--- a/core/cfvfleet/view.go
+++ b/core/cfvfleet/view.go
@@ -126,7 +126,11 @@
 		if v.index != nil && v.index.cfg.Version >= c.Config.Version {
 			return false
 		}
+		replaced := v.index
 		v.index = NewIndex(c.Config)
+		if replaced != nil {
+			v.index.scopes.follow(now, replaced.scopes)
+		}
 	case c.Endpoint != nil:
 		return v.applyEndpoint(now, c.Endpoint)
 	case c.Weights != nil:
--- a/core/cfvparts/catalog.go
+++ b/core/cfvparts/catalog.go
@@ -307,7 +307,7 @@
 		if !s.known || now-s.updatedAt > staleAfter || s.heldTokens[k] < tokens || tokens <= 0 {
 			continue
 		}
-		if _, beingFreed := s.freeing[k]; beingFreed {
+		if s.beingFreed(now, k) {
 			continue
 		}
 		if best == "" || s.store.Domain == domain {
@@ -331,8 +331,17 @@
 	return sum
 }
 
+// freeMarkTime is how long a part counts as being freed. A call that failed leaves the part in the store.
+const freeMarkTime = 5 * time.Second
+
+// beingFreed reports whether the store may be freeing a part.
+func (s *storeState) beingFreed(now time.Duration, k Key) bool {
+	startedAt, ok := s.freeing[k]
+	return ok && now-startedAt < freeMarkTime
+}
+
 // StartFree returns at most n parts of a store whose salt is outdated, and the store's epoch.
-// The parts are marked as being freed, so that Find no longer returns them.
+// The parts are marked as being freed, so that Find does not return them.
 func (c *Catalog) StartFree(now time.Duration, addr string, n int, outdated func(salt string) bool) (keys []Key, epoch int64) {
 	s := c.states[addr]
 	if s == nil || !s.known {
--- a/core/cfvparts/save.go
+++ b/core/cfvparts/save.go
@@ -48,7 +48,7 @@
 	if !s.known {
 		return false
 	}
-	if _, beingFreed := s.freeing[k]; !beingFreed && s.heldTokens[k] >= tokens {
+	if !s.beingFreed(now, k) && s.heldTokens[k] >= tokens {
 		return true
 	}
 	pending, ok := s.saves[k]
--- a/core/cfvparts/transfers.go
+++ b/core/cfvparts/transfers.go
@@ -15,6 +15,16 @@
 	// loading takes long, as after the loss of a leader: once all endpoints run the new weights, the
 	// parts are freed anyway.
 	ReplacedWeightsFetchPeriod = 5 * time.Second
+	// FreeTimeout is the time after which a store rejects a call that frees parts.
+	FreeTimeout = time.Second
+	// MaxFreeStateAge is the age of the leader's state up to which it frees parts of cache scopes that the
+	// configuration no longer uses.
+	MaxFreeStateAge = 2 * time.Second
+	// ScopeSettleTime is how long an entry fetches nothing under a cache scope that has come into force. A leader
+	// that does not know the new configuration yet may free parts of that scope for so long.
+	ScopeSettleTime = MaxFreeStateAge + FreeTimeout + freeSettleMargin
+
+	freeSettleMargin = 500 * time.Millisecond // for clock differences
 )
 
 // TransferRequest describes the shared parts of a prompt that an endpoint needs.
@@ -23,7 +33,7 @@
 	Parts     []cfvcall.Part
 	Domain    string // failure domain of the endpoint
 	Save      bool   // save the parts that no store holds
-	SkipFetch bool   // fetch nothing, since computing the parts is faster
+	SkipFetch bool   // fetch nothing, since computing the parts is faster or the parts may be freed
 	Cached    bool   // the endpoint most likely holds the parts, so that a fetch transfers nothing
 }
 
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -166,7 +166,7 @@
 	sent := sendTracker{onConn: func() { q.times.sentAt = e.cfg.Now() }}
 	dog := cfvhttp.NewWatchdog(cancel)
 	defer dog.Stop()
-	pending := &pendingAttempt{service: q.service.Name, endpoint: ep.ID, model: q.meta.Prompt.Model, version: opts.WeightVersion, sent: &sent, cancel: cancel}
+	pending := &pendingAttempt{service: q.service.Name, endpoint: ep.ID, model: q.meta.Prompt.Model, version: opts.WeightVersion, workspace: opts.Workspace, scope: q.scope.name, sent: &sent, cancel: cancel}
 	e.pending.add(pending)
 	resp, err := q.send(dog.WatchHead(sent.trace(ctx)), ep, opts)
 	e.pending.remove(pending)
--- a/io/cfventry/choose.go
+++ b/io/cfventry/choose.go
@@ -33,6 +33,7 @@
 	}
 	now := e.cfg.Now()
 	rollout := e.rollout(q.service.Name)
+	q.scope = q.cacheScope() // reads the state, so not under the entry's lock
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if refusal := q.partRefusalLocked(); refusal != nil { // a part may have been blocked while the request was held
@@ -163,7 +164,7 @@
 	if q.service.Engine != nil && p.Tokens > 0 {
 		query.ShortPool, query.LongTokens = e.shortPool(now, q, query.Endpoints)
 	}
-	e.estimateFetch(now, &query, q.workspace, p.SharedParts())
+	e.estimateFetch(now, &query, q.cacheScope(), p.SharedParts())
 	return query
 }
 
@@ -203,12 +204,12 @@
 	}
 	opts.Priority, opts.HasPriority = q.priority(), true
 	opts.WeightVersion = max(e.dispatcher.WeightsVersion(choice.Endpoint, p.Model), 1)
-	opts.Salt = cfvcall.Salt(q.workspace, p.Model, opts.WeightVersion)
+	opts.Salt = cfvcall.Salt{Model: p.Model, Version: opts.WeightVersion, Scope: q.scope.name}.String()
 	var t cfvparts.Transfers
-	if g := q.grant; g != nil && g.Endpoint == choice.Endpoint.ID && g.Salt == opts.Salt {
+	if g := q.grant; g != nil && g.Endpoint == choice.Endpoint.ID && g.Salt == opts.Salt && !q.scope.settling {
 		t = g.Transfers
 	} else {
-		_, t = e.planTransfers(now, query, choice, q.workspace, p.SharedParts())
+		_, t = e.planTransfers(now, query, choice, q.scope, p.SharedParts())
 	}
 	if len(t.Fetch)+len(t.Save) == 0 {
 		return opts
--- a/io/cfventry/pending.go
+++ b/io/cfventry/pending.go
@@ -17,15 +17,21 @@
 	pendingMargin        = 400 * time.Millisecond // before MaxVersionDelay: for the check interval, and until the endpoint sees that the connection is closed
 )
 
+// scopeReplaced is why an attempt is cancelled that would be sent with the cache scope of a replaced configuration. It
+// says nothing about the endpoint.
+const scopeReplaced = "the cache scope was replaced"
+
 // pendingAttempt is an attempt whose endpoint has not begun to respond.
 type pendingAttempt struct {
-	service  string
-	endpoint string
-	model    string
-	version  int64        // of the weights that the endpoint is expected to run; 0: none
-	sent     *sendTracker // whether the attempt has a connection
-	cancel   context.CancelFunc
-	reason   atomic.Value // why the attempt was cancelled; a string, or unset
+	service   string
+	endpoint  string
+	model     string
+	version   int64        // of the weights that the endpoint is expected to run; 0: none
+	workspace string       // of the request; "": none
+	scope     string       // cache scope that is sent with the request
+	sent      *sendTracker // whether the attempt has a connection
+	cancel    context.CancelFunc
+	reason    atomic.Value // why the attempt was cancelled; a string, or unset
 }
 
 // cancelled returns why the attempt was cancelled, and false if it was not.
@@ -78,7 +84,8 @@
 
 // cancelObsolete cancels the attempts that would not be made any more. An endpoint may have started to leave
 // while an attempt waits for a connection, and a request begins when the endpoint gets to it, which may be so
-// long after it was sent that its weights were replaced too long ago.
+// long after it was sent that its weights were replaced too long ago. An attempt without a connection must not be
+// sent with the cache scope of a replaced configuration.
 func (e *Entry) cancelObsolete() {
 	list := e.pending.list()
 	if len(list) == 0 {
@@ -94,6 +101,8 @@
 				reasons[i] = "the weights are outdated"
 			case !a.sent.hasConn() && !usable(v, a.service, a.endpoint):
 				reasons[i] = "the endpoint may not be used any more"
+			case !a.sent.hasConn() && a.model != "" && v.Index().CacheScope(a.workspace) != a.scope:
+				reasons[i] = scopeReplaced
 			}
 		}
 	})
@@ -125,7 +134,9 @@
 func (q *request) handleObsolete(ep *cfvfleet.Endpoint, reason string, mayHaveRun bool) outcome {
 	q.entry.cfg.Metrics.Count("attempts.obsolete", 1)
 	q.logAttempt(ep, "an attempt was cancelled while it waited", "why", reason, "mayHaveRun", mayHaveRun)
-	q.excluded[ep.ID] = true
+	if reason != scopeReplaced {
+		q.excluded[ep.ID] = true
+	}
 	if !mayHaveRun {
 		return outcomeNotRun
 	}
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -26,8 +26,11 @@
 	q := e.baseQuery(now, index.Service(req.Service), req.Candidate, &cfvcall.Prompt{Model: req.Model})
 	q.PromptTokens, q.SharedTokens, q.Affinity, q.Exclude, q.Domain = req.Tokens, req.SharedTokens, req.Affinity, exclude, req.Domain
 	q.ColdRequestsPerSecond = 0 // the entry that sends the request enforces its own share of the limit
-	workspace := &cfvfleet.Workspace{Name: req.Isolated, Isolated: req.Isolated != ""}
-	e.estimateFetch(now, &q, workspace, req.Parts)
+	scope := newCacheScope(now, index, index.CacheScope(""))
+	if req.Isolated != "" {
+		scope = newCacheScope(now, index, cfvfleet.IsolatedCacheScope(req.Isolated))
+	}
+	e.estimateFetch(now, &q, scope, req.Parts)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, ep := range q.Endpoints {
@@ -61,24 +64,24 @@
 		return cfvreserve.Placement{RetryAfter: after}, true
 	}
 	if !req.Candidate { // how long a new version takes tells nothing about the links of the stores
-		e.watch(now, q, choice, workspace, req)
+		e.watch(now, q, choice, scope, req)
 	}
 	q.RecordGrant(now, req.RequestID, choice.Endpoint)
 	p = cfvreserve.Placement{Endpoint: choice.Endpoint.ID}
-	p.Salt, p.Transfers = e.planTransfers(now, q, choice, workspace, req.Parts)
+	p.Salt, p.Transfers = e.planTransfers(now, q, choice, scope, req.Parts)
 	return p, true
 }
 
 // watch records a prompt that is about to be granted. The time until its prefill is done tells how
 // fast the link of the store is that its endpoint fetches from.
-func (e *Entry) watch(now time.Duration, q cfvdispatch.Query, choice cfvdispatch.Choice, workspace *cfvfleet.Workspace, req cfvreserve.Request) {
+func (e *Entry) watch(now time.Duration, q cfvdispatch.Query, choice cfvdispatch.Choice, scope cacheScope, req cfvreserve.Request) {
 	if e.cfg.Parts == nil {
 		return
 	}
 	ep := choice.Endpoint
 	p := cfvparts.WatchedPrompt{Request: req.RequestID, Prefill: q.PrefillWait(now, choice)}
 	fetches := choice.CachedOn != ep && q.Fetches(ep.Domain)
-	salt := cfvcall.Salt(workspace, q.Model, max(q.DesiredWeights, 1))
+	salt := cfvcall.Salt{Model: q.Model, Version: max(q.DesiredWeights, 1), Scope: scope.name}.String()
 	e.cfg.Parts.Do(func(c *cfvparts.Catalog) {
 		if fetches {
 			f := c.EstimateFetch(now, salt, req.Parts, ep.Domain)
@@ -90,11 +93,11 @@
 
 // estimateFetch sets which of the shared parts of a prompt stores hold, and how long endpoints
 // take to fetch them.
-func (e *Entry) estimateFetch(now time.Duration, q *cfvdispatch.Query, workspace *cfvfleet.Workspace, parts []cfvcall.Part) {
-	if len(parts) == 0 || e.cfg.Parts == nil {
+func (e *Entry) estimateFetch(now time.Duration, q *cfvdispatch.Query, scope cacheScope, parts []cfvcall.Part) {
+	if len(parts) == 0 || e.cfg.Parts == nil || scope.settling {
 		return
 	}
-	salt := cfvcall.Salt(workspace, q.Model, max(q.DesiredWeights, 1))
+	salt := cfvcall.Salt{Model: q.Model, Version: max(q.DesiredWeights, 1), Scope: scope.name}.String()
 	estimates := make(map[string]cfvparts.FetchEstimate)
 	estimate := func(domain string) cfvparts.FetchEstimate {
 		f, ok := estimates[domain]
@@ -114,16 +117,16 @@
 
 // planTransfers plans which shared parts of a prompt an endpoint fetches from stores and which it
 // saves there. It returns the cache salt that the plan is for. The caller must hold e.mu.
-func (e *Entry) planTransfers(now time.Duration, q cfvdispatch.Query, choice cfvdispatch.Choice, workspace *cfvfleet.Workspace, parts []cfvcall.Part) (salt string, t cfvparts.Transfers) {
+func (e *Entry) planTransfers(now time.Duration, q cfvdispatch.Query, choice cfvdispatch.Choice, scope cacheScope, parts []cfvcall.Part) (salt string, t cfvparts.Transfers) {
 	version := max(e.dispatcher.WeightsVersion(choice.Endpoint, q.Model), 1)
-	salt = cfvcall.Salt(workspace, q.Model, version)
+	salt = cfvcall.Salt{Model: q.Model, Version: version, Scope: scope.name}.String()
 	current := version >= q.DesiredWeights
 	if len(parts) == 0 || e.cfg.Parts == nil || !current && (q.MayFetchOldParts == nil || !q.MayFetchOldParts(choice.Endpoint.ID, version)) {
 		return salt, t
 	}
 	r := cfvparts.TransferRequest{
 		Salt: salt, Parts: parts, Domain: choice.Endpoint.Domain, Save: current, Cached: choice.CachedOn == choice.Endpoint,
-		SkipFetch: current && !q.Fetches(choice.Endpoint.Domain), // locks the catalog, so not inside Do
+		SkipFetch: scope.settling || current && !q.Fetches(choice.Endpoint.Domain), // locks the catalog, so not inside Do
 	}
 	e.cfg.Parts.Do(func(c *cfvparts.Catalog) { t = c.PlanTransfers(now, r) })
 	return salt, t
@@ -170,7 +173,7 @@
 		RequestID: q.meta.ID, Service: q.service.Name, Model: query.Model, Affinity: query.Affinity, Tokens: query.PromptTokens,
 		SharedTokens: query.SharedTokens, Domain: query.Domain, Entry: e.cfg.Name, Parts: q.meta.Prompt.SharedParts(), Candidate: q.candidate,
 	}
-	if q.workspace != nil && q.workspace.Isolated {
+	if q.workspace != nil && q.cacheScope().name == cfvfleet.IsolatedCacheScope(q.workspace.Name) {
 		req.Isolated = q.workspace.Name
 	}
 	for id := range q.excluded {
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -40,6 +40,7 @@
 	held         bool            // the request was held
 	stream       *streamState
 	answer       answerProgress    // of the present attempt
+	scope        cacheScope        // of the next attempt
 	grant        *cfvreserve.Grant // placement of a long prompt; nil if there is none
 	stateAge     time.Duration     // age of the state at admission
 	candidate    bool              // the next attempt goes to the software version that is rolled out
--- a/io/cfvleader/leader.go
+++ b/io/cfvleader/leader.go
@@ -39,8 +39,10 @@
 	freeDelay = maxStateLag + cfvparts.ReplacedWeightsFetchPeriod + cfvparts.FetchTimeout + freeMargin
 	// loadedFreeDelay is the same, counted from when all endpoints run the new weights.
 	loadedFreeDelay = cfvparts.FetchTimeout + freeMargin
-	freeInterval    = 500 * time.Millisecond
-	freeBatchSize   = 1000 // parts per call; about 40 bytes each
+	// scopeFreeDelay is the same, counted from when the configuration stopped using a cache scope.
+	scopeFreeDelay = maxStateLag + cfvparts.FetchTimeout + freeMargin
+	freeInterval   = 500 * time.Millisecond
+	freeBatchSize  = 1000 // parts per call; about 40 bytes each
 
 	endpointsPerLoad   = 6 // one in this many endpoints loads at a time
 	minConcurrentLoads = 2
@@ -71,7 +73,7 @@
 	ShortPool        func() map[string]bool // endpoints of the short-prompt pool
 	LoadStatus       func(ctx context.Context, addr, id string) (cfvweights.LoadStatus, error)
 	LoadWeights      func(ctx context.Context, addr, id string, o cfvweights.Order) (cfvweights.Result, error)
-	FreeParts        func(ctx context.Context, addr string, epoch int64, parts []cfvparts.Key) error
+	FreeParts        func(ctx context.Context, addr string, epoch, until int64, parts []cfvparts.Key) error // until: on the store's clock in milliseconds; 0: no limit
 	Catalog          func(func(c *cfvparts.Catalog))
 	Rollouts         func(ctx context.Context, fencingToken int64) // carries out roll-outs; it must not wait
 	HandoverPause    time.Duration                                 // minimum time between the orders of two leaders; 0: endpoints check fencing tokens, and none is needed
@@ -96,6 +98,7 @@
 	plans            map[string]*cfvweights.Plan
 	lastFreeAt       time.Duration
 	loadedSince      map[cfvfleet.DesiredWeights]time.Duration // time since which all endpoints run the weights
+	unusedScopes     unusedScopes
 	results          chan orderResult
 }
 
--- a/io/cfvstate/state.go
+++ b/io/cfvstate/state.go
@@ -83,7 +83,8 @@
 	l := s.cfg.Log
 	switch {
 	case c.Config != nil:
-		l.Infow("configuration applied", "from", from, "revision", c.Revision, "version", c.Config.Version, "routes", len(c.Config.Routes), "workspaces", len(c.Config.Workspaces))
+		l.Infow("configuration applied", "from", from, "revision", c.Revision, "version", c.Config.Version, "routes", len(c.Config.Routes), "workspaces", len(c.Config.Workspaces),
+			"cacheScope", s.view.Index().CacheScope(""))
 	case c.Weights != nil:
 		l.Infow("weights were named", "from", from, "revision", c.Revision, "model", c.Weights.Model, "version", c.Weights.Version,
 			"stateKnown", known, "stateAgeMillis", age.Milliseconds())
