Choose relays among entries that respond, and remove those that are gone

Cause: the items entries/NAME have no lease and were never removed, and relays, watchers and placers were chosen among all of them. When the first machines in the order had been replaced, nobody watched the key-value store or the cache stores for the others, and long prompts asked placers that were gone.

Change: each entry sees by its pulls which peers respond and tells those that pull from it; the next entries take the places of relays that don't, watchers at once, others after 1.5 s. A watcher that the store turns away says so and is replaced as well. A pull that is delayed no longer holds up the next one. Standbys watch the store at an age of 2.8 s. The leader removes items of entries that did not respond for ten seconds; an entry that returns announces itself again. No leases, so nothing lapses in an outage and no call is made while nothing fails.

Tests: relayPeer returns whether any relay responds, and TestRelaysSkipThoseThatAreGone counts as before; pull returns conditions, which the tests of ages and parts ignore.

--- a/commands/hosted_entry.go
+++ b/commands/hosted_entry.go
@@ -23,6 +23,7 @@
 	"coltsfootvalve/io/cfvreserve"
 	"coltsfootvalve/io/cfvrollout"
 	"coltsfootvalve/io/cfvstate"
+	"coltsfootvalve/io/cfvwatch"
 	"coltsfootvalve/platform"
 )
 
@@ -37,6 +38,7 @@
 	parts         *cfventry.PartCatalog
 	entry         *cfventry.Entry
 	exchange      *cfvexchange.Exchange
+	watcher       *cfvwatch.Watcher
 	reserver      *cfvreserve.Reserver
 	rollouts      *cfvrollout.Controller
 	reporter      *cfvrollout.Reporter
@@ -83,7 +85,9 @@
 		Self: settings.Node, Domain: settings.Domain, Seeds: settings.Seeds, State: h.state, Now: cfvclock.SinceBoot, Loads: h.entry.Loads, Demands: h.entry.Demands, Parts: h.parts.Do,
 		Suspicions: h.entry.Suspicions, AddSuspicion: h.entry.AddSuspicion, PartUpdate: h.entry.PartUpdate, MergeParts: h.entry.MergeParts, Log: log.Component("exchange"), Count: h.metrics.Count,
 		StartMillis: time.Now().UnixMilli(), Notices: h.entry.Notices, MergeNotice: h.entry.MergeNotice,
+		StoreLost: func() bool { return h.watcher.StoreLost() }, IsLeader: h.isLeader,
 	})
+	h.watcher = h.newWatcher()
 	h.rollouts, h.reporter = h.newRollouts(), h.newReporter()
 	return h
 }
@@ -232,15 +236,12 @@
 // isWatcher reports whether this entry watches the key-value store on behalf of its peers. Until the
 // store lists it, a seed does.
 func (h *hostedEntry) isWatcher() bool {
-	roster := h.roster()
+	roster := h.exchange.CurrentRoster()
 	if !roster.Lists(h.settings.Node) {
 		return h.isSeed() || len(roster.Entries()) == 0
 	}
 	return roster.IsWatcher(h.settings.Node)
 }
 
-// roster returns the known entries.
-func (h *hostedEntry) roster() (r *cfvfleet.Roster) {
-	h.state.Read(func(v *cfvfleet.View) { r = v.Roster() })
-	return r
-}
+// roster returns the known entries. Its relays respond.
+func (h *hostedEntry) roster() *cfvfleet.Roster { return h.exchange.Roster() }
--- a/commands/hosted_loops.go
+++ b/commands/hosted_loops.go
@@ -18,15 +18,11 @@
 // startLoops starts the loops that update the state of the fleet, talk to peers and announce
 // this entry.
 func (h *hostedEntry) startLoops(ctx context.Context) {
-	watcher := cfvwatch.New(cfvwatch.Config{
-		List: h.keyValueStore.List, Watch: h.keyValueStore.Watch, Compacted: platform.ErrCompacted, State: h.state,
-		IsWatcher: h.isWatcher, StartDelay: h.watchDelay(), Now: cfvclock.SinceBoot, Log: h.log.Component("follow"),
-	})
 	inventory := cfvinventory.New(cfvinventory.Config{
-		Self: h.settings.Node, Events: h.control.WatchParts, List: h.control.ListParts, View: h.state.Read, Catalog: h.parts.Do,
+		IsRelay: func() bool { return h.roster().IsListedRelay(h.settings.Node) }, Events: h.control.WatchParts, List: h.control.ListParts, View: h.state.Read, Catalog: h.parts.Do,
 		Now: cfvclock.SinceBoot, Log: h.log.Component("stock"),
 	})
-	go watcher.Run(ctx)
+	go h.watcher.Run(ctx)
 	go h.exchange.Run(ctx)
 	go h.reserver.Run(ctx)
 	go inventory.Run(ctx)
@@ -60,34 +56,59 @@
 	return leader, false
 }
 
-// announceRetryInterval is the time between attempts to announce the entry.
-const announceRetryInterval = 500 * time.Millisecond
+// newWatcher returns the watcher of the key-value store.
+func (h *hostedEntry) newWatcher() *cfvwatch.Watcher {
+	return cfvwatch.New(cfvwatch.Config{
+		List: h.keyValueStore.List, Watch: h.keyValueStore.Watch, Compacted: platform.ErrCompacted, State: h.state,
+		IsWatcher: h.isWatcher, IsStandby: func() bool { return h.exchange.CurrentRoster().IsStandby(h.settings.Node) },
+		StartDelay: h.watchDelay(), Now: cfvclock.SinceBoot, Log: h.log.Component("follow"),
+	})
+}
+
+// announceInterval is the time between checks that the entry is announced.
+const announceInterval = 500 * time.Millisecond
 
-// announce writes the entry's address to the key-value store, so that peers find it. It
-// retries until the item is written.
+// announce writes the entry's address to the key-value store, so that peers find it. The leader removes the
+// item of an entry that does not respond for long; if the entry returns, it writes the item again.
 func (h *hostedEntry) announce(ctx context.Context) {
 	w, err := platform.EntryAnnouncement(cfvfleet.Entry{Name: h.settings.Node, Addr: h.settings.PeerAddr, Domain: h.settings.Domain, LinkMbps: h.settings.LinkMbps}, 0)
 	if err != nil {
 		h.log.Warnw("could not encode the announcement of the entry", "error", err.Error())
 		return
 	}
-	for {
-		if have, ok := h.state.Record(w.Key); ok && string(have.Value) == string(w.Value) {
-			return
+	written := int64(0) // revision of the item
+	for ok := true; ok; ok = cfvclock.Sleep(ctx, announceInterval) {
+		if have, listed := h.state.Record(w.Key); listed && string(have.Value) == string(w.Value) {
+			continue
 		}
-		if _, known := h.state.Age(); known {
-			if _, err = h.keyValueStore.Commit(ctx, nil, []platform.Write{w}); err == nil {
-				h.log.Infow("entry announced", "addr", h.settings.PeerAddr)
-				return
-			}
-			h.log.Warnw("could not announce the entry", "error", err.Error())
+		if _, known := h.state.Age(); !known || h.state.AsOf() < written {
+			continue
 		}
-		if !cfvclock.Sleep(ctx, announceRetryInterval) {
-			return
+		if written, err = h.keyValueStore.Commit(ctx, nil, []platform.Write{w}); err != nil {
+			h.log.Warnw("could not announce the entry", "error", err.Error())
+			continue
 		}
+		h.log.Infow("entry announced", "addr", h.settings.PeerAddr)
 	}
 }
 
+// removeEntry removes the item of another entry, unless it was announced again or this entry is no longer the leader.
+func (h *hostedEntry) removeEntry(ctx context.Context, fencingToken int64, name string) error {
+	item, ok := h.state.Record(platform.EntryKey(name))
+	if !ok {
+		return nil
+	}
+	_, err := h.keyValueStore.Commit(ctx, []platform.Precondition{{Key: platform.KeyLeader, Revision: fencingToken}, {Key: item.Key, Revision: item.Revision}},
+		[]platform.Write{{Key: item.Key, Remove: true}})
+	return err
+}
+
+// isLeader reports whether the key-value store names this entry as the leader.
+func (h *hostedEntry) isLeader() bool {
+	leader, ok := h.currentLeader()
+	return ok && leader.Name == h.settings.Node
+}
+
 // newLeader returns the leadership loop of this entry.
 func (h *hostedEntry) newLeader() *cfvleader.Leader {
 	return cfvleader.New(cfvleader.Config{
@@ -96,6 +117,7 @@
 		LoadStatus: h.control.LoadedWeights, LoadWeights: h.control.LoadWeights, FreeParts: h.control.FreeParts,
 		Catalog:       func(f func(*cfvparts.Catalog)) { h.parts.Do(f) },
 		Rollouts:      h.rollouts.Tick,
+		GoneEntries:   h.exchange.Gone,
 		HandoverPause: h.settings.Bounds.HandoverPause, Now: cfvclock.SinceBoot, Log: h.log.Component("duty"), Count: h.metrics.Count,
 		CurrentLeader: func() (cfvmirror.Record, bool) { return h.state.Record(platform.KeyLeader) },
 		LastLeader:    func() (cfvmirror.Record, bool) { return h.state.Record(platform.KeyLastLeader) },
@@ -104,6 +126,7 @@
 			Acquire: func(ctx context.Context, lease int64, leader []byte) (int64, error) {
 				return h.keyValueStore.Commit(ctx, []platform.Precondition{{Key: platform.KeyLeader}}, []platform.Write{{Key: platform.KeyLeader, Value: leader, Lease: lease}})
 			},
+			RemoveEntry: h.removeEntry,
 			RecordOrders: func(ctx context.Context, fencingToken int64, record []byte) error {
 				_, err := h.keyValueStore.Commit(ctx, []platform.Precondition{{Key: platform.KeyLeader, Revision: fencingToken}}, []platform.Write{{Key: platform.KeyLastLeader, Value: record}})
 				return err
--- a/commands/hosted_state_test.go
+++ b/commands/hosted_state_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"coltsfootvalve/platform"
 	"coltsfootvalve/standins/cfvfakereplica"
 	"coltsfootvalve/standins/cfvfault"
 
@@ -216,3 +217,23 @@
 		}
 	}
 }
+
+// Failure: the items of entries that were gone for good stayed in the key-value store. One that returns must be listed again.
+func TestHostedEntryThatWasRemovedAnnouncesItselfAgain(t *testing.T) {
+	t.Parallel()
+	f := newPlainFleet(t, 2)
+	lists := func(i int, name string) bool { return f.entries[i].roster().Lists(name) }
+	key := platform.EntryKey("entry-1")
+	before, ok := f.entries[0].state.Record(key)
+	assert.Assert(t, ok)
+	f.eventually("an entry leads", func() bool { return f.entries[0].isLeader() || f.entries[1].isLeader() })
+	leader, ok := f.entries[0].state.Record(platform.KeyLeader)
+	assert.Assert(t, ok)
+	assert.ErrorIs(t, f.entries[0].removeEntry(t.Context(), leader.Revision-1, "entry-1"), platform.ErrConflict, "a former leader")
+	assert.NilError(t, f.entries[0].removeEntry(t.Context(), leader.Revision, "entry-1"))
+	f.eventually("the entry is listed again", func() bool {
+		item, listed := f.entries[0].state.Record(key)
+		return listed && item.Revision > before.Revision && lists(0, "entry-1") && lists(1, "entry-1")
+	})
+	assert.NilError(t, f.entries[0].removeEntry(t.Context(), leader.Revision, "unknown"))
+}
--- a/core/cfvfleet/relays.go
+++ b/core/cfvfleet/relays.go
@@ -15,12 +15,15 @@
 	entriesPerRelay = 10
 )
 
-// Relays returns the relay entries, which query the platform's key-value store and the
-// cache stores on behalf of all entries; the other entries query a relay. Relays are
-// spread over the failure domains, and all entries with the same view select the same
-// relays. Without entries there are no relays.
-func Relays(entries []Entry) []Entry {
-	count := min(max(len(entries)/entriesPerRelay, minRelays), maxRelays, len(entries))
+// relayCount returns how many of a number of entries are relays.
+func relayCount(entries int) int {
+	return min(max(entries/entriesPerRelay, minRelays), maxRelays, entries)
+}
+
+// rankRelays returns the entries in the order in which they become relays. Relays query the platform's key-value store
+// and the cache stores on behalf of all entries; the other entries query a relay. Relays are spread over the failure
+// domains, and all entries with the same view select the same relays.
+func rankRelays(entries []Entry) []Entry {
 	ranked := slices.Clone(entries)
 	slices.SortFunc(ranked, func(a, b Entry) int {
 		return cmp.Or(cmp.Compare(b.linkClass(), a.linkClass()), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
@@ -33,7 +36,7 @@
 		seen[e.Domain]++
 	}
 	slices.SortStableFunc(ranked, func(a, b Entry) int { return cmp.Compare(round[a.Name], round[b.Name]) })
-	return ranked[:count]
+	return ranked
 }
 
 // linkClass groups link bandwidths by powers of two. Entries with faster links are
--- a/core/cfvfleet/view_test.go
+++ b/core/cfvfleet/view_test.go
@@ -117,7 +117,7 @@
 	for i := range 88 {
 		entries = append(entries, Entry{Name: fmt.Sprint("e", i), Addr: "a", Domain: fmt.Sprint("d", i%3), LinkMbps: []int{10, 50, 200}[i%7%3]})
 	}
-	for _, r := range Relays(entries) {
+	for _, r := range NewRoster(entries).Relays() {
 		assert.Equal(t, r.LinkMbps, 200)
 	}
 }
@@ -130,9 +130,9 @@
 		for i := range n {
 			entries = append(entries, Entry{Name: fmt.Sprint("e", i), Addr: fmt.Sprint("a", i), Domain: fmt.Sprint("d", i%domains)})
 		}
-		relays := Relays(entries)
+		relays := NewRoster(entries).Relays()
 		assert.Assert(t, len(relays) == min(n, max(minRelays, min(n/entriesPerRelay, maxRelays))))
-		assert.DeepEqual(t, Relays(rapid.Permutation(entries).Draw(t, "order")), relays)
+		assert.DeepEqual(t, NewRoster(rapid.Permutation(entries).Draw(t, "order")).Relays(), relays)
 		seen := make(map[string]int)
 		for _, r := range relays {
 			seen[r.Domain]++
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -32,10 +31,9 @@
 	relayPullInterval = 100 * time.Millisecond // of a relay entry
 	pullTimeout       = 700 * time.Millisecond
 	loadTTL           = 1500 * time.Millisecond // an older load is ignored
+	maxQuickPulls     = 9                       // pulls in quick succession while peers do not respond
 	maxMessageBytes   = 16 << 20
-	peerBackoff       = 2 * time.Second  // entries do not pull from a relay for this long after it did not respond
-	relayBackoff      = 10 * time.Second // relays do not pull from another one for this long after it did not respond
-	randomPullEvery   = 16               // every nth pull of a relay goes to a random entry
+	randomPullEvery   = 16 // every nth pull of a relay goes to a random entry
 )
 
 // Config configures an Exchange.
@@ -57,18 +55,28 @@
 	Log          cfvlog.Logger
 	Count        func(name string, n int64)
 	StartMillis  int64
+	StoreLost    func() bool // reports whether this entry fails to reach the key-value store
+	IsLeader     func() bool // reports whether this entry is the leader, which removes entries that are gone
 }
 
 // Exchange pulls from peers and serves their pulls. It is safe for concurrent use.
 type Exchange struct {
 	cfg      Config
 	client   *http.Client
+	send     func(ctx context.Context, addr string, req *cfvwireentry.PullRequest) (*cfvwireentry.PullResponse, error)
 	mu       sync.Mutex
 	sequence int64
 	loads    map[string]peerLoad      // by entry
-	failedAt map[string]time.Duration // last failure of peers that do not respond, by name
+	failedAt map[string]time.Duration // first failure of peers that do not respond, by name
+	heardAt  map[string]time.Duration // last response or pull of peers, by name
+	pulling  map[string]bool          // peers that are being pulled from, by name
 	started  map[string]int64         // start of the process that last responded at an address, in Unix milliseconds
 	round    int                      // number of pulls so far
+
+	conditions    *cfvfleet.Conditions
+	settledRoster liveRoster
+	currentRoster liveRoster
+	nextCheck     int // index of the entry that was checked last
 }
 
 // allEntries is the entry name under which a peer reports the total load of all entries but the
@@ -86,7 +94,18 @@
 
 // New returns an exchange.
 func New(cfg Config) *Exchange {
-	return &Exchange{cfg: cfg, client: cfvhttp.NewClient(pullTimeout/2, 1), loads: make(map[string]peerLoad), failedAt: make(map[string]time.Duration), started: make(map[string]int64)}
+	if cfg.StoreLost == nil {
+		cfg.StoreLost = func() bool { return false }
+	}
+	if cfg.IsLeader == nil {
+		cfg.IsLeader = func() bool { return false }
+	}
+	x := &Exchange{
+		cfg: cfg, client: cfvhttp.NewClient(pullTimeout/2, 1), loads: make(map[string]peerLoad), started: make(map[string]int64), conditions: cfvfleet.NewConditions(),
+		failedAt: make(map[string]time.Duration), heardAt: make(map[string]time.Duration), pulling: make(map[string]bool),
+	}
+	x.send = x.sendPull
+	return x
 }
 
 // Handler returns the path and the handler of the pulls of peers.
@@ -96,104 +115,82 @@
 
 // Run pulls from peers until the context ends.
 func (x *Exchange) Run(ctx context.Context) {
-	for {
+	go x.recheck(ctx)
+	for failures := 0; ; {
 		isRelay, name, addr := x.choosePeer()
-		if addr != "" {
-			x.pullFrom(ctx, name, addr)
-		}
 		interval := pullInterval
 		if isRelay {
 			interval = relayPullInterval
 		}
+		switch {
+		case addr == "":
+		case x.pullInTime(ctx, name, addr):
+			failures = 0
+		case failures < maxQuickPulls: // another peer may have what this entry lacks
+			failures++
+			interval = failedInterval
+		}
 		if !cfvclock.Sleep(ctx, interval) {
 			return
 		}
 	}
 }
 
-// pullFrom pulls from a peer and records whether it responded.
-func (x *Exchange) pullFrom(ctx context.Context, name, addr string) {
-	err := x.pull(ctx, addr)
-	switch {
-	case ctx.Err() != nil:
-	case err != nil:
-		x.cfg.Count("exchange.failed", 1)
-		x.recordFailure(name, err)
-	default:
-		x.recordSuccess(name)
-	}
-}
-
-// relayPeer returns the relay that this relay pulls from next: in turn from one that watches the key-value
-// store, and from any. Relays that did not respond are left out for a while, since a pull from one that is
-// gone takes as long as several others, and the state grows old meanwhile. The caller must hold x.mu.
-func (x *Exchange) relayPeer(roster *cfvfleet.Roster, relays []cfvfleet.Entry) cfvfleet.Entry {
-	lists := [][]cfvfleet.Entry{relays}
-	if x.round%2 == 0 {
-		lists = [][]cfvfleet.Entry{roster.Watchers(), relays}
-	}
-	for _, list := range lists {
-		for i := range list {
-			peer := list[(x.round/2+i)%len(list)]
-			since, failed := x.failedAt[peer.Name]
-			if peer.Name != x.cfg.Self && (!failed || x.cfg.Now()-since > relayBackoff) {
-				return peer
-			}
+// pullInTime pulls from a peer and reports whether it responded without delay. A pull that is delayed goes on.
+func (x *Exchange) pullInTime(ctx context.Context, name, addr string) bool {
+	done := make(chan bool, 1)
+	go func() { done <- x.pullFrom(ctx, name, addr) }()
+	delay := time.NewTimer(pullDelay)
+	defer delay.Stop()
+	select {
+	case ok := <-done:
+		return ok
+	case <-delay.C:
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if x.pulling[name] {
+			x.cfg.Count("exchange.delayed", 1)
+			x.conditions.Delayed(x.cfg.Now(), name)
 		}
+		return false
 	}
-	return relays[x.round%len(relays)]
 }
 
-// choosePeer returns the peer to pull from next. Relays pull from each other in turn, and from a
-// random entry every randomPullEvery pulls. Other entries pull from a relay that responds, if
-// possible one of their failure domain, or from a random entry if no relay responds. Seeds are
-// used while no other entry is known. isRelay reports whether this entry is a relay.
-func (x *Exchange) choosePeer() (isRelay bool, name, addr string) {
-	roster := x.roster()
-	entries, relays := roster.Entries(), roster.RelaysByProximity(cfvfleet.Entry{Name: x.cfg.Self, Domain: x.cfg.Domain})
+// pullFrom pulls from a peer and records whether it responded.
+func (x *Exchange) pullFrom(ctx context.Context, name, addr string) (ok bool) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	if len(relays) == 0 {
-		if len(x.cfg.Seeds) == 0 {
-			return false, "", ""
-		}
-		seed := x.cfg.Seeds[rand.IntN(len(x.cfg.Seeds))]
-		return false, seed, seed
-	}
-	x.round++
-	if roster.IsRelay(x.cfg.Self) {
-		peer := x.relayPeer(roster, relays)
-		if x.round%randomPullEvery == 0 {
-			peer = entries[rand.IntN(len(entries))]
-		}
-		return true, peer.Name, peer.Addr
+	if x.pulling[name] {
+		x.mu.Unlock()
+		return false
 	}
-	for _, relay := range relays {
-		if since, failed := x.failedAt[relay.Name]; !failed || x.cfg.Now()-since > peerBackoff {
-			return false, relay.Name, relay.Addr
-		}
+	x.pulling[name] = true
+	x.mu.Unlock()
+	conditions, err := x.pull(ctx, addr)
+	x.mu.Lock()
+	delete(x.pulling, name)
+	x.mu.Unlock()
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case err != nil:
+		x.cfg.Count("exchange.failed", 1)
+		x.recordFailure(name, err)
+		return false
 	}
-	peer := entries[rand.IntN(len(entries))]
-	return false, peer.Name, peer.Addr
+	x.recordSuccess(name, conditions)
+	return true
 }
 
-// roster returns the known entries.
-func (x *Exchange) roster() (r *cfvfleet.Roster) {
-	x.cfg.State.Read(func(v *cfvfleet.View) { r = v.Roster() })
-	return r
-}
-
-// pull sends this entry's load to the peer at addr and applies the updates in its response.
-func (x *Exchange) pull(ctx context.Context, addr string) error {
+// pull sends this entry's load to the peer at addr and applies the updates in its response. It returns the conditions
+// that the peer reports.
+func (x *Exchange) pull(ctx context.Context, addr string) (conditions []cfvfleet.Condition, err error) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	sentAt := x.cfg.Now()
-	client := cfvwireentryconnect.NewExchangeClient(x.client, "http://"+addr, connect.WithReadMaxBytes(maxMessageBytes))
-	resp, err := client.Pull(ctx, connect.NewRequest(x.pullRequest(addr)))
+	msg, err := x.send(ctx, addr, x.pullRequest(addr))
 	if err != nil {
-		return err
+		return nil, err
 	}
-	msg := resp.Msg
 	if loads := msg.GetLoads(); len(loads) > 0 {
 		x.mu.Lock()
 		x.started[addr] = loads[0].GetStarted()
@@ -223,7 +220,17 @@
 	})
 	x.mergeSuspicions(msg)
 	x.mergeNotices(sentAt, msg.GetNotices()) // an echo of an own notice must not look newer than that
-	return nil
+	return conditionsFromWire(msg.GetConditions()), nil
+}
+
+// sendPull sends a pull to the peer at addr.
+func (x *Exchange) sendPull(ctx context.Context, addr string, req *cfvwireentry.PullRequest) (*cfvwireentry.PullResponse, error) {
+	client := cfvwireentryconnect.NewExchangeClient(x.client, "http://"+addr, connect.WithReadMaxBytes(maxMessageBytes))
+	resp, err := client.Pull(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
 }
 
 // pullRequest returns the request of a pull from the peer at addr. It also tells the peer what this entry
@@ -246,6 +253,9 @@
 	if l := req.Msg.GetLoad(); l != nil {
 		x.applyLoad(l)
 	}
+	x.mu.Lock()
+	x.heardAt[req.Msg.GetEntry()] = x.cfg.Now()
+	x.mu.Unlock()
 	x.mergeSuspicions(req.Msg)
 	x.mergeNotices(x.cfg.Now(), req.Msg.GetNotices())
 	d := x.cfg.State.Delta(req.Msg.GetAsOf())
@@ -264,24 +274,27 @@
 	out.Parts, out.Served = partsToWire(u.Suspicions), servedToWire(u.Served)
 	out.Suspicions = suspicionsToWire(time.Now(), x.cfg.Suspicions())
 	out.Notices = noticesToWire(x.cfg.Notices())
+	out.Conditions = x.conditionsToWire()
 	return connect.NewResponse(out), nil
 }
 
-// recordFailure starts the backoff of a peer. It logs the first failure in a row.
+// recordFailure records that a peer did not respond. It logs the first failure in a row.
 func (x *Exchange) recordFailure(name string, err error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	_, alreadyFailed := x.failedAt[name]
-	x.failedAt[name] = x.cfg.Now()
-	if !alreadyFailed {
+	x.conditions.Failed(x.cfg.Now(), name)
+	if _, alreadyFailed := x.failedAt[name]; !alreadyFailed {
+		x.failedAt[name] = x.cfg.Now()
 		x.cfg.Log.Warnw("a peer does not respond", "entry", name, "error", err.Error())
 	}
 }
 
-// recordSuccess ends the backoff of a peer.
-func (x *Exchange) recordSuccess(name string) {
+// recordSuccess records that a peer responded, and the conditions that it reported.
+func (x *Exchange) recordSuccess(name string, conditions []cfvfleet.Condition) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.conditions.Responded(x.cfg.Now(), name, conditions)
+	x.heardAt[name] = x.cfg.Now()
 	if since, ok := x.failedAt[name]; ok {
 		delete(x.failedAt, name)
 		x.cfg.Log.Infow("a peer responds again", "entry", name, "awayMillis", (x.cfg.Now() - since).Milliseconds())
@@ -315,7 +328,7 @@
 // entries but itself.
 func (x *Exchange) loadFor(asking string) *cfvwireentry.Load {
 	relays := make(map[string]bool)
-	for _, relay := range x.roster().Relays() {
+	for _, relay := range x.Roster().Relays() {
 		relays[relay.Name] = true
 	}
 	sum, demands := x.cfg.Loads(), x.cfg.Demands()
--- a/io/cfvexchange/exchange_test.go
+++ b/io/cfvexchange/exchange_test.go
@@ -51,8 +51,11 @@
 				now += relayPullInterval
 				x.mu.Lock()
 				x.round++
-				peer := x.relayPeer(roster, roster.RelaysByProximity(cfvfleet.Entry{Name: self}))
+				peer, ok := x.relayPeer(roster, roster.RelaysByProximity(cfvfleet.Entry{Name: self}))
 				x.mu.Unlock()
+				if !ok { // none responds
+					continue
+				}
 				assert.Assert(t, peer.Name != self)
 				switch {
 				case tt.gone[number[peer.Name]]:
--- a/io/cfvexchange/parts_test.go
+++ b/io/cfvexchange/parts_test.go
@@ -90,7 +90,8 @@
 	addr := strings.TrimPrefix(server.URL, "http://")
 	pull := func(startMillis int64) string {
 		relay.cfg.StartMillis = startMillis
-		assert.NilError(t, entry.pull(context.Background(), addr))
+		_, err := entry.pull(context.Background(), addr)
+		assert.NilError(t, err)
 		return told[len(told)-1]
 	}
 	pull(1)
--- a/io/cfvexchange/weights_test.go
+++ b/io/cfvexchange/weights_test.go
@@ -83,7 +83,7 @@
 	}
 	for range 100 {
 		for _, x := range exchanges {
-			assert.NilError(t, x.pull(t.Context(), "peer"))
+			pullFromPeer(t, x)
 			now += pullInterval
 		}
 	}
@@ -111,8 +111,8 @@
 	pExchange, rExchange := newWeightsExchange("p", p, clock), newWeightsExchange("r", r, clock)
 	connectPeer(pExchange, newWeightsExchange("q", q, clock), &now, 0)
 	connectPeer(rExchange, pExchange, &now, 0)
-	assert.NilError(t, pExchange.pull(t.Context(), "peer"))
-	assert.NilError(t, rExchange.pull(t.Context(), "peer"))
+	pullFromPeer(t, pExchange)
+	pullFromPeer(t, rExchange)
 	for name, s := range map[string]*cfvstate.State{"told": p, "told by one that was told": r} {
 		t.Run(name, func(t *testing.T) {
 			s.Read(func(v *cfvfleet.View) {
@@ -142,7 +142,7 @@
 	applyWeights(p, 2)
 	x := newWeightsExchange("p", p, clock)
 	connectPeer(x, newWeightsExchange("q", q, clock), &now, oneWay)
-	assert.NilError(t, x.pull(t.Context(), "peer"))
+	pullFromPeer(t, x)
 	p.Read(func(v *cfvfleet.View) {
 		w := v.Desired("m").WeightsVersion
 		assert.Assert(t, w.Certain)
@@ -181,3 +181,10 @@
 		}
 	}
 }
+
+// pullFromPeer pulls once from the peer.
+func pullFromPeer(t *testing.T, x *Exchange) {
+	t.Helper()
+	_, err := x.pull(t.Context(), "peer")
+	assert.NilError(t, err)
+}
--- a/io/cfvinventory/watcher.go
+++ b/io/cfvinventory/watcher.go
@@ -23,7 +23,7 @@
 
 // Config configures a Watcher.
 type Config struct {
-	Self    string
+	IsRelay func() bool // reports whether this entry is a listed relay
 	Events  func(ctx context.Context, addr string, since int64, wait time.Duration) (cfvparts.Batch, error)
 	List    func(ctx context.Context, addr string) (cfvparts.Batch, error)
 	View    func(func(v *cfvfleet.View))
@@ -54,12 +54,12 @@
 func (w *Watcher) reconcile(ctx context.Context) {
 	var stores []cfvparts.Store
 	watched := make(map[string]bool)
+	isRelay := w.cfg.IsRelay() // reads the state, so not within View
 	w.cfg.View(func(v *cfvfleet.View) {
 		index := v.Index()
 		if index == nil {
 			return
 		}
-		isRelay := v.Roster().IsListedRelay(w.cfg.Self)
 		for _, s := range index.Stores() {
 			st := s.Store
 			stores = append(stores, cfvparts.Store{Addr: st.Addr, Domain: st.Domain, CapacityTokens: st.CapacityTokens, FirstByteLatency: st.FirstByteLatency, TokensPerMs: index.StoreTokensPerMs(st)})
--- a/io/cfvleader/leader.go
+++ b/io/cfvleader/leader.go
@@ -55,6 +55,7 @@
 	Revoke        func(ctx context.Context, lease int64) error
 	Acquire       func(ctx context.Context, lease int64, leader []byte) (revision int64, err error)
 	RecordOrders  func(ctx context.Context, fencingToken int64, record []byte) error
+	RemoveEntry   func(ctx context.Context, fencingToken int64, name string) error // removes the announcement of an entry
 	LeaseNotFound error
 	Conflict      error
 }
@@ -76,6 +77,7 @@
 	FreeParts        func(ctx context.Context, addr string, epoch, until int64, parts []cfvparts.Key) error // until: on the store's clock in milliseconds; 0: no limit
 	Catalog          func(func(c *cfvparts.Catalog))
 	Rollouts         func(ctx context.Context, fencingToken int64) // carries out roll-outs; it must not wait
+	GoneEntries      func() []string                               // entries that will probably not return
 	HandoverPause    time.Duration                                 // minimum time between the orders of two leaders; 0: endpoints check fencing tokens, and none is needed
 	Now              func() time.Duration
 	Log              cfvlog.Logger
@@ -99,6 +101,7 @@
 	lastFreeAt       time.Duration
 	loadedSince      map[cfvfleet.DesiredWeights]time.Duration // time since which all endpoints run the weights
 	unusedScopes     unusedScopes
+	removals         removals
 	results          chan orderResult
 }
 
@@ -150,6 +153,7 @@
 	if !l.canOrder() {
 		return
 	}
+	l.removeEntries(ctx)
 	l.sendOrders(ctx)
 	l.freeParts(ctx)
 }
--- a/io/cfvleader/leader_test.go
+++ b/io/cfvleader/leader_test.go
@@ -211,10 +211,11 @@
 			c.loaded[id] = o.Version
 			return cfvweights.Started, nil
 		},
-		FreeParts: func(context.Context, string, int64, int64, []cfvparts.Key) error { return nil },
-		Catalog:   func(f func(*cfvparts.Catalog)) { f(cfvparts.NewCatalog()) },
-		Rollouts:  c.carryOutRollouts(node),
-		Count:     func(string, int64) {},
+		FreeParts:   func(context.Context, string, int64, int64, []cfvparts.Key) error { return nil },
+		Catalog:     func(f func(*cfvparts.Catalog)) { f(cfvparts.NewCatalog()) },
+		Rollouts:    c.carryOutRollouts(node),
+		GoneEntries: func() []string { return nil },
+		Count:       func(string, int64) {},
 	})
 }
 
--- a/io/cfvreserve/reserve_test.go
+++ b/io/cfvreserve/reserve_test.go
@@ -25,7 +25,7 @@
 
 func newReserver(now *time.Duration, entries func() []cfvfleet.Entry) *Reserver {
 	return New(Config{
-		Self: "other", Relays: func() []cfvfleet.Entry { return cfvfleet.Relays(entries()) }, Now: func() time.Duration { return *now }, Log: cfvlog.Discard(), Count: func(string, int64) {},
+		Self: "other", Relays: func() []cfvfleet.Entry { return cfvfleet.NewRoster(entries()).Relays() }, Now: func() time.Duration { return *now }, Log: cfvlog.Discard(), Count: func(string, int64) {},
 	})
 }
 
--- a/io/cfvwatch/watcher.go
+++ b/io/cfvwatch/watcher.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"coltsfootvalve/common/cfvclock"
@@ -20,11 +21,15 @@
 	watchWait        = 800 * time.Millisecond  // a hung connection is noticed after this time and one response time
 	batchDelay       = 60 * time.Millisecond   // changes in quick succession are fetched by one call
 	maxStateAge      = 3200 * time.Millisecond // an entry whose state has not been confirmed by relays for longer watches the store itself
+	standbyStateAge  = 2800 * time.Millisecond // the same for a standby
 	ageCheckInterval = 100 * time.Millisecond
 	watchLag         = 1 * time.Second        // a watch may report nothing for this long although records changed
 	minBackoff       = 150 * time.Millisecond // delay after the first failed call, doubled after each further one
 	maxBackoff       = 800 * time.Millisecond
 	minOutage        = 600 * time.Millisecond // failures for less time do not count as an outage
+	minLoss          = 300 * time.Millisecond // a watcher that fails for less time keeps its place
+	lossPeriod       = 3 * time.Second        // after a failure, another entry watches for this long
+	maxResponseTime  = 400 * time.Millisecond // of the store, beyond the wait time of a watch
 )
 
 // Config configures a Watcher.
@@ -34,6 +39,7 @@
 	Compacted error // the error of Watch if the history after the revision has been compacted
 	State     *cfvstate.State
 	IsWatcher func() bool // reports whether this entry watches the store on behalf of its peers
+	IsStandby func() bool // reports whether this entry does so next; nil: it does not
 	// StartDelay is the time after the start during which an entry without a state leaves the store to its
 	// peers. At a start of the whole fleet, each entry would list the store otherwise.
 	StartDelay time.Duration
@@ -47,21 +53,67 @@
 	startedAt    time.Duration
 	relist       bool          // the history after the state's revision has been compacted
 	failingSince time.Duration // start of the current series of failed calls; 0 if the last call succeeded
+
+	mu         sync.Mutex
+	lostUntil  time.Duration // until then the store counts as lost
+	respondsBy time.Duration // until when the call in progress has a response unless the store is lost; 0: there is none
 }
 
 // New returns a Watcher.
-func New(cfg Config) *Watcher { return &Watcher{cfg: cfg, startedAt: cfg.Now()} }
+func New(cfg Config) *Watcher {
+	if cfg.IsStandby == nil {
+		cfg.IsStandby = func() bool { return false }
+	}
+	return &Watcher{cfg: cfg, startedAt: cfg.Now()}
+}
+
+// StoreLost reports whether this entry fails to reach the key-value store, or did so within lossPeriod.
+func (w *Watcher) StoreLost() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checkCall()
+	return w.cfg.Now() < w.lostUntil
+}
+
+// checkCall records the loss of the store if the call in progress should have had a response. The caller must hold w.mu.
+func (w *Watcher) checkCall() {
+	if now := w.cfg.Now(); w.respondsBy > 0 && now > w.respondsBy {
+		w.lostUntil = now + lossPeriod
+	}
+}
+
+// startCall records that a call begins.
+func (w *Watcher) startCall() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.respondsBy = w.cfg.Now() + watchWait + maxResponseTime
+}
+
+// endCall records the end of a call. A response, however late, shows that the store is not lost.
+func (w *Watcher) endCall(ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.checkCall()
+	w.respondsBy = 0
+	if ok {
+		w.lostUntil = 0
+	}
+}
 
 // Run watches the store until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	wait := minBackoff
 	for ctx.Err() == nil {
 		if !w.shouldWatch() {
-			w.failingSince = 0 // relays reach the store, so there is no outage
+			if age, known := w.cfg.State.Age(); known && age < w.cfg.Now()-w.failingSince {
+				w.failingSince = 0 // relays reach the store, so there is no outage
+			}
 			cfvclock.Sleep(ctx, ageCheckInterval)
 			continue
 		}
+		w.startCall()
 		err := w.update(ctx)
+		w.endCall(err == nil)
 		if err == nil {
 			wait = minBackoff
 			w.recordSuccess()
@@ -83,7 +135,7 @@
 	if !known {
 		return w.cfg.Now()-w.startedAt >= w.cfg.StartDelay
 	}
-	return w.cfg.IsWatcher() || age > maxStateAge
+	return w.cfg.IsWatcher() || age > maxStateAge || age > standbyStateAge && w.cfg.IsStandby()
 }
 
 // update lists the store if there is no state yet or the history has been compacted, and otherwise
@@ -123,6 +175,11 @@
 		w.failingSince = w.cfg.Now()
 		w.cfg.Log.Warnw("key-value store is unreachable", "error", err.Error(), "asOf", w.cfg.State.AsOf())
 	}
+	if now := w.cfg.Now(); now-w.failingSince >= minLoss {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.lostUntil = now + lossPeriod
+	}
 }
 
 func (w *Watcher) recordSuccess() {
--- a/io/cfvwatch/watcher_test.go
+++ b/io/cfvwatch/watcher_test.go
@@ -286,3 +286,64 @@
 		})
 	}
 }
+
+// Failure: a watcher that did not reach the store kept its place, and no other entry watched the store for it.
+func TestWatcherThatDoesNotReachTheStoreSaysSo(t *testing.T) {
+	tests := map[string]struct {
+		fault func(s *store)
+		after time.Duration // since the fault
+		want  bool
+	}{
+		"it responds":                 {func(*store) {}, 5 * time.Second, false},
+		"it is down":                  {func(s *store) { s.down = true }, 1500 * time.Millisecond, true},
+		"it does not respond":         {func(s *store) { s.hung = true }, 2500 * time.Millisecond, true},
+		"it does not respond for now": {func(s *store) { s.hung = true }, watchWait, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				now := func() time.Duration { return time.Since(start) + time.Hour }
+				s := &store{}
+				s.write("a")
+				state := cfvstate.New(cfvstate.Config{Decode: decode, Now: now, Log: cfvlog.Discard()})
+				w := New(Config{List: s.list, Watch: s.watch, Compacted: errCompacted, State: state, IsWatcher: func() bool { return true }, Now: now, Log: cfvlog.Discard()})
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() {
+					w.Run(ctx)
+					close(done)
+				}()
+				time.Sleep(2 * time.Second)
+				assert.Assert(t, !w.StoreLost())
+				s.set(tt.fault)
+				time.Sleep(tt.after)
+				assert.Equal(t, w.StoreLost(), tt.want)
+				s.set(func(s *store) { s.down, s.hung = false, false })
+				time.Sleep(lossPeriod + 3*time.Second)
+				assert.Assert(t, !w.StoreLost(), "the store responds again")
+				cancel()
+				<-done
+			})
+		})
+	}
+}
+
+// Failure: while the watchers' updates did not arrive, all other entries waited equally long before one watched the store.
+func TestStandbyWatchesBeforeOthers(t *testing.T) {
+	for name, standby := range map[string]bool{"standby": true, "another entry": false} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			state := cfvstate.New(cfvstate.Config{Decode: decode, Now: func() time.Duration { return now }, Log: cfvlog.Discard()})
+			state.Apply("test", []cfvmirror.Record{{Key: "e", Revision: 1}}, 1, true)
+			state.Confirm(1, now)
+			w := New(Config{State: state, IsWatcher: func() bool { return false }, IsStandby: func() bool { return standby }, Now: func() time.Duration { return now }})
+			now += standbyStateAge
+			assert.Assert(t, !w.shouldWatch())
+			now++
+			assert.Equal(t, w.shouldWatch(), standby)
+			now += maxStateAge - standbyStateAge
+			assert.Assert(t, w.shouldWatch())
+		})
+	}
+}
