Answer every request before a planned stop ends

Cause: only Stop knew when the stop ends. Admission, held requests, attempts and bodies on the way did not.

Change: the end bounds the time of each request. One that can't end by then, as recent requests of its route show, is refused at once as not run; during the 2.5 s in which the load balancer still sends requests only if all recent ones took longer. What still runs 0.3 s before the server closes is ended and answered: 503 if it did not run, else 502; a stream that has begun is broken off. Bodies that have not arrived are refused as not run.

Open: serve aborts what still runs at drainLimitMillis without an answer (by reading).

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -57,6 +57,10 @@
 			q.refuse(refusal)
 			return
 		}
+		if refusal := q.stopRefusal(); refusal != nil {
+			q.refuse(refusal)
+			return
+		}
 		if q.attempts > 0 && !e.takeRetry(q.service.Name, q.retryReason()) {
 			q.giveUp(cfverror.ReasonRetryBudget, "the budget of repeats is spent")
 			return
@@ -111,6 +115,10 @@
 		q.abortStream("the time limit is reached")
 		return
 	}
+	if stopAt, stopping := q.entry.stopTime(); stopping && stopAt < q.deadline {
+		q.refuse(q.unserved(otherEntryRetryAfter, cfverror.ReasonStopping, "this entry stops"))
+		return
+	}
 	if q.possibleRuns == 0 {
 		q.refuse(q.retryLater(defaultRetryAfter, cfverror.ReasonTimeout, "the time limit is reached"))
 		return
@@ -278,6 +286,8 @@
 	switch {
 	case q.callerGone():
 		return outcomeCallerGone
+	case q.ended():
+		return outcomeExpired
 	case cancelled:
 		e.connPools.closeIdle(ep.ID)
 		q.recordFailure(ep)
@@ -326,23 +336,6 @@
 	return outcomeNotRun
 }
 
-// handleWeightsMismatch handles an endpoint that does not run the expected weights and does not
-// report which it runs. If older weights than the desired ones were expected, the endpoint must
-// have loaded at least the next version by now.
-func (q *request) handleWeightsMismatch(ep *cfvfleet.Endpoint, expected int64) {
-	e, model := q.entry, q.meta.Prompt.Model
-	var desired cfvfleet.DesiredVersion
-	e.cfg.State.Read(func(v *cfvfleet.View) { desired = v.Desired(model) })
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if next, ok := desired.ReplacedBy(expected); ok {
-		e.dispatcher.RecordWeights(ep, model, next.Version)
-		delete(q.excluded, ep.ID)
-		return
-	}
-	e.dispatcher.RecordMissingWeights(ep, model)
-}
-
 // applyResponseMeta records the weights and the keep-alive time that an endpoint reported.
 func (q *request) applyResponseMeta(ep *cfvfleet.Endpoint, meta cfvcall.ResponseMeta) {
 	e := q.entry
--- a/io/cfventry/choose.go
+++ b/io/cfventry/choose.go
@@ -105,6 +105,8 @@
 	switch {
 	case q.callerGone():
 		return &httpRefusal{refusal: cfverror.Unknown(cfverror.ReasonCallerGone, "the caller left")}
+	case q.stopRefusal() != nil:
+		return q.stopRefusal()
 	case q.timeLeft() < minTimeLeft:
 		return q.unserved(defaultRetryAfter, cfverror.ReasonOverloaded, "the endpoints are overloaded, and the time limit is reached")
 	case q.workspace == nil:
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -84,7 +84,10 @@
 	probeClient  *http.Client
 	callerServer *http.Server
 	readyServer  *http.Server
+	baseContext  context.Context // of all connections of callers
+	endRequests  context.CancelCauseFunc
 	stopping     atomic.Bool
+	stopAt       atomic.Int64 // when running requests are ended, in nanoseconds on the clock; valid while stopping
 	running      atomic.Int64
 	served       atomic.Int64
 
@@ -105,6 +108,7 @@
 	notices      *cfvnotice.Board
 	seat         cfvrollout.Seat
 	entryCount   int
+	durations    map[string]*cfvlimit.Durations // by route
 }
 
 // New returns an entry. Start makes it listen.
@@ -115,9 +119,11 @@
 		doubtfulEnds: make(map[string][]doubtfulEnd),
 		retryBudgets: make(map[string]*cfvlimit.RetryWindow), baselines: make(map[string]*cfvdispatch.FailureBaseline),
 		keepAlives: make(map[string]time.Duration), poolSizers: make(map[string]*cfvdispatch.PoolSizer), admissions: make(map[string]*cfvdispatch.Admission), entryCount: 1, grantTable: cfvdispatch.NewGrantTable(),
-		rollouts: cfvrollout.NewCounter(), exposure: cfvrollout.NewExposure(cfg.Limits.Exposure), notices: cfvnotice.NewBoard(cfg.Name, time.Now().UnixMicro()),
+		durations: make(map[string]*cfvlimit.Durations),
+		rollouts:  cfvrollout.NewCounter(), exposure: cfvrollout.NewExposure(cfg.Limits.Exposure), notices: cfvnotice.NewBoard(cfg.Name, time.Now().UnixMicro()),
 	}
 	e.pending = newPendingAttempts()
+	e.baseContext, e.endRequests = context.WithCancelCause(context.Background())
 	e.connPools = newConnPools(func() { cfg.Metrics.Count("endpoints.dials", 1) }, cfg.Dial)
 	e.probeClient = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext, DisableKeepAlives: true,
@@ -133,8 +139,6 @@
 	maxCallerHeaderBytes = 64 << 10
 	cleanupInterval      = 500 * time.Millisecond
 	peerLoadInterval     = 200 * time.Millisecond
-	drainDelay           = 2500 * time.Millisecond // the load balancer notices after two readiness probes, one second apart
-	shutdownMargin       = 400 * time.Millisecond
 )
 
 // Start listens for callers and for readiness probes, and starts the background work, which
@@ -146,7 +150,9 @@
 		e.serve(c.Response().Writer, c.Request())
 		return nil
 	})
-	e.callerServer = &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes}
+	e.callerServer = &http.Server{
+		Handler: router, BaseContext: func(net.Listener) context.Context { return e.baseContext }, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
+	}
 	e.readyServer = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
 	for _, s := range []struct {
 		server *http.Server
@@ -173,21 +179,6 @@
 	go cfvclock.Every(ctx, pendingCheckInterval, func(context.Context) { e.cancelObsolete() })
 }
 
-// Stop shuts the entry down gracefully. It reports not ready, keeps serving until the load
-// balancer has stopped sending connections, and then waits for running requests.
-func (e *Entry) Stop(ctx context.Context) error {
-	e.stopping.Store(true)
-	start := e.cfg.Now()
-	e.cfg.Log.Infow("the entry is shutting down", "running", e.running.Load())
-	cfvclock.Sleep(ctx, drainDelay)
-	remaining := e.cfg.Limits.ShutdownTimeout - (e.cfg.Now() - start) - shutdownMargin
-	shutdownCtx, cancel := context.WithTimeout(ctx, remaining)
-	defer cancel()
-	err := e.callerServer.Shutdown(shutdownCtx)
-	e.cfg.Log.Infow("the entry has shut down", "running", e.running.Load(), "tookMillis", (e.cfg.Now() - start).Milliseconds())
-	return errors.Join(err, e.readyServer.Close())
-}
-
 // stateFresh returns the age of the state and whether it is recent enough to serve requests
 // that need an API key.
 func (e *Entry) stateFresh() (age time.Duration, ok bool) {
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -24,6 +24,7 @@
 	w            http.ResponseWriter
 	r            *http.Request
 	start        time.Duration
+	admittedAt   time.Duration // when it had arrived in full
 	meta         cfvcall.RequestMeta
 	index        *cfvfleet.Index
 	route        *cfvfleet.Route
@@ -133,6 +134,7 @@
 	if refusal := q.readBody(); refusal != nil {
 		return refusal
 	}
+	q.admittedAt = e.cfg.Now()
 	q.computeFingerprint()
 	if q.quarantined() {
 		return q.retryLater(quarantineRetryAfter, cfverror.ReasonQuarantined, "the request took endpoints down that ran it")
@@ -161,8 +163,14 @@
 	q.deadline = q.start + timeout
 }
 
-// timeLeft returns the time until the deadline.
-func (q *request) timeLeft() time.Duration { return q.deadline - q.entry.cfg.Now() }
+// timeLeft returns the time until the deadline, or until the request is ended because the entry stops.
+func (q *request) timeLeft() time.Duration {
+	end := q.deadline
+	if stopAt, stopping := q.entry.stopTime(); stopping {
+		end = min(end, stopAt)
+	}
+	return end - q.entry.cfg.Now()
+}
 
 // readBody reads the whole body, so that it can be sent to more than one endpoint.
 func (q *request) readBody() *httpRefusal {
@@ -173,11 +181,17 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	release := q.interruptBody()
+	defer release()
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return q.deny(http.StatusRequestEntityTooLarge, cfverror.ReasonBodyTooLarge, "the body has more than %d bytes", limit)
 	}
+	if err != nil && q.ended() {
+		q.w.Header().Set("Connection", "close")
+		return q.retryLater(otherEntryRetryAfter, cfverror.ReasonStopping, "this entry stops, and the body has not arrived")
+	}
 	if err != nil {
 		return q.deny(http.StatusBadRequest, cfverror.ReasonBadRequest, "the body did not arrive: %v", err)
 	}
@@ -244,4 +258,6 @@
 }
 
 // callerGone reports whether the caller has closed its connection.
-func (q *request) callerGone() bool { return errors.Is(q.r.Context().Err(), context.Canceled) }
+func (q *request) callerGone() bool {
+	return errors.Is(q.r.Context().Err(), context.Canceled) && !q.ended()
+}
--- a/io/cfventry/response.go
+++ b/io/cfventry/response.go
@@ -21,6 +21,8 @@
 		switch {
 		case q.callerGone():
 			return outcomeCallerGone
+		case q.ended():
+			return outcomeExpired
 		case hedge.fired():
 		case errors.Is(err, context.DeadlineExceeded):
 			q.recordFailure(ep)
@@ -80,7 +82,7 @@
 	rest := &endpointReader{r: resp.Body}
 	if _, err := io.Copy(q.w, io.MultiReader(bytes.NewReader(start), rest)); err != nil {
 		q.logAttempt(ep, "a long response was incomplete", "error", err.Error())
-		if rest.failed && !q.callerGone() {
+		if rest.failed && !q.callerGone() && !q.ended() {
 			q.recordFailure(ep)
 		}
 		panic(http.ErrAbortHandler)
@@ -119,6 +121,7 @@
 	e := q.entry
 	e.cfg.Metrics.Count("served."+q.service.Name, 1)
 	e.cfg.Metrics.Observe("answer."+q.route.Name, e.cfg.Now()-q.start)
+	q.recordDuration()
 	n := e.served.Add(1)
 	if status < http.StatusInternalServerError && (e.cfg.LogSuccessEvery <= 0 || n%int64(e.cfg.LogSuccessEvery) != 0) {
 		return
--- a/io/cfventry/stream.go
+++ b/io/cfventry/stream.go
@@ -178,6 +178,8 @@
 	switch {
 	case q.callerGone():
 		return outcomeCallerGone
+	case q.ended():
+		return outcomeExpired
 	case cancelled:
 		q.entry.connPools.closeIdle(ep.ID)
 	case errors.Is(err, context.DeadlineExceeded):
--- a/io/cfventry/weights.go
+++ b/io/cfventry/weights.go
@@ -63,3 +63,20 @@
 			"replacedBy", newer.Version, "desired", desired.Version, "ageMillis", (now - newer.Since).Milliseconds(), "certain", newer.Certain)
 	}
 }
+
+// handleWeightsMismatch handles an endpoint that does not run the expected weights and does not
+// report which it runs. If older weights than the desired ones were expected, the endpoint must
+// have loaded at least the next version by now.
+func (q *request) handleWeightsMismatch(ep *cfvfleet.Endpoint, expected int64) {
+	e, model := q.entry, q.meta.Prompt.Model
+	var desired cfvfleet.DesiredVersion
+	e.cfg.State.Read(func(v *cfvfleet.View) { desired = v.Desired(model) })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if next, ok := desired.ReplacedBy(expected); ok {
+		e.dispatcher.RecordWeights(ep, model, next.Version)
+		delete(q.excluded, ep.ID)
+		return
+	}
+	e.dispatcher.RecordMissingWeights(ep, model)
+}
