Send busy relays no more pulls than before

Cause: a pull that was delayed for 250 ms was followed by the next after 50 ms, up to nine times, with any number in progress. Relays that were only busy got more pulls the busier they were.

Change: the next pull begins after 350 ms, at most three are in progress, and an entry sends no more pulls than without delays. A delay alone is not reported to peers and takes no place from a relay. Standbys are no relays, and step in once no peer has responded for 0.9 s; entries without a response pull from them.

Ruled out: an endless list of what peers were told (counts only), and the leader's checks (five pulls a second).

--- a/commands/hosted_loops.go
+++ b/commands/hosted_loops.go
@@ -60,7 +60,7 @@
 func (h *hostedEntry) newWatcher() *cfvwatch.Watcher {
 	return cfvwatch.New(cfvwatch.Config{
 		List: h.keyValueStore.List, Watch: h.keyValueStore.Watch, Compacted: platform.ErrCompacted, State: h.state,
-		IsWatcher: h.isWatcher, IsStandby: func() bool { return h.exchange.CurrentRoster().IsStandby(h.settings.Node) },
+		IsWatcher: h.isWatcher, IsStandby: func() bool { return h.exchange.CurrentRoster().IsStandby(h.settings.Node) }, NoContact: h.exchange.NoContact,
 		StartDelay: h.watchDelay(), Now: cfvclock.SinceBoot, Log: h.log.Component("follow"),
 	})
 }
--- a/core/cfvfleet/conditions.go
+++ b/core/cfvfleet/conditions.go
@@ -68,7 +68,8 @@
 	c.seen[entry] = s
 }
 
-// Delayed records that an entry has not responded to a pull so far.
+// Delayed records that an entry has not responded to a pull so far. It may only be busy, so this is not reported to peers
+// and does not count for longer periods.
 func (c *Conditions) Delayed(now time.Duration, entry string) {
 	s := c.seen[entry]
 	if s.failingFrom == 0 {
@@ -85,11 +86,11 @@
 	c.seen[entry] = s
 }
 
-// Unresponsive reports whether an entry has not responded for at least the given time.
+// Unresponsive reports whether an entry has not responded for at least the given time. For a time of 0, a delay is enough.
 func (c *Conditions) Unresponsive(now time.Duration, entry string, period time.Duration) bool {
 	s := c.seen[entry]
 	if s.failingFrom > 0 {
-		return now-s.failingFrom >= period
+		return now-s.failingFrom >= period && (s.failures > 0 || period == 0)
 	}
 	r := c.reported[entry]
 	return r.Unresponsive && now-r.at < reportTTL && r.at > s.respondedAt && now-r.unresponsiveSince >= period
@@ -108,7 +109,7 @@
 // Own returns the impaired entries as this entry has seen them itself.
 func (c *Conditions) Own(now time.Duration) (out []Condition) {
 	for name, s := range c.seen {
-		r := Condition{Entry: name, Unresponsive: s.failingFrom > 0, StoreLost: s.storeLostAt > 0 && now-s.storeLostAt < storeLostTTL}
+		r := Condition{Entry: name, Unresponsive: s.failures > 0, StoreLost: s.storeLostAt > 0 && now-s.storeLostAt < storeLostTTL}
 		if r.Unresponsive || r.StoreLost {
 			out = append(out, r)
 		}
--- a/core/cfvfleet/roster.go
+++ b/core/cfvfleet/roster.go
@@ -26,7 +26,8 @@
 	}
 	n := min(max(len(r.relays)/2, minRelays), len(reaching))
 	r.watchers = reaching[:n]
-	r.standbys = reaching[n:min(2*n, len(reaching))]
+	others := slices.DeleteFunc(slices.Clone(reaching[n:]), func(e Entry) bool { return containsEntry(r.relays, e.Name) })
+	r.standbys = others[:min(n, len(others))] // no relays, which may all fail at once
 	return r
 }
 
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -70,8 +70,10 @@
 	failedAt map[string]time.Duration // first failure of peers that do not respond, by name
 	heardAt  map[string]time.Duration // last response or pull of peers, by name
 	pulling  map[string]bool          // peers that are being pulled from, by name
-	started  map[string]int64         // start of the process that last responded at an address, in Unix milliseconds
-	round    int                      // number of pulls so far
+
+	respondedAt time.Duration    // last response of any peer, or the start
+	started     map[string]int64 // start of the process that last responded at an address, in Unix milliseconds
+	round       int              // number of pulls so far
 
 	conditions    *cfvfleet.Conditions
 	settledRoster liveRoster
@@ -104,7 +106,7 @@
 		cfg: cfg, client: cfvhttp.NewClient(pullTimeout/2, 1), loads: make(map[string]peerLoad), started: make(map[string]int64), conditions: cfvfleet.NewConditions(),
 		failedAt: make(map[string]time.Duration), heardAt: make(map[string]time.Duration), pulling: make(map[string]bool),
 	}
-	x.send = x.sendPull
+	x.send, x.respondedAt = x.sendPull, cfg.Now()
 	return x
 }
 
@@ -118,16 +120,18 @@
 	go x.recheck(ctx)
 	for failures := 0; ; {
 		isRelay, name, addr := x.choosePeer()
+		late := false
 		interval := pullInterval
 		if isRelay {
 			interval = relayPullInterval
 		}
-		switch {
-		case addr == "":
-		case x.pullInTime(ctx, name, addr):
+		if addr != "" {
+			late = !x.pullInTime(ctx, name, addr)
+		}
+		if failures++; !late {
 			failures = 0
-		case failures < maxQuickPulls: // another peer may have what this entry lacks
-			failures++
+		}
+		if late && failures <= maxQuickPulls { // another peer may have what this entry lacks
 			interval = failedInterval
 		}
 		if !cfvclock.Sleep(ctx, interval) {
@@ -294,7 +298,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.conditions.Responded(x.cfg.Now(), name, conditions)
-	x.heardAt[name] = x.cfg.Now()
+	x.heardAt[name], x.respondedAt = x.cfg.Now(), x.cfg.Now()
 	if since, ok := x.failedAt[name]; ok {
 		delete(x.failedAt, name)
 		x.cfg.Log.Infow("a peer responds again", "entry", name, "awayMillis", (x.cfg.Now() - since).Milliseconds())
@@ -391,10 +395,3 @@
 	}
 	return loads, demands
 }
-
-// SetSeeds sets the addresses to pull from while no other entry is known.
-func (x *Exchange) SetSeeds(addrs []string) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.cfg.Seeds = addrs
-}
--- a/io/cfvexchange/peers.go
+++ b/io/cfvexchange/peers.go
@@ -14,9 +14,11 @@
 
 // Times of peers that do not respond.
 const (
-	pullDelay       = 250 * time.Millisecond  // after this the next peer is pulled from, while the pull goes on
-	failedInterval  = 50 * time.Millisecond   // until the next peer is pulled from after a failed pull
+	pullDelay       = 350 * time.Millisecond  // after this the next peer is pulled from, while the pull goes on: peers that are only busy get no more pulls than before
+	failedInterval  = 50 * time.Millisecond   // until the next peer is pulled from after a pull that failed or is delayed
+	maxPulls        = 3                       // pulls in progress
 	relayGonePeriod = 1500 * time.Millisecond // after this another entry takes the place of a relay that does not respond
+	contactPeriod   = 900 * time.Millisecond  // after this without a response, standbys watch the key-value store, and others pull from them
 	standbyPullAge  = 2800 * time.Millisecond // a relay with an older state also pulls from the standbys
 	recheckInterval = time.Second             // between the pulls that check whether an entry responds again
 	leaderInterval  = 200 * time.Millisecond  // between the pulls of the leader from entries that it has not heard from
@@ -131,6 +133,9 @@
 	isRelay = roster.IsRelay(x.cfg.Self)
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if len(x.pulling) >= maxPulls {
+		return isRelay, "", ""
+	}
 	if len(entries) == 0 || len(entries) == 1 && entries[0].Name == x.cfg.Self {
 		if len(x.cfg.Seeds) == 0 {
 			return false, "", ""
@@ -143,7 +148,7 @@
 	switch standbys := roster.Standbys(); {
 	case !ok || isRelay && x.round%randomPullEvery == 0:
 		peer = entries[rand.IntN(len(entries))]
-	case known && age > standbyPullAge && len(standbys) > 0 && x.round%2 == 0:
+	case (known && age > standbyPullAge || x.noContact()) && len(standbys) > 0 && x.round%2 == 0:
 		peer = standbys[x.round/2%len(standbys)] // they watch the store by now
 	}
 	if x.pulling[peer.Name] || peer.Name == x.cfg.Self {
@@ -189,6 +194,23 @@
 	return !x.pulling[e.Name] && !x.conditions.Unresponsive(x.cfg.Now(), e.Name, 0)
 }
 
+// NoContact reports whether no peer has responded lately.
+func (x *Exchange) NoContact() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.noContact()
+}
+
+// noContact does the same. The caller must hold x.mu.
+func (x *Exchange) noContact() bool { return x.cfg.Now()-x.respondedAt > contactPeriod }
+
+// SetSeeds sets the addresses to pull from while no other entry is known.
+func (x *Exchange) SetSeeds(addrs []string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cfg.Seeds = addrs
+}
+
 // conditionsToWire returns the conditions of this entry and of those that it has seen to be impaired.
 func (x *Exchange) conditionsToWire() (out []*cfvwireentry.EntryCondition) {
 	lost := x.cfg.StoreLost()
--- a/io/cfvwatch/watcher.go
+++ b/io/cfvwatch/watcher.go
@@ -40,6 +40,7 @@
 	State     *cfvstate.State
 	IsWatcher func() bool // reports whether this entry watches the store on behalf of its peers
 	IsStandby func() bool // reports whether this entry does so next; nil: it does not
+	NoContact func() bool // reports whether no peer responds to this entry; nil: some do
 	// StartDelay is the time after the start during which an entry without a state leaves the store to its
 	// peers. At a start of the whole fleet, each entry would list the store otherwise.
 	StartDelay time.Duration
@@ -64,6 +65,9 @@
 	if cfg.IsStandby == nil {
 		cfg.IsStandby = func() bool { return false }
 	}
+	if cfg.NoContact == nil {
+		cfg.NoContact = func() bool { return false }
+	}
 	return &Watcher{cfg: cfg, startedAt: cfg.Now()}
 }
 
@@ -135,7 +139,7 @@
 	if !known {
 		return w.cfg.Now()-w.startedAt >= w.cfg.StartDelay
 	}
-	return w.cfg.IsWatcher() || age > maxStateAge || age > standbyStateAge && w.cfg.IsStandby()
+	return w.cfg.IsWatcher() || age > maxStateAge || (age > standbyStateAge || w.cfg.NoContact()) && w.cfg.IsStandby()
 }
 
 // update lists the store if there is no state yet or the history has been compacted, and otherwise
--- a/io/cfvwatch/watcher_test.go
+++ b/io/cfvwatch/watcher_test.go
@@ -344,6 +344,10 @@
 			assert.Equal(t, w.shouldWatch(), standby)
 			now += maxStateAge - standbyStateAge
 			assert.Assert(t, w.shouldWatch())
+			state.Confirm(1, now)
+			assert.Assert(t, !w.shouldWatch())
+			w.cfg.NoContact = func() bool { return true }
+			assert.Equal(t, w.shouldWatch(), standby, "no peer responds")
 		})
 	}
 }
