Log connections that are closed without a response to their request

It now logs, and counts in callers.unanswered, each connection that is closed after bytes of a request were read and before any byte of a response was written: the bytes, the server's state of the connection (idle or new: the head was not parsed; active: it was), whether the entry is stopping, and the memory reserved for bodies.

--- a/common/cfvhttp/conn_limit.go
+++ b/common/cfvhttp/conn_limit.go
@@ -78,7 +78,11 @@
 
 // setBuffers sets the sizes of the kernel's buffers. Without it the kernel enlarges them to several MB each.
 func (l *ConnLimit) setBuffers(c net.Conn) {
-	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+	for {
+		wrapped, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
 		c = wrapped.NetConn()
 	}
 	if tcp, ok := c.(*net.TCPConn); ok && l.bufferBytes > 0 {
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -162,9 +162,11 @@
 		e.serve(c.Response().Writer, c.Request())
 		return nil
 	})
+	tracker := cfvhttp.NewConnTracker(e.recordUnanswered)
+	limit := cfvhttp.NewConnLimit(e.cfg.MaxCallers, callerBufferBytes, func() { e.cfg.Metrics.Count("callers.closed", 1) })
 	e.callerServer = &http.Server{
 		Handler: router, BaseContext: func(net.Listener) context.Context { return e.baseContext }, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
-		ConnState: callerConnState(cfvhttp.NewConnLimit(e.cfg.MaxCallers, callerBufferBytes, func() { e.cfg.Metrics.Count("callers.closed", 1) }).ConnState),
+		ConnState: callerConnState(tracker.ConnState, limit.ConnState),
 	}
 	e.readyServer = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxProbeHeaderBytes}
 	for _, s := range []struct {
@@ -175,8 +177,11 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", s.addr, err)
 		}
-		if s.server == e.callerServer && e.cfg.BodyBudget != nil {
-			l = headListener{l, e.cfg.BodyBudget}
+		if s.server == e.callerServer {
+			l = tracker.Listener(l)
+			if e.cfg.BodyBudget != nil {
+				l = headListener{l, e.cfg.BodyBudget}
+			}
 		}
 		go func() {
 			if err := s.server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -188,6 +193,13 @@
 	return nil
 }
 
+// recordUnanswered records a request whose connection was closed without a response.
+func (e *Entry) recordUnanswered(r cfvhttp.UnansweredRequest) {
+	e.cfg.Metrics.Count("callers.unanswered", 1)
+	e.cfg.Log.Warnw("a connection was closed without a response to its request", "caller", r.Caller, "bytes", r.Bytes, "state", r.State.String(), "stopping", e.stopping.Load(),
+		"running", e.running.Load(), "reservedBytes", e.cfg.BodyBudget.Used())
+}
+
 // startLoops starts the background work, which ends with ctx.
 func (e *Entry) startLoops(ctx context.Context) {
 	go cfvclock.Every(ctx, cleanupInterval, func(context.Context) { e.cleanUp() })
--- a/io/cfventry/heads.go
+++ b/io/cfventry/heads.go
@@ -85,12 +85,14 @@
 	return nil
 }
 
-// callerConnState returns the hook of the server for callers.
-func callerConnState(limit func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
+// callerConnState returns the hook of the server for callers, which calls the given ones as well.
+func callerConnState(hooks ...func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
 	return func(c net.Conn, state http.ConnState) {
 		if h, ok := c.(*headConn); ok {
 			h.setState(state)
 		}
-		limit(c, state)
+		for _, hook := range hooks {
+			hook(c, state)
+		}
 	}
 }
