Test that requests read during a planned stop are answered

Callers of a stopping entry got neither an answer nor a refusal although the entry had read their request.

--- a/io/cfventry/stop_test.go
+++ b/io/cfventry/stop_test.go
@@ -12,8 +12,6 @@
 	"testing/synctest"
 	"time"
 
-	"coltsfootvalve/core/cfvdispatch"
-
 	"gotest.tools/v3/assert"
 )
 
@@ -72,9 +70,14 @@
 }
 
 // call sends a request over a connection and returns its answer.
-func (s slowCall) call(conn net.Conn, stop time.Time) (a callAnswer) {
+func (s slowCall) call(conn net.Conn, stop time.Time) callAnswer {
 	defer conn.Close()
-	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nId: r\r\nContent-Length: 10\r\n\r\n12345", s.path)
+	return s.exchange(conn, "12345", stop)
+}
+
+// exchange sends a request with the given part of its body, and returns its answer.
+func (s slowCall) exchange(conn net.Conn, body string, stop time.Time) (a callAnswer) {
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nId: r\r\nContent-Length: 10\r\n\r\n%s", s.path, body)
 	if s.bodyAt != never {
 		body := time.AfterFunc(time.Until(stop.Add(s.bodyAt)), func() { _, _ = io.WriteString(conn, "67890") })
 		defer body.Stop()
@@ -123,19 +126,8 @@
 					_, _ = fmt.Fprintf(w, wholeAnswer, id)
 				}}
 				defer endpoint.close()
-				e := newRawEntry(endpoint)
-				e.cfg.Limits.ShutdownTimeout = grace
-				callers := newPipeListener()
-				e.cfg.PeerLoads = func() (map[string]cfvdispatch.Load, map[string]cfvdispatch.Demand) { return nil, nil }
-				e.cfg.CallerAddr, e.cfg.ReadyAddr = "callers", "ready"
-				e.cfg.Listen = func(_, addr string) (net.Listener, error) {
-					if addr == "callers" {
-						return callers, nil
-					}
-					return newPipeListener(), nil
-				}
 				ctx, cancel := context.WithCancel(t.Context())
-				assert.NilError(t, e.Start(ctx))
+				e, callers := startStopTest(ctx, t, endpoint)
 				if tt.known {
 					slowCall{path: tt.call.path}.call(callers.dial(), time.Now())
 				}
