Answer every request that was read during a planned stop

Around the end of the drain delay, callers of a stopping entry got neither an answer nor a refusal, although the entry had read their whole request.

Cause: the entry left the end of its connections to http.Server.Shutdown, which decides by the state that the server last set and not by what was read. It sets its flag first; from then on conn.serve returns right after readRequest, so that each request that is read later is dropped, over new connections for up to five seconds. And it closes connections in StateIdle, which is their state until the head is parsed: a goroutine that has read the request and waits for a processor loses it.

Change: cfvhttp.ConnTracker knows for each connection whether bytes of a request were read, and ends it by a deadline for its next read. The goroutine that reads it also closes it, so that nothing can be read and then dropped. A last look takes a request that has arrived meanwhile. The server itself is closed when no connection is left, or at the end of the grace. Responses that begin during the stop announce the close also if their request began before.

--- a/common/cfvhttp/conn_tracker.go
+++ b/common/cfvhttp/conn_tracker.go
@@ -1,14 +1,25 @@
 package cfvhttp
 
 import (
+	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"time"
 )
 
-// ConnTracker knows how far the requests on the connections of an HTTP server are. It is safe for concurrent use.
+// ConnTracker knows how far the requests on the connections of an HTTP server are, and ends the connections without losing a
+// request that has been read. http.Server.Shutdown loses some: it closes connections whose head was read and not parsed yet, and
+// drops what it reads from then on. ConnTracker is safe for concurrent use.
 type ConnTracker struct {
 	onUnanswered func(UnansweredRequest)
+
+	mu     sync.Mutex
+	conns  map[*trackedConn]struct{}
+	ending bool
+	none   chan struct{} // closed when there are no connections while ending
 }
 
 // UnansweredRequest describes a request of which bytes were read, and whose connection the server closed without any response.
@@ -18,9 +29,16 @@
 	State  http.ConnState // active: the head was complete
 }
 
+// Times for which a connection that is being ended may still receive a request.
+const (
+	lastIdleWait = 50 * time.Millisecond
+	lastNewWait  = 500 * time.Millisecond // of a connection without a request so far; callers open connections to send one
+	lastHeadWait = 2 * time.Second        // once a part of the head has arrived
+)
+
 // NewConnTracker returns a tracker. It calls onUnanswered for each request that gets no response.
 func NewConnTracker(onUnanswered func(UnansweredRequest)) *ConnTracker {
-	return &ConnTracker{onUnanswered: onUnanswered}
+	return &ConnTracker{onUnanswered: onUnanswered, conns: make(map[*trackedConn]struct{}), none: make(chan struct{})}
 }
 
 // Listener returns a listener whose connections are tracked.
@@ -28,19 +46,76 @@
 
 // ConnState follows the server's state of a connection.
 func (t *ConnTracker) ConnState(c net.Conn, state http.ConnState) {
+	if tracked := trackedBelow(c); tracked != nil {
+		tracked.setState(state)
+	}
+}
+
+// trackedBelow returns the tracked connection that c wraps; nil if there is none.
+func trackedBelow(c net.Conn) *trackedConn {
 	for {
 		if tracked, ok := c.(*trackedConn); ok {
-			tracked.setState(state)
-			return
+			return tracked
 		}
 		wrapped, ok := c.(interface{ NetConn() net.Conn })
 		if !ok {
-			return
+			return nil
 		}
 		c = wrapped.NetConn()
 	}
 }
 
+// Drain ends each connection as soon as no request is on it, and waits until none is left or ctx ends. The listeners must be
+// closed before. Responses should tell callers that the connection closes.
+func (t *ConnTracker) Drain(ctx context.Context) error {
+	t.mu.Lock()
+	if !t.ending {
+		t.ending = true
+		t.checkNone()
+	}
+	for c := range t.conns {
+		c.end()
+	}
+	t.mu.Unlock()
+	select {
+	case <-t.none:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// add adds a connection.
+func (t *ConnTracker) add(c *trackedConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conns[c] = struct{}{}
+	if t.ending {
+		c.end()
+	}
+}
+
+// remove removes a connection that was closed.
+func (t *ConnTracker) remove(c *trackedConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.conns[c]; ok {
+		delete(t.conns, c)
+		t.checkNone()
+	}
+}
+
+// checkNone wakes Drain if no connection is left. The caller must hold t.mu.
+func (t *ConnTracker) checkNone() {
+	if t.ending && len(t.conns) == 0 {
+		select {
+		case <-t.none:
+		default:
+			close(t.none)
+		}
+	}
+}
+
 // trackedListener accepts tracked connections.
 type trackedListener struct {
 	net.Listener
@@ -53,33 +128,106 @@
 	if err != nil {
 		return nil, err
 	}
-	return &trackedConn{Conn: c, tracker: l.tracker}, nil
+	tracked := &trackedConn{Conn: c, tracker: l.tracker}
+	l.tracker.add(tracked)
+	return tracked, nil
 }
 
-// trackedConn is a connection of a caller.
+// trackedConn is a connection of a caller. It is ended by a deadline for its next read and closed by the goroutine that reads it,
+// so that no request is lost between its read and the close.
 type trackedConn struct {
 	net.Conn
 	tracker *ConnTracker
 
 	mu       sync.Mutex
 	state    http.ConnState
-	received int  // bytes of the present request
-	ahead    int  // bytes of the next request
-	answered bool // bytes of the response were written
+	received int       // bytes of the present request
+	ahead    int       // bytes of the next request
+	answered bool      // bytes of the response were written
+	ending   bool      // the connection ends while no request is on it
+	lastWait bool      // the last wait for a request has begun
+	deadline time.Time // of reads, as the server wants it
 	closed   bool
 }
 
+// pastDeadline is a deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
+
 // Read reads from the connection.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.beginLastWait() {
+		n, err = c.Conn.Read(p) // a request may have arrived that was not read yet
+	}
+	c.recordRead(n, len(p))
+	return n, err
+}
+
+// beginLastWait reports whether the connection is being ended and has not waited for a last request yet. It sets the deadline of
+// that wait.
+func (c *trackedConn) beginLastWait() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending || c.lastWait || c.state == http.StateActive || c.received > 0 {
+		return false
+	}
+	c.lastWait = true
+	wait := lastIdleWait
+	if c.state == http.StateNew {
+		wait = lastNewWait
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(wait))
+	return true
+}
+
+// recordRead records that n bytes were read into a buffer of the given size.
+func (c *trackedConn) recordRead(n, size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == http.StateActive && len(p) == 1 {
+	if c.state == http.StateActive && size == 1 {
 		c.ahead += n // while a request runs, the server reads single bytes to notice that the caller leaves
-	} else {
-		c.received += n
+		return
+	}
+	begins := c.ending && c.received == 0 && n > 0
+	c.received += n
+	if begins {
+		_ = c.limitReads()
+	}
+}
+
+// SetReadDeadline sets the deadline of reads, which is earlier while the connection is being ended.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.limitReads()
+}
+
+// limitReads sets the deadline of reads. The caller must hold c.mu.
+func (c *trackedConn) limitReads() error {
+	at := c.deadline
+	switch {
+	case !c.ending || c.state == http.StateActive:
+	case c.received > 0:
+		if latest := time.Now().Add(lastHeadWait); at.IsZero() || latest.Before(at) {
+			at = latest
+		}
+	case c.lastWait:
+		return nil
+	default:
+		at = pastDeadline
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// end ends the connection as soon as no request is on it.
+func (c *trackedConn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending {
+		c.ending = true
+		_ = c.limitReads()
 	}
-	return n, err
 }
 
 // Write writes to the connection.
@@ -101,6 +249,7 @@
 	if unanswered {
 		c.tracker.onUnanswered(request)
 	}
+	c.tracker.remove(c)
 	return err
 }
 
@@ -109,8 +258,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state = state
-	if state == http.StateIdle {
-		c.received, c.ahead, c.answered = c.ahead, 0, false
+	switch state {
+	case http.StateActive:
+		if c.ending {
+			_ = c.limitReads() // the body has other deadlines than the head
+		}
+	case http.StateIdle:
+		c.received, c.ahead, c.answered, c.lastWait = c.ahead, 0, false, false
 	}
 }
 
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -87,6 +87,8 @@
 	pending      *pendingAttempts
 	probeClient  *http.Client
 	callerServer *http.Server
+	callers      *cfvhttp.ConnTracker
+	listener     net.Listener // for callers
 	readyServer  *http.Server
 	baseContext  context.Context // of all connections of callers
 	endRequests  context.CancelCauseFunc
@@ -162,11 +164,11 @@
 		e.serve(c.Response().Writer, c.Request())
 		return nil
 	})
-	tracker := cfvhttp.NewConnTracker(e.recordUnanswered)
+	e.callers = cfvhttp.NewConnTracker(e.recordUnanswered)
 	limit := cfvhttp.NewConnLimit(e.cfg.MaxCallers, callerBufferBytes, func() { e.cfg.Metrics.Count("callers.closed", 1) })
 	e.callerServer = &http.Server{
 		Handler: router, BaseContext: func(net.Listener) context.Context { return e.baseContext }, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
-		ConnState: callerConnState(tracker.ConnState, limit.ConnState),
+		ConnState: callerConnState(e.callers.ConnState, limit.ConnState),
 	}
 	e.readyServer = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxProbeHeaderBytes}
 	for _, s := range []struct {
@@ -178,13 +180,14 @@
 			return fmt.Errorf("listen on %s: %w", s.addr, err)
 		}
 		if s.server == e.callerServer {
-			l = tracker.Listener(l)
+			e.listener = l
+			l = e.callers.Listener(l)
 			if e.cfg.BodyBudget != nil {
 				l = headListener{l, e.cfg.BodyBudget}
 			}
 		}
 		go func() {
-			if err := s.server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err := s.server.Serve(l); !e.stopping.Load() && !errors.Is(err, http.ErrServerClosed) {
 				e.cfg.Log.Warnw("an HTTP server stopped unexpectedly", "addr", s.addr, "error", err.Error())
 			}
 		}()
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -66,7 +66,7 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	e.running.Add(1)
 	defer e.running.Add(-1)
-	if e.stopping.Load() || len(r.TransferEncoding) > 0 {
+	if len(r.TransferEncoding) > 0 {
 		// Parsers may disagree on where a chunked body ends, which allows request smuggling,
 		// so no further request is read from this connection.
 		w.Header().Set("Connection", "close")
@@ -229,6 +229,7 @@
 	if s.retryAfter > 0 {
 		q.w.Header().Set("Retry-After", strconv.FormatFloat(s.retryAfter.Seconds(), 'f', 3, 64))
 	}
+	q.announceClose()
 	q.w.WriteHeader(s.status)
 }
 
--- a/io/cfventry/response.go
+++ b/io/cfventry/response.go
@@ -117,6 +117,7 @@
 			q.w.Header()[name] = values
 		}
 	}
+	q.announceClose()
 }
 
 // recordServed counts a served request and logs it if it failed at the endpoint or is one of the
--- a/io/cfventry/stop.go
+++ b/io/cfventry/stop.go
@@ -23,8 +23,8 @@
 var errStopping = errors.New("the entry stops")
 
 // Stop shuts the entry down gracefully. It reports not ready, keeps serving until the load balancer has stopped sending
-// connections, and then waits for running requests. Requests that can't end before the process does are refused as not
-// run, and those that still run shortly before are answered.
+// connections, and then ends each connection once the requests that were read from it are answered. Requests that can't end
+// before the process does are refused as not run, and those that still run shortly before are answered.
 func (e *Entry) Stop(ctx context.Context) error {
 	start := e.cfg.Now()
 	end := start + e.cfg.Limits.ShutdownTimeout - shutdownMargin
@@ -34,14 +34,22 @@
 	ending := time.AfterFunc(end-answerTime-start, func() { e.endRequests(errStopping) })
 	defer ending.Stop()
 	cfvclock.Sleep(ctx, drainDelay)
-	shutdownCtx, cancel := context.WithTimeout(ctx, end-e.cfg.Now())
+	drainCtx, cancel := context.WithTimeout(ctx, end-e.cfg.Now())
 	defer cancel()
-	err := e.callerServer.Shutdown(shutdownCtx)
+	_ = e.listener.Close() // fails only if it is closed already
+	err := e.callers.Drain(drainCtx)
 	if errors.Is(err, context.DeadlineExceeded) && e.running.Load() == 0 {
-		err = nil // only connections without a request are left
+		err = nil // only connections without a complete request are left
 	}
 	e.cfg.Log.Infow("the entry has shut down", "running", e.running.Load(), "tookMillis", (e.cfg.Now() - start).Milliseconds())
-	return errors.Join(err, e.readyServer.Close())
+	return errors.Join(err, e.callerServer.Close(), e.readyServer.Close())
+}
+
+// announceClose tells the caller that the connection closes after the response if the entry stops.
+func (q *request) announceClose() {
+	if q.entry.stopping.Load() {
+		q.w.Header().Set("Connection", "close")
+	}
 }
 
 // stopTime returns when running requests are ended because the entry stops, and false if it does not stop.
