Refuse requests for whose head there is no memory

Without room in the budget for bodies, the read of a head failed and the server closed the connection: its caller, whose whole request may have been read, got neither an answer nor a refusal.

TestRequestWithoutMemoryForItsHeadIsRefused fails in its three cases without the change (unexpected EOF) and passes with it.

--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -183,7 +183,7 @@
 			e.listener = l
 			l = e.callers.Listener(l)
 			if e.cfg.BodyBudget != nil {
-				l = headListener{l, e.cfg.BodyBudget}
+				l = headListener{l, e.cfg.BodyBudget, func() { e.cfg.Metrics.CountRefusal(cfverror.ReasonBodyMemory) }}
 			}
 		}
 		go func() {
--- a/io/cfventry/heads.go
+++ b/io/cfventry/heads.go
@@ -1,9 +1,11 @@
 package cfventry
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"coltsfootvalve/core/cfvlimit"
 )
@@ -12,10 +14,14 @@
 // 60 MB, which is 6.8 for each byte.
 const headMemoryFactor = 7
 
+// noRoomResponse refuses a request for whose head there is no memory. It has not run.
+const noRoomResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
 // headListener accepts connections whose heads are reserved in a budget.
 type headListener struct {
 	net.Listener
 	budget *cfvlimit.ByteBudget
+	onFull func() // called for each request that is refused
 }
 
 // Accept accepts a connection.
@@ -24,14 +30,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &headConn{Conn: c, budget: l.budget, reading: true}, nil
+	return &headConn{Conn: c, budget: l.budget, onFull: l.onFull, reading: true}, nil
 }
 
 // headConn reserves the memory for the head of each request while it is read and until the request has ended. Without room
-// its reads fail, and the server closes it.
+// it refuses the request and its reads fail, so that the server closes it.
 type headConn struct {
 	net.Conn
 	budget *cfvlimit.ByteBudget
+	onFull func()
 
 	mu       sync.Mutex
 	reading  bool // the next bytes belong to a head
@@ -42,11 +49,25 @@
 func (c *headConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.reserve(int64(n)*headMemoryFactor) {
+		c.refuse()
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errNoRoom} // the server closes the connection after this type of error
 	}
 	return n, err
 }
 
+// refuse refuses the request. The rest of it is read for a while, since the caller might not get the refusal otherwise.
+func (c *headConn) refuse() {
+	c.onFull()
+	deadline := time.Now().Add(refusalLinger)
+	_ = c.SetWriteDeadline(deadline)
+	if _, err := io.WriteString(c.Conn, noRoomResponse); err != nil {
+		return
+	}
+	_ = c.CloseWrite()
+	_ = c.SetReadDeadline(deadline)
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxCallerHeaderBytes))
+}
+
 // reserve reserves memory if a head is being read. It reports whether there was room.
 func (c *headConn) reserve(n int64) bool {
 	c.mu.Lock()
