Answer requests that a stopping node has read

The product's own form (serve) shut its listener for callers down with http.Server.Shutdown as well, and so dropped requests that it read from then on: the same cause as in an entry's planned stop. It now ends the connections of callers through ConnTracker before it waits for running requests; what is read meanwhile is refused as not run. Connections with TLS are as before: their bytes don't show where a request begins.

--- a/io/cfvnode/node.go
+++ b/io/cfvnode/node.go
@@ -72,6 +72,8 @@
 	cancel      context.CancelFunc
 	wg          sync.WaitGroup
 	listeners   []*http.Server
+	callerConns *cfvhttp.ConnTracker // nil with TLS
+	callerSide  net.Listener         // of callerConns
 	ownerConfig ownerConfig
 }
 
@@ -227,7 +229,13 @@
 	s := &http.Server{Handler: n.callers.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	if n.callerCertificate != nil {
 		s.TLSConfig = n.callerCertificate.TLSConfig()
+		return n.listen(n.cfg.CallerAddress, s)
 	}
+	n.callerConns = cfvhttp.NewConnTracker(func(r cfvhttp.UnansweredRequest) {
+		n.metrics.Count("callers.unanswered", 1)
+		n.log.Component("node").Warn("The connection of %s was closed without a response after %d bytes of a request (%s).", r.Caller, r.Bytes, r.State)
+	})
+	s.ConnState = n.callerConns.ConnState
 	return n.listen(n.cfg.CallerAddress, s)
 }
 
@@ -239,6 +247,10 @@
 	if address == n.cfg.PeerAddress {
 		l = n.traffic.Listener(l)
 	}
+	if address == n.cfg.CallerAddress && n.callerConns != nil {
+		n.callerSide = l
+		l = n.callerConns.Listener(l)
+	}
 	n.listeners = append(n.listeners, s)
 	n.wg.Go(func() {
 		if s.TLSConfig != nil {
@@ -246,7 +258,7 @@
 		} else {
 			err = s.Serve(l)
 		}
-		if err != http.ErrServerClosed {
+		if err != http.ErrServerClosed && !n.callers.Leaving() {
 			n.log.Component("node").Warn("The listener on %s failed: %v.", address, err)
 		}
 	})
@@ -305,6 +317,7 @@
 	n.callers.Stop()
 	drainCtx, cancel := context.WithTimeout(ctx, n.cfg.DrainTimeout)
 	defer cancel()
+	n.drainCallers(drainCtx)
 	for drainCtx.Err() == nil && (n.callers.RunningRequests() > 0 || n.server.PendingConclusions() > 0) {
 		cfvclock.Sleep(drainCtx, 10*time.Millisecond)
 	}
@@ -318,6 +331,17 @@
 	return result
 }
 
+// drainCallers ends the connections of callers once the requests that were read from them are answered.
+func (n *Node) drainCallers(ctx context.Context) {
+	if n.callerConns == nil {
+		return
+	}
+	_ = n.callerSide.Close() // fails only if it is closed already
+	if err := n.callerConns.Drain(ctx); err != nil {
+		n.log.Component("node").Warn("Connections of callers were still open at the end of the drain timeout.")
+	}
+}
+
 // close closes all listeners, with their connections if abort is set or ctx ends, and waits for
 // the background tasks.
 func (n *Node) close(ctx context.Context, abort bool) {
--- a/io/cfvnode/recovery_test.go
+++ b/io/cfvnode/recovery_test.go
@@ -1,8 +1,11 @@
 package cfvnode
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -194,6 +197,69 @@
 	})
 }
 
+// countingListener counts the connections of which a request was read.
+type countingListener struct {
+	net.Listener
+	read *atomic.Int64
+}
+
+// Accept accepts a connection.
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &countingConn{Conn: c, read: l.read}, err
+}
+
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+	once sync.Once
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.once.Do(func() { c.read.Add(1) })
+	}
+	return n, err
+}
+
+// Guards against requests that are read and get no answer, since the listener of a stopping node is shutting down.
+func TestRequestThatWasReadDuringAPlannedStopIsAnswered(t *testing.T) {
+	t.Parallel()
+	const connections, interval = 100, 3 * time.Millisecond
+	var read, answered atomic.Int64
+	count := func(cfg *Config) {
+		listen, callers := cfg.Listen, cfg.CallerAddress
+		cfg.Listen = func(network, address string) (net.Listener, error) {
+			l, err := listen(network, address)
+			if err == nil && address == callers {
+				l = countingListener{l, &read}
+			}
+			return l, err
+		}
+	}
+	runVirtual(t, clusterConfig{entries: 1, engines: 1, domains: []string{"rosario"}, nodeConfig: count}, func(t *testing.T, c *cluster) {
+		n := c.node(0)
+		read.Store(0)
+		var calls sync.WaitGroup
+		for i := range connections {
+			conn, err := c.network.DialContext(t.Context(), "tcp", n.Address())
+			assert.NilError(t, err)
+			calls.Go(func() {
+				defer conn.Close()
+				time.Sleep(time.Duration(i) * interval)
+				_, _ = io.WriteString(conn, "GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+				if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+					answered.Add(1)
+				}
+			})
+		}
+		assert.Equal(t, n.Stop(context.Background()).Interrupted, int64(0))
+		calls.Wait()
+		assert.Check(t, read.Load() > 0 && read.Load() == answered.Load(), "%d requests were read, %d answered", read.Load(), answered.Load())
+	})
+}
+
 func TestNodeThatLeavesStillServes(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, clusterConfig{entries: 2, engines: 1})
