Wait for connections that are being accepted when an entry stops

A stopping entry closed its listener and ended the connections that it knew, but not one that Accept had returned and that was not recorded yet: the server was closed meanwhile, and the request on that connection was read and dropped.

--- a/common/cfvhttp/conn_tracker.go
+++ b/common/cfvhttp/conn_tracker.go
@@ -16,17 +16,18 @@
 type ConnTracker struct {
 	onUnanswered func(UnansweredRequest)
 
-	mu     sync.Mutex
-	conns  map[*trackedConn]struct{}
-	ending bool
-	none   chan struct{} // closed when there are no connections while ending
+	mu        sync.Mutex
+	conns     map[*trackedConn]struct{}
+	accepting int // listeners that are not closed
+	ending    bool
+	none      chan struct{} // closed when there are no connections while ending, and there can't be further ones
 }
 
 // UnansweredRequest describes a request of which bytes were read, and whose connection the server closed without any response.
 type UnansweredRequest struct {
 	Caller string         // address
 	Bytes  int            // that were read, of the head and the body
-	State  http.ConnState // active: the head was complete
+	State  http.ConnState // new or idle: the server had not parsed the head
 }
 
 // Times for which a connection that is being ended may still receive a request.
@@ -42,7 +43,12 @@
 }
 
 // Listener returns a listener whose connections are tracked.
-func (t *ConnTracker) Listener(l net.Listener) net.Listener { return trackedListener{l, t} }
+func (t *ConnTracker) Listener(l net.Listener) net.Listener {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.accepting++
+	return &trackedListener{Listener: l, tracker: t}
+}
 
 // ConnState follows the server's state of a connection.
 func (t *ConnTracker) ConnState(c net.Conn, state http.ConnState) {
@@ -66,7 +72,7 @@
 }
 
 // Drain ends each connection as soon as no request is on it, and waits until none is left or ctx ends. The listeners must be
-// closed before. Responses should tell callers that the connection closes.
+// closed before; it also waits for connections that they are accepting. Responses should tell callers that the connection closes.
 func (t *ConnTracker) Drain(ctx context.Context) error {
 	t.mu.Lock()
 	if !t.ending {
@@ -105,9 +111,17 @@
 	}
 }
 
+// stopAccepting records that a listener is closed and accepts nothing more.
+func (t *ConnTracker) stopAccepting() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.accepting--
+	t.checkNone()
+}
+
 // checkNone wakes Drain if no connection is left. The caller must hold t.mu.
 func (t *ConnTracker) checkNone() {
-	if t.ending && len(t.conns) == 0 {
+	if t.ending && t.accepting == 0 && len(t.conns) == 0 {
 		select {
 		case <-t.none:
 		default:
@@ -120,11 +134,15 @@
 type trackedListener struct {
 	net.Listener
 	tracker *ConnTracker
+	closed  sync.Once
 }
 
 // Accept accepts a connection.
-func (l trackedListener) Accept() (net.Conn, error) {
+func (l *trackedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		l.closed.Do(l.tracker.stopAccepting)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/io/cfventry/stop_test.go
+++ b/io/cfventry/stop_test.go
@@ -20,6 +20,7 @@
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
+	stall  time.Duration // of the entry after it has accepted a connection
 }
 
 func newPipeListener() *pipeListener {
@@ -30,6 +31,7 @@
 func (l *pipeListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
+		time.Sleep(l.stall)
 		return c, nil
 	case <-l.closed:
 		return nil, net.ErrClosed
