Count connections that are being ended in the limit on them

Connections that are being ended now count until they are closed, and may exceed the limit by an eighth; a new one beyond that is closed unread.

--- a/common/cfvhttp/conn_limit.go
+++ b/common/cfvhttp/conn_limit.go
@@ -8,20 +8,24 @@
 )
 
 // ConnLimit bounds the number of connections of an HTTP server. At the limit a new connection replaces the one that has
-// waited longest for a complete request head; if all have running requests, the new one is closed.
+// waited longest for a complete request head; if all have running requests, the new one is closed. Connections that are being
+// ended count until they are closed, and may exceed the limit by one part in endingPart.
 type ConnLimit struct {
 	limit       int // 0: none
 	bufferBytes int
 	onClose     func()
 
 	mu      sync.Mutex
-	waiting map[net.Conn]time.Time // since when; zero while a request runs
+	waiting map[net.Conn]time.Time // since when; zero while a request runs, or is being ended
+	ended   map[net.Conn]struct{}
 }
 
+const endingPart = 8
+
 // NewConnLimit returns a limit. It sets the size of the kernel's buffers of each connection, and calls onClose for each
 // connection that it closes.
 func NewConnLimit(limit, bufferBytes int, onClose func()) *ConnLimit {
-	return &ConnLimit{limit: limit, bufferBytes: bufferBytes, onClose: onClose, waiting: make(map[net.Conn]time.Time)}
+	return &ConnLimit{limit: limit, bufferBytes: bufferBytes, onClose: onClose, waiting: make(map[net.Conn]time.Time), ended: make(map[net.Conn]struct{})}
 }
 
 // ConnState is the server's hook.
@@ -34,6 +38,10 @@
 	}
 	if excess := l.update(c, state); excess != nil {
 		l.onClose()
+		if excess == c {
+			_ = c.Close() // nothing was read from it
+			return
+		}
 		endWait(excess)
 	}
 }
@@ -53,17 +61,21 @@
 	defer l.mu.Unlock()
 	switch state {
 	case http.StateNew:
+		if len(l.waiting) > l.limit+l.limit/endingPart {
+			return c
+		}
 		if len(l.waiting) >= l.limit {
 			excess = l.longestWaiting()
 			if excess == nil {
 				return c
 			}
-			delete(l.waiting, excess)
+			l.waiting[excess], l.ended[excess] = time.Time{}, struct{}{}
 		}
 		l.waiting[c] = time.Now()
 	case http.StateIdle, http.StateActive:
-		if _, ok := l.waiting[c]; !ok {
-			return nil // it is closed already
+		_, open := l.waiting[c]
+		if _, ended := l.ended[c]; !open || ended {
+			return nil
 		}
 		l.waiting[c] = time.Time{}
 		if state == http.StateIdle {
@@ -71,6 +83,7 @@
 		}
 	case http.StateClosed, http.StateHijacked:
 		delete(l.waiting, c)
+		delete(l.ended, c)
 	}
 	return excess
 }
