Refuse requests whose connection ends while their head arrives

When a connection was ended at the limit or by a stop while a part of a head had been read, the server answered 400 if the cut was inside a line, also to a proper request with a head of more than its buffer, and nothing otherwise. A 400 is final for the caller; the request has not run and may be sent again. ConnTracker now sends 503 with Retry-After. The refusal for want of memory for a head is sent by the same code, so that nothing follows it.

Before, 400 for a part of a line and for a part of a head.

--- a/common/cfvhttp/conn_tracker.go
+++ b/common/cfvhttp/conn_tracker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -165,6 +166,7 @@
 	ending   bool      // the connection ends while no request is on it
 	lastWait bool      // the last wait for a request has begun
 	endsHead bool      // no further byte of a head is read
+	refused  bool      // the present request was refused, and nothing more is written
 	deadline time.Time // of reads, as the server wants it
 	closed   bool
 }
@@ -172,16 +174,63 @@
 // pastDeadline is a deadline that has passed.
 var pastDeadline = time.Unix(1, 0)
 
-// Read reads from the connection.
+// Read reads from the connection. It refuses a request of which only a part has arrived when the connection must end.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.beginLastWait() {
 		n, err = c.Conn.Read(p) // a request may have arrived that was not read yet
 	}
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endsInHead() {
+		c.refuse()
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: err} // the server closes the connection after this type of error
+	}
 	c.recordRead(n, len(p))
 	return n, err
 }
 
+// endsInHead reports whether the connection is being ended while a part of a head was read.
+func (c *trackedConn) endsInHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending && c.state != http.StateActive && c.received > 0
+}
+
+// refusal is the response to a request that was not read as a whole, or for whose head there is no memory. It has not run.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// Limits on the rest of a request that was refused.
+const (
+	refusalLinger    = 500 * time.Millisecond
+	maxRefusedToRead = 64 << 10 // bytes
+)
+
+// RefuseRequest refuses the request that is being read from a connection of a server as not run. The server must then get an error
+// from its read. The rest of the request is read for a while, since the caller might not get the refusal otherwise.
+func RefuseRequest(c net.Conn) {
+	if tracked := trackedBelow(c); tracked != nil {
+		tracked.refuse()
+	}
+}
+
+// refuse refuses the request that is being read. Nothing that the server writes follows.
+func (c *trackedConn) refuse() {
+	c.mu.Lock()
+	again := c.refused
+	c.refused, c.answered = true, true
+	c.mu.Unlock()
+	if again {
+		return
+	}
+	deadline := time.Now().Add(refusalLinger)
+	_ = c.Conn.SetWriteDeadline(deadline)
+	if _, err := io.WriteString(c.Conn, refusal); err != nil {
+		return
+	}
+	_ = c.CloseWrite()
+	_ = c.Conn.SetReadDeadline(deadline)
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxRefusedToRead))
+}
+
 // beginLastWait reports whether the connection is being ended and has not waited for a last request yet. It sets the deadline of
 // that wait.
 func (c *trackedConn) beginLastWait() bool {
@@ -262,8 +311,12 @@
 // Write writes to the connection.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
+	refused := c.refused
 	c.answered = true
 	c.mu.Unlock()
+	if refused {
+		return 0, net.ErrClosed
+	}
 	return c.Conn.Write(p)
 }
 
--- a/io/cfventry/heads.go
+++ b/io/cfventry/heads.go
@@ -1,12 +1,11 @@
 package cfventry
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
+	"coltsfootvalve/common/cfvhttp"
 	"coltsfootvalve/core/cfvlimit"
 )
 
@@ -14,9 +13,6 @@
 // 60 MB, which is 6.8 for each byte.
 const headMemoryFactor = 7
 
-// noRoomResponse refuses a request for whose head there is no memory. It has not run.
-const noRoomResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-
 // headListener accepts connections whose heads are reserved in a budget.
 type headListener struct {
 	net.Listener
@@ -49,25 +45,13 @@
 func (c *headConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.reserve(int64(n)*headMemoryFactor) {
-		c.refuse()
+		c.onFull()
+		cfvhttp.RefuseRequest(c.Conn)
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errNoRoom} // the server closes the connection after this type of error
 	}
 	return n, err
 }
 
-// refuse refuses the request. The rest of it is read for a while, since the caller might not get the refusal otherwise.
-func (c *headConn) refuse() {
-	c.onFull()
-	deadline := time.Now().Add(refusalLinger)
-	_ = c.SetWriteDeadline(deadline)
-	if _, err := io.WriteString(c.Conn, noRoomResponse); err != nil {
-		return
-	}
-	_ = c.CloseWrite()
-	_ = c.SetReadDeadline(deadline)
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxCallerHeaderBytes))
-}
-
 // reserve reserves memory if a head is being read. It reports whether there was room.
 func (c *headConn) reserve(n int64) bool {
 	c.mu.Lock()
