Close the listener of callers only once in a stop

A stop reported an error and exited with 1 at times: Server.Close closed the listener of callers again if Serve had not returned yet.

--- a/common/cfvhttp/conn_drain_test.go
+++ b/common/cfvhttp/conn_drain_test.go
@@ -121,3 +121,12 @@
 		time.Sleep(2 * time.Minute) // lets the connections end
 	})
 }
+
+// Guards against stops that report an error: the server closed the listener for a second time.
+func TestListenerIsClosedOnce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	tracked := NewConnTracker(func(UnansweredRequest) {}).Listener(l)
+	assert.NilError(t, tracked.Close())
+	assert.NilError(t, tracked.Close())
+}
--- a/common/cfvhttp/conn_tracker.go
+++ b/common/cfvhttp/conn_tracker.go
@@ -135,14 +135,16 @@
 type trackedListener struct {
 	net.Listener
 	tracker *ConnTracker
+	ended   sync.Once // when it accepts nothing more
 	closed  sync.Once
+	err     error // of the first Close
 }
 
 // Accept accepts a connection.
 func (l *trackedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if errors.Is(err, net.ErrClosed) {
-		l.closed.Do(l.tracker.stopAccepting)
+		l.ended.Do(l.tracker.stopAccepting)
 	}
 	if err != nil {
 		return nil, err
@@ -152,6 +154,12 @@
 	return tracked, nil
 }
 
+// Close closes the listener. The server closes it as well, after Drain.
+func (l *trackedListener) Close() error {
+	l.closed.Do(func() { l.err = l.Listener.Close() })
+	return l.err
+}
+
 // trackedConn is a connection of a caller. It is ended by a deadline for its next read and closed by the goroutine that reads it,
 // so that no request is lost between its read and the close.
 type trackedConn struct {
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -180,8 +180,8 @@
 			return fmt.Errorf("listen on %s: %w", s.addr, err)
 		}
 		if s.server == e.callerServer {
-			e.listener = l
 			l = e.callers.Listener(l)
+			e.listener = l
 			if e.cfg.BodyBudget != nil {
 				l = headListener{l, e.cfg.BodyBudget, func() { e.cfg.Metrics.CountRefusal(cfverror.ReasonBodyMemory) }}
 			}
--- a/io/cfvnode/node.go
+++ b/io/cfvnode/node.go
@@ -248,8 +248,8 @@
 		l = n.traffic.Listener(l)
 	}
 	if address == n.cfg.CallerAddress && n.callerConns != nil {
-		n.callerSide = l
 		l = n.callerConns.Listener(l)
+		n.callerSide = l
 	}
 	n.listeners = append(n.listeners, s)
 	n.wg.Go(func() {
