Close the connection of a caller that left instead of sending 200

A handler that returns without having written makes the server send an empty 200. So a caller that closed its sending side while its request ran, or that the server took for gone, got a success that no endpoint had sent. The entry now breaks the connection.

TestCallerThatHalfClosesGetsNoSuccess failed before (HTTP/1.1 200 OK, Content-Length: 0) and passes now.

--- a/io/cfventry/cut_test.go
+++ b/io/cfventry/cut_test.go
@@ -1,12 +1,14 @@
 package cfventry
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -62,3 +64,42 @@
 		}
 	}
 }
+
+// Guards against a success that no endpoint sent: a caller that closed its sending side while its request ran got an empty 200.
+func TestCallerThatHalfClosesGetsNoSuccess(t *testing.T) {
+	const latency = 50 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		endpoint := &rawEndpoint{answer: func(w io.Writer, id string, _ int) {
+			time.Sleep(time.Second)
+			_, _ = fmt.Fprintf(w, wholeAnswer, id)
+		}}
+		defer endpoint.close()
+		ctx, cancel := context.WithCancel(t.Context())
+		e, callers := startStopTest(ctx, t, endpoint)
+		near, far := net.Pipe()
+		callers.conns <- &halfClosedConn{Conn: far, at: time.Now().Add(latency)}
+		_, err := io.WriteString(near, "GET /book/1 HTTP/1.1\r\nHost: h\r\nId: r\r\n\r\n")
+		assert.NilError(t, err)
+		got, _ := io.ReadAll(near)
+		assert.Equal(t, string(got), "")
+		_ = near.Close()
+		assert.Check(t, e.Stop(ctx))
+		cancel()
+		e.connPools.retain(nil)
+		time.Sleep(time.Minute) // lets the endpoint end
+	})
+}
+
+// halfClosedConn is a connection whose caller closes its sending side at a time.
+type halfClosedConn struct {
+	net.Conn
+	at time.Time
+}
+
+func (c *halfClosedConn) Read(p []byte) (int, error) {
+	if len(p) > 1 {
+		return c.Conn.Read(p)
+	}
+	time.Sleep(time.Until(c.at))
+	return 0, io.EOF
+}
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -214,14 +214,15 @@
 	return q.route.Priority
 }
 
-// refuse logs a refusal and sends it to the caller. It sends nothing if the caller is gone.
+// refuse logs a refusal and sends it to the caller. It closes the connection of a caller that is gone: the server would send 200 if
+// nothing was written.
 func (q *request) refuse(s *httpRefusal) {
 	e := q.entry
 	e.cfg.Metrics.CountRefusal(s.refusal.Reason)
 	e.cfg.Log.Infow("a request was refused", q.logFields("reason", string(s.refusal.Reason), "ran", string(s.refusal.Ran),
 		"status", s.status, "retryAfterMillis", s.retryAfter.Milliseconds(), "why", s.refusal.Message)...)
 	if s.refusal.Reason == cfverror.ReasonCallerGone {
-		return
+		panic(http.ErrAbortHandler)
 	}
 	if q.stream.hasStarted() {
 		q.abortStream(s.refusal.Message)
