--- a/io/cfventry/cold_test.go
+++ b/io/cfventry/cold_test.go
@@ -119,14 +119,24 @@
 	entries   []*Entry
 	states    []*cfvstate.State
 	names     []string
+	configure func(entry int, cfg *Config) // changes the configuration of an entry; nil: none is changed
 
-	mu       sync.Mutex
-	changes  map[string]cfvfleet.Change
-	revision int64
+	mu               sync.Mutex
+	changes          map[string]cfvfleet.Change
+	revision         int64
+	answered, failed map[int]int // requests by entry
 }
 
 func newColdFleet(ctx context.Context, t *testing.T, entries, endpoints int) *coldFleet {
-	f := &coldFleet{t: t, ctx: ctx, network: cfvfakenet.New(500 * time.Microsecond), began: time.Now(), changes: make(map[string]cfvfleet.Change)}
+	return newColdFleetWith(ctx, t, entries, endpoints, nil)
+}
+
+// newColdFleetWith returns a fleet of entries whose configurations are changed by configure.
+func newColdFleetWith(ctx context.Context, t *testing.T, entries, endpoints int, configure func(entry int, cfg *Config)) *coldFleet {
+	f := &coldFleet{
+		t: t, ctx: ctx, network: cfvfakenet.New(500 * time.Microsecond), began: time.Now(), changes: make(map[string]cfvfleet.Change), configure: configure,
+		answered: make(map[int]int), failed: make(map[int]int),
+	}
 	for i := range entries {
 		f.names = append(f.names, fmt.Sprintf("entry-%02d", i))
 	}
@@ -176,7 +186,7 @@
 	for id := range f.endpoints {
 		f.announce(i, id, 1, 0)
 	}
-	e := New(Config{
+	cfg := Config{
 		Name: name, State: state, Now: f.now, Random: seededRandom(uint64(i)), Log: cfvlog.Discard(), Metrics: cfvmetric.New(), Dial: f.network.DialContext,
 		PeerLoads: func() (map[string]cfvdispatch.Load, map[string]cfvdispatch.Demand) { return nil, nil },
 		Limits:    Limits{RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second},
@@ -194,7 +204,11 @@
 			},
 			PassesResponseHeader: func(string) bool { return true },
 		},
-	})
+	}
+	if f.configure != nil {
+		f.configure(i, &cfg)
+	}
+	e := New(cfg)
 	f.entries = append(f.entries, e)
 	e.startLoops(f.ctx)
 	return e
@@ -241,8 +255,10 @@
 					case at < judgedFrom:
 					case ok:
 						answered++
+						f.answered[i]++
 					default:
 						failed++
+						f.failed[i]++
 					}
 				})
 				time.Sleep(pause)
--- /dev/null
+++ b/io/cfventry/reach_test.go
@@ -0,0 +1,166 @@
+package cfventry
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// cutKind is how the links of an entry to the endpoints are cut.
+type cutKind int
+
+const (
+	cutNone   cutKind = iota
+	cutHang           // packets are dropped
+	cutReset          // connections are reset, and new ones are reset
+	cutRefuse         // connections live on, and new ones are refused
+)
+
+// testLinks are the links of an entry to the endpoints.
+type testLinks struct {
+	below func(ctx context.Context, network, addr string) (net.Conn, error)
+
+	mu    sync.Mutex
+	kind  cutKind
+	only  string // address of the only endpoint that is cut off; empty: all are
+	conns []*testLinkConn
+}
+
+// cut cuts the links, or restores them.
+func (l *testLinks) cut(kind cutKind, only string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kind, l.only = kind, only
+	if kind == cutReset {
+		for _, c := range l.conns {
+			_ = c.Close()
+		}
+	}
+}
+
+// kindFor returns how the link to an address is cut.
+func (l *testLinks) kindFor(addr string) cutKind {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.only != "" && l.only != addr {
+		return cutNone
+	}
+	return l.kind
+}
+
+func (l *testLinks) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	switch l.kindFor(addr) {
+	case cutNone:
+	case cutHang:
+		select {
+		case <-ctx.Done():
+		case <-time.After(dialTimeout):
+		}
+		return nil, &net.OpError{Op: "dial", Net: network, Err: os.ErrDeadlineExceeded}
+	case cutReset:
+		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNRESET}
+	case cutRefuse:
+		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+	}
+	conn, err := l.below(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &testLinkConn{Conn: conn, links: l, addr: addr}
+	l.mu.Lock()
+	l.conns = append(l.conns, c)
+	l.mu.Unlock()
+	return c, nil
+}
+
+// testLinkConn is a connection that loses what is written while packets are dropped, and fails when it has not been
+// acknowledged for ackTimeout.
+type testLinkConn struct {
+	net.Conn
+	links *testLinks
+	addr  string
+}
+
+func (c *testLinkConn) Write(p []byte) (int, error) {
+	if c.links.kindFor(c.addr) == cutHang {
+		time.AfterFunc(ackTimeout, func() { _ = c.Close() })
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Times of a cut, since the start.
+const (
+	cutFrom    = 4 * time.Second
+	cutJudged  = cutFrom + 3*time.Second // callers' first tries are judged from then on
+	cutUntil   = cutFrom + 10*time.Second
+	cutPerSec  = 40.0 // requests per second at each entry
+	cutEntries = 5
+)
+
+// reachFleet is a fleet of entries whose links to the endpoints can be cut.
+type reachFleet struct {
+	*coldFleet
+	links []*testLinks
+}
+
+func newReachFleet(ctx context.Context, t *testing.T, entries, endpoints int) *reachFleet {
+	f := &reachFleet{}
+	f.coldFleet = newColdFleetWith(ctx, t, entries, endpoints, func(_ int, cfg *Config) {
+		links := &testLinks{below: cfg.Dial}
+		f.links = append(f.links, links)
+		cfg.Dial = links.dial
+	})
+	return f
+}
+
+// failedAt returns the failed and all judged requests of the first n entries.
+func (f *reachFleet) failedAt(n int) (failed, all int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range n {
+		failed += f.failed[i]
+		all += f.failed[i] + f.answered[i]
+	}
+	return failed, all
+}
+
+// Guards against RECOVER: callers of entries that lost their links to all endpoints were refused for as long as the cut
+// lasted, while these entries reached others that served.
+func TestCallersOfEntriesThatAreCutOffAreServed(t *testing.T) {
+	tests := map[string]struct {
+		kind   cutKind
+		cutOff int // entries
+	}{
+		"one, packets dropped":         {cutHang, 1},
+		"most, packets dropped":        {cutHang, 3},
+		"most, connections reset":      {cutReset, 3},
+		"most, connections refused":    {cutRefuse, 3},
+		"all but one, packets dropped": {cutHang, 4},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newReachFleet(ctx, t, cutEntries, 6)
+				for _, l := range f.links[:tt.cutOff] {
+					time.AfterFunc(cutFrom, func() { l.cut(tt.kind, "") })
+					time.AfterFunc(cutUntil, func() { l.cut(cutNone, "") })
+				}
+				f.send(cutPerSec, cutJudged, cutUntil)
+				failed, all := f.failedAt(tt.cutOff)
+				f.close(cancel)
+				assert.Assert(t, failed <= 10+all/50, "%d of %d requests at entries that were cut off were not served", failed, all)
+				allFailed, total := f.failedAt(cutEntries)
+				assert.Assert(t, allFailed-failed <= (total-all)/50, "%d of %d requests at the other entries were not served", allFailed-failed, total-all)
+			})
+		})
+	}
+}
