Hand requests over to peers while an entry is cut off from the endpoints

What callers saw: 503 or a time-out at entries that had lost their links to all endpoints, for as long as the cut lasted, while other entries that they reach served nearly all requests.

Cause: an entry only knew that single endpoints failed. It went on with the next one until the time of the request or the retry budget was spent, and had no other way to an endpoint.

Change: an entry at which several endpoints fail checks its links with new connections to three endpoints, one of them that which succeeded last. If none is made, it is cut off, and hands callers' requests over to other entries as they are, on the peers' listener. The peer serves a request as its own: it resolves route, key and workspace itself, and its limits, counts and retry budget see it. There is one hop: a peer that is cut off, stopping or busy refuses by a header of the entries' own, and the next of at most three is asked. A hop that failed after a byte was written counts as an attempt that may have run. Failures that the cut caused are no evidence against endpoints or requests: they are forgotten, and links are checked before a request is said to have taken an endpoint down.

Ruled out: state from peers or the placer that keeps the entry from sending; the log shows dials that end by their time-out.

--- a/commands/hosted_entry.go
+++ b/commands/hosted_entry.go
@@ -66,6 +66,8 @@
 		Codec: cfventry.Codec{
 			ReadRequestMeta: platform.ReadRequestMeta, RequestHeader: platform.RequestHeader, ReadResponseMeta: platform.ReadResponseMeta,
 			PassesResponseHeader: platform.PassesResponseHeader, ReadHealth: platform.ReadHealth, ReadyPath: platform.ReadyPath,
+			HandoverHeader: platform.HandoverHeader, ReadHandover: platform.ReadHandover,
+			SetHandoverAnswer: platform.SetHandoverAnswer, ReadHandoverAnswer: platform.ReadHandoverAnswer,
 		},
 		Limits: cfventry.Limits{
 			MaxRevokeDelay: b.MaxRevokeDelay, MaxVersionDelay: b.MaxVersionDelay, RetryRatio: b.RetryRatio, RetrySlack: b.RetrySlack,
@@ -73,6 +75,7 @@
 		},
 		State: h.state, Parts: h.parts, Now: cfvclock.SinceBoot, Random: rand.Float64, BodyBudget: bodyBudget(settings), MaxCallers: settings.MaxCallers(), Log: log.Component("entry"), Metrics: h.metrics,
 		Listen:    func(network, addr string) (net.Listener, error) { return h.listen(network, addr) },
+		Peers:     func() []cfvfleet.Entry { return h.exchange.Responding() },
 		PeerLoads: func() (map[string]cfvdispatch.Load, map[string]cfvdispatch.Demand) { return h.exchange.PeerLoads() }, LogSuccessEvery: logSuccess, LearnedCapacity: learnCapacity,
 		Reserve: func(ctx context.Context, r cfvreserve.Request) (cfvreserve.Grant, bool) {
 			return h.reserver.Reserve(ctx, r)
@@ -133,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	h.peerServer = &http.Server{Handler: http.MaxBytesHandler(mux, maxPeerBodyBytes), ReadHeaderTimeout: peerHeaderTimeout, MaxHeaderBytes: maxPeerHeaderBytes}
+	h.peerServer = &http.Server{Handler: h.entry.PeerHandler(http.MaxBytesHandler(mux, maxPeerBodyBytes)), ReadHeaderTimeout: peerHeaderTimeout, MaxHeaderBytes: maxPeerHeaderBytes}
 	go func() {
 		if err := h.peerServer.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			h.log.Warnw("the peer server stopped", "error", err.Error())
@@ -210,7 +213,7 @@
 // Sizes of requests of peers. The longest bodies are pulls and reports, which hold no more than the fleet's state.
 const (
 	maxPeerBodyBytes   = 4 << 20
-	maxPeerHeaderBytes = 16 << 10
+	maxPeerHeaderBytes = 68 << 10 // callers' requests that are handed over have up to 64 KiB
 )
 
 // bodyBudget returns the budget for bodies; nil if the memory is not limited.
--- a/common/cfverror/refusal.go
+++ b/common/cfverror/refusal.go
@@ -17,6 +17,7 @@
 	ReasonUnknownService    Reason = "unknownService"
 	ReasonNoEndpoint        Reason = "noEndpoint"
 	ReasonEndpointsFull     Reason = "endpointsFull"
+	ReasonCutOff            Reason = "cutOff"
 	ReasonEndpointsCold     Reason = "endpointsCold"
 	ReasonQueueTimeout      Reason = "queueTimeout"
 	ReasonQueueFull         Reason = "queueFull"
--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -48,6 +48,7 @@
 	meanRunning      float64       // mean of the peers' running requests over the last reports
 	unavailableUntil time.Duration // until then the endpoint is only a fallback
 	backoff          time.Duration
+	failedAt         time.Duration // last failed connection; 0: none
 	coldUntil        time.Duration
 	signs            restartSigns
 	recentSends      []time.Duration // start times within coldLimitWindow
--- a/core/cfvdispatch/health.go
+++ b/core/cfvdispatch/health.go
@@ -92,6 +92,7 @@
 func (d *Dispatcher) RecordConnectionFailure(now time.Duration, e *cfvfleet.Endpoint) (checkAt time.Duration) {
 	s := d.stateOf(e)
 	s.signs.add(now)
+	s.failedAt = now
 	if now < s.unavailableUntil {
 		return s.unavailableUntil
 	}
@@ -100,6 +101,19 @@
 	return s.unavailableUntil
 }
 
+// ForgetFailures makes the endpoints available again whose requests, connections or health checks failed since a time. It keeps
+// that they may be cold.
+func (d *Dispatcher) ForgetFailures(since time.Duration) {
+	for _, s := range d.states {
+		if s.failedAt >= since && s.failedAt > 0 {
+			s.unavailableUntil, s.backoff, s.failedAt = 0, 0, 0
+		}
+		if s.outcomes.updatedAt >= since {
+			s.outcomes = outcomes{}
+		}
+	}
+}
+
 // RecordHealthCheck records the result of a health check that was sent at a time.
 func (d *Dispatcher) RecordHealthCheck(now, sentAt time.Duration, e *cfvfleet.Endpoint, healthy bool, coldFor time.Duration) {
 	s := d.stateOf(e)
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -13,6 +13,7 @@
 	"coltsfootvalve/core/cfvcall"
 	"coltsfootvalve/core/cfvdispatch"
 	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvreach"
 )
 
 // Limits and timeouts of attempts.
@@ -60,6 +61,15 @@
 			q.refuse(refusal)
 			return
 		}
+		if q.returnToPeer() {
+			return
+		}
+		if q.handsOver() {
+			if q.handOver() {
+				return
+			}
+			continue
+		}
 		if q.attempts > 0 && !e.takeRetry(q.service.Name, q.retryReason()) {
 			q.giveUp(cfverror.ReasonRetryBudget, "the budget of repeats is spent")
 			return
@@ -195,6 +205,7 @@
 		return q.handleSendError(ep, &sent, hedge.fired() || dog.Expired(), err)
 	}
 	dog.Stop()
+	e.recordReach(ep.ID, cfvreach.NoResponse, true)
 	defer resp.Body.Close()
 	meta := e.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
 	q.applyResponseMeta(ep, meta)
@@ -275,6 +286,9 @@
 	if wasSent {
 		q.possibleRuns++
 	}
+	if wasSent && !q.callerGone() && !q.ended() {
+		e.recordReach(ep.ID, cfvreach.NoResponse, false)
+	}
 	q.logAttempt(ep, "an endpoint did not answer", "wasSent", wasSent, "error", err.Error(), "hedged", cancelled)
 	switch {
 	case q.callerGone():
@@ -294,6 +308,9 @@
 		go e.suspectRestart(ep.Incarnation())
 		return outcomeNotRun // the connection broke while it was idle, so the endpoint may be available
 	}
+	if wasSent && !e.ReachesEndpoints(q.r.Context()) {
+		return outcomeFailed
+	}
 	q.excluded[ep.ID] = true
 	e.markUnavailable(ep, q.service)
 	if !wasSent {
@@ -354,6 +371,9 @@
 // recordOutcome records the result of a request at an endpoint. A success also clears the
 // suspicion against the request.
 func (q *request) recordOutcome(ep *cfvfleet.Endpoint, failed bool) {
+	if failed && q.entry.cutOff() {
+		return // the links failed
+	}
 	q.recordSample(ep, failed)
 	e := q.entry
 	e.mu.Lock()
--- a/io/cfventry/cold_test.go
+++ b/io/cfventry/cold_test.go
@@ -202,7 +202,21 @@
 				left, _ := strconv.Atoi(h.Get(coldTestAlive))
 				return "", status == http.StatusOK, time.Duration(left) * time.Millisecond
 			},
-			PassesResponseHeader: func(string) bool { return true },
+			PassesResponseHeader: func(name string) bool { return name != testHandover },
+			HandoverHeader: func(h http.Header, opts cfvcall.HandoverOptions) http.Header {
+				out := h.Clone()
+				out.Set(testHandover, strconv.Itoa(opts.PossibleRuns))
+				return out
+			},
+			ReadHandover: func(h http.Header) (int, bool) {
+				n, err := strconv.Atoi(h.Get(testHandover))
+				return n, err == nil
+			},
+			SetHandoverAnswer: func(h http.Header, a cfvcall.HandoverAnswer) { h.Set(testHandover, strconv.Itoa(int(a))) },
+			ReadHandoverAnswer: func(h http.Header) cfvcall.HandoverAnswer {
+				n, _ := strconv.Atoi(h.Get(testHandover))
+				return cfvcall.HandoverAnswer(n)
+			},
 		},
 	}
 	if f.configure != nil {
--- a/io/cfventry/connpool.go
+++ b/io/cfventry/connpool.go
@@ -43,6 +43,7 @@
 	now    func() time.Duration
 	// onIdleEnd is called when an endpoint closes a connection that is not in use sooner than it keeps idle ones. It must not block.
 	onIdleEnd func(cfvfleet.Incarnation)
+	onDialEnd func(id string, err error) // called with the result of each dial to an endpoint; nil: not called
 }
 
 // connPool is the connection pool of one endpoint.
@@ -168,6 +169,9 @@
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			p.onDial()
 			conn, err := p.dial(ctx, network, addr)
+			if p.onDialEnd != nil {
+				p.onDialEnd(id.ID, err)
+			}
 			if err != nil {
 				return nil, err
 			}
@@ -222,6 +226,15 @@
 	}
 }
 
+// closeAllIdle closes the idle connections to all endpoints.
+func (p *connPools) closeAllIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.byID {
+		pool.transport.CloseIdleConnections()
+	}
+}
+
 // retain closes the idle connections to all endpoints but the given ones and forgets their pools.
 func (p *connPools) retain(endpoints []*cfvfleet.Endpoint) {
 	retained := make(map[string]bool, len(endpoints))
--- a/io/cfventry/endpoint_faults_test.go
+++ b/io/cfventry/endpoint_faults_test.go
@@ -29,6 +29,7 @@
 	testRequestID = "Id"
 	testStamp     = "Stamp"
 	testNotRun    = "Notrun"
+	testHandover  = "Handover"
 )
 
 // rawEndpoint answers requests with bytes of its own choice, on connections in memory.
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -24,6 +24,7 @@
 	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/core/cfvlimit"
 	"coltsfootvalve/core/cfvnotice"
+	"coltsfootvalve/core/cfvreach"
 	"coltsfootvalve/core/cfvrollout"
 	"coltsfootvalve/io/cfvreserve"
 	"coltsfootvalve/io/cfvstate"
@@ -39,6 +40,11 @@
 	PassesResponseHeader func(header string) bool
 	ReadHealth           func(status int, h http.Header) (id string, healthy bool, coldFor time.Duration)
 	ReadyPath            string
+
+	HandoverHeader     func(http.Header, cfvcall.HandoverOptions) http.Header // of a request that a peer is to serve
+	ReadHandover       func(http.Header) (possibleRuns int, ok bool)          // false: the request was not handed over
+	SetHandoverAnswer  func(http.Header, cfvcall.HandoverAnswer)              // in a response to a peer
+	ReadHandoverAnswer func(http.Header) cfvcall.HandoverAnswer               // of a peer
 }
 
 // Limits are the service levels that operators require.
@@ -69,9 +75,11 @@
 	CountRun        func(workspace string)                                              // counts a request that begins to run; nil: requests are not counted
 	Now             func() time.Duration                                                // a clock that also runs while the VM is suspended
 	Random          func() float64
-	BodyBudget      *cfvlimit.ByteBudget // for bodies that are not yet forwarded, and for responses that are kept; nil: no limit
-	MaxCallers      int                  // connections of callers; 0: no limit
+	Peers           func() []cfvfleet.Entry // other entries that respond; nil: requests are never handed over
+	BodyBudget      *cfvlimit.ByteBudget    // for bodies that are not yet forwarded, and for responses that are kept; nil: no limit
+	MaxCallers      int                     // connections of callers; 0: no limit
 	Listen          func(network, addr string) (net.Listener, error)
+	DialPeer        func(ctx context.Context, network, addr string) (net.Conn, error) // connects to peers to hand requests over; nil: over TCP
 	Dial            func(ctx context.Context, network, addr string) (net.Conn, error) // connects to endpoints, also for health probes; nil: over TCP
 	Log             cfvlog.Logger
 	Metrics         *cfvmetric.Registry
@@ -117,6 +125,10 @@
 	seat         cfvrollout.Seat
 	entryCount   int
 	durations    map[string]*cfvlimit.Durations // by route
+
+	reach      reach
+	handovers  *handovers
+	handedOver atomic.Int64 // requests of peers that are served here
 }
 
 // New returns an entry. Start makes it listen.
@@ -133,6 +145,8 @@
 	e.pending, e.speeds = newPendingAttempts(), newSpeeds()
 	e.baseContext, e.endRequests = context.WithCancelCause(context.Background())
 	e.connPools = newConnPools(cfg.Now, func() { cfg.Metrics.Count("endpoints.dials", 1) }, func(id cfvfleet.Incarnation) { go e.suspectRestart(id) }, cfg.Dial)
+	e.reach.reach, e.handovers = cfvreach.New(), newHandovers(cfg.DialPeer, cfg.Now)
+	e.connPools.onDialEnd = e.recordDial
 	probeDial := cfg.Dial
 	if probeDial == nil {
 		probeDial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext
@@ -192,7 +206,10 @@
 func (e *Entry) startLoops(ctx context.Context) {
 	go cfvclock.Every(ctx, cleanupInterval, func(context.Context) { e.cleanUp() })
 	go cfvclock.Every(ctx, peerLoadInterval, func(context.Context) { e.updatePeerLoads() })
-	go cfvclock.Every(ctx, pendingCheckInterval, func(context.Context) { e.cancelObsolete() })
+	go cfvclock.Every(ctx, pendingCheckInterval, func(context.Context) {
+		e.cancelObsolete()
+		e.checkLinks()
+	})
 }
 
 // stateFresh returns the age of the state and whether it is recent enough to serve requests
--- a/io/cfventry/health.go
+++ b/io/cfventry/health.go
@@ -16,6 +16,9 @@
 // markUnavailable makes the dispatcher avoid an endpoint whose connection failed, and schedules a
 // health probe after the backoff.
 func (e *Entry) markUnavailable(ep *cfvfleet.Endpoint, service *cfvfleet.Service) {
+	if e.cutOff() {
+		return // the links failed, and other entries may reach the endpoint
+	}
 	now := e.cfg.Now()
 	e.mu.Lock()
 	alreadyUnavailable := e.dispatcher.Unavailable(now, ep.ID)
@@ -97,6 +100,9 @@
 
 // probeOnce sends one health probe, unless the endpoint wants none, and records its result.
 func (e *Entry) probeOnce(ep *cfvfleet.Endpoint, service *cfvfleet.Service) {
+	if e.cutOff() {
+		return
+	}
 	sentAt := e.cfg.Now()
 	e.mu.Lock()
 	mayProbe := e.notices.Take(sentAt, ep.Incarnation())
@@ -108,6 +114,9 @@
 	}
 	healthy, coldFor, err := e.checkHealth(ep, service)
 	now := e.cfg.Now()
+	if err != nil && e.cutOff() {
+		return
+	}
 	e.mu.Lock()
 	// An endpoint in doubt that only takes long, or says that it is full, stays available.
 	if healthy || unavailable || errors.Is(err, syscall.ECONNREFUSED) {
--- a/io/cfventry/pending.go
+++ b/io/cfventry/pending.go
@@ -134,7 +134,7 @@
 func (q *request) handleObsolete(ep *cfvfleet.Endpoint, reason string, mayHaveRun bool) outcome {
 	q.entry.cfg.Metrics.Count("attempts.obsolete", 1)
 	q.logAttempt(ep, "an attempt was cancelled while it waited", "why", reason, "mayHaveRun", mayHaveRun)
-	if reason != scopeReplaced {
+	if reason != scopeReplaced && reason != cutOffReason {
 		q.excluded[ep.ID] = true
 	}
 	if !mayHaveRun {
--- a/io/cfventry/reach_test.go
+++ b/io/cfventry/reach_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
-	"os"
+	"net/http"
 	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"coltsfootvalve/core/cfvfleet"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -63,7 +66,7 @@
 		case <-ctx.Done():
 		case <-time.After(dialTimeout):
 		}
-		return nil, &net.OpError{Op: "dial", Net: network, Err: os.ErrDeadlineExceeded}
+		return nil, &net.OpError{Op: "dial", Net: network, Err: context.DeadlineExceeded}
 	case cutReset:
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNRESET}
 	case cutRefuse:
@@ -108,19 +111,48 @@
 // reachFleet is a fleet of entries whose links to the endpoints can be cut.
 type reachFleet struct {
 	*coldFleet
-	links []*testLinks
+	links   []*testLinks
+	servers []*http.Server // of the entries, for peers
 }
 
+// peerAddr returns the address at which an entry listens for peers.
+func peerAddr(entry int) string { return fmt.Sprintf("10.1.0.%d:90", entry+1) }
+
 func newReachFleet(ctx context.Context, t *testing.T, entries, endpoints int) *reachFleet {
 	f := &reachFleet{}
 	f.coldFleet = newColdFleetWith(ctx, t, entries, endpoints, func(_ int, cfg *Config) {
 		links := &testLinks{below: cfg.Dial}
 		f.links = append(f.links, links)
-		cfg.Dial = links.dial
+		cfg.Dial, cfg.DialPeer = links.dial, cfg.Dial
+		cfg.Peers = func() (peers []cfvfleet.Entry) {
+			for i, name := range f.names {
+				if name != cfg.Name {
+					peers = append(peers, cfvfleet.Entry{Name: name, Addr: peerAddr(i)})
+				}
+			}
+			return peers
+		}
 	})
+	for i, e := range f.entries {
+		l, err := f.network.Listen("tcp", peerAddr(i))
+		assert.NilError(t, err)
+		f.apply(i, cfvfleet.Change{Entry: &cfvfleet.EntryChange{Name: f.names[i], Addr: peerAddr(i)}})
+		server := &http.Server{Handler: e.PeerHandler(http.NotFoundHandler())}
+		f.servers = append(f.servers, server)
+		go func() { _ = server.Serve(l) }()
+	}
 	return f
 }
 
+// close ends the entries and the endpoints.
+func (f *reachFleet) close(cancel context.CancelFunc) {
+	for i, s := range f.servers {
+		_ = s.Close()
+		f.entries[i].handovers.transport.CloseIdleConnections()
+	}
+	f.coldFleet.close(cancel)
+}
+
 // failedAt returns the failed and all judged requests of the first n entries.
 func (f *reachFleet) failedAt(n int) (failed, all int) {
 	f.mu.Lock()
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -50,6 +50,9 @@
 	mixed        bool              // the chosen endpoint serves long prompts, and this one is short
 	times        attemptTimes      // of the current attempt
 	seen         cfvdispatch.Load  // at the chosen endpoint, without this request
+	handedOver   bool              // a peer handed the request over
+	runsBefore   int               // possibleRuns before that
+	askedPeers   map[string]bool   // peers that the request was handed over to
 }
 
 // Timeouts and limits of requests.
@@ -66,12 +69,18 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	e.running.Add(1)
 	defer e.running.Add(-1)
+	e.serveRequest(w, r, func(*request) {})
+}
+
+// serveRequest handles one request that is counted as running; setUp sets its first state.
+func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request, setUp func(*request)) {
 	if e.stopping.Load() || len(r.TransferEncoding) > 0 {
 		// Parsers may disagree on where a chunked body ends, which allows request smuggling,
 		// so no further request is read from this connection.
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{entry: e, w: w, r: r, start: e.cfg.Now(), excluded: make(map[string]bool)}
+	setUp(q)
 	q.limitWriteTime(defaultTimeout)
 	defer func() { q.body.release() }()
 	if refusal := q.admit(); refusal != nil {
--- a/io/cfventry/response.go
+++ b/io/cfventry/response.go
@@ -29,6 +29,8 @@
 		case errors.Is(err, context.DeadlineExceeded):
 			q.recordFailure(ep)
 			return outcomeExpired
+		case !q.entry.ReachesEndpoints(q.r.Context()):
+			return outcomeFailed
 		default:
 			q.recordPartsCrash(ep)
 		}
--- a/io/cfventry/stop.go
+++ b/io/cfventry/stop.go
@@ -37,6 +37,7 @@
 	shutdownCtx, cancel := context.WithTimeout(ctx, end-e.cfg.Now())
 	defer cancel()
 	err := e.callerServer.Shutdown(shutdownCtx)
+	e.awaitHandedOver(shutdownCtx)
 	if errors.Is(err, context.DeadlineExceeded) && e.running.Load() == 0 {
 		err = nil // only connections without a request are left
 	}
--- a/io/cfventry/stream.go
+++ b/io/cfventry/stream.go
@@ -10,6 +10,7 @@
 
 	"coltsfootvalve/common/cfvhttp"
 	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvreach"
 )
 
 // streamState is the progress of a stream towards the caller.
@@ -176,6 +177,9 @@
 // handleStreamError handles a stream that failed before it was complete. The argument cancelled reports
 // whether this entry gave up on the endpoint.
 func (q *request) handleStreamError(ep *cfvfleet.Endpoint, cancelled bool, err error) outcome {
+	if !q.callerGone() && !q.ended() {
+		q.entry.recordReach(ep.ID, cfvreach.NoResponse, false)
+	}
 	q.logAttempt(ep, "a stream was interrupted", "error", err.Error(), "lastEvent", q.stream.lastEventID, "hedged", cancelled)
 	switch {
 	case q.callerGone():
@@ -187,6 +191,8 @@
 	case errors.Is(err, context.DeadlineExceeded):
 		q.recordFailure(ep)
 		return outcomeExpired
+	case !q.entry.ReachesEndpoints(q.r.Context()):
+		return outcomeFailed
 	default:
 		q.entry.markUnavailable(ep, q.service)
 		q.recordCrash(ep)
--- a/io/cfvexchange/peers.go
+++ b/io/cfvexchange/peers.go
@@ -66,6 +66,18 @@
 	return x.currentRoster.get(listed, unresponsive, storeLost)
 }
 
+// Responding returns the other announced entries that respond, as far as is known.
+func (x *Exchange) Responding() []cfvfleet.Entry {
+	entries := x.listed().Entries()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	unresponsive, _ := x.conditions.Impaired(x.cfg.Now(), 0)
+	return slices.DeleteFunc(slices.Clone(entries), func(e cfvfleet.Entry) bool {
+		_, found := slices.BinarySearch(unresponsive, e.Name)
+		return found || e.Name == x.cfg.Self
+	})
+}
+
 // listed returns the announced entries with their relays, whether these respond or not.
 func (x *Exchange) listed() (r *cfvfleet.Roster) {
 	x.cfg.State.Read(func(v *cfvfleet.View) { r = v.Roster() })
