Retry a request elsewhere whose dial timed out

What callers saw: 503 after 400 ms, as if the time limit had been reached, at endpoints that had vanished without a reset. Cause: the error of a dial that times out matches context.DeadlineExceeded, by which an attempt was taken to have used up the request's time; the endpoint was not marked unavailable either. The time that is left tells it now.

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -299,7 +299,7 @@
 		e.connPools.closeIdle(ep.ID)
 		q.recordFailure(ep)
 		return outcomeFailed
-	case errors.Is(err, context.DeadlineExceeded) || q.timeLeft() < minTimeLeft:
+	case q.timeLeft() < minTimeLeft: // the error doesn't tell, since that of a dial that times out is the same
 		e.connPools.closeIdle(ep.ID)
 		q.recordFailure(ep)
 		return outcomeExpired
--- a/io/cfventry/cold_test.go
+++ b/io/cfventry/cold_test.go
@@ -178,7 +178,10 @@
 	f.apply(i, cfvfleet.Change{Config: &cfvfleet.Config{
 		Version:  1,
 		Services: []cfvfleet.Service{{Name: "s", HealthPath: "/healthz", MaxConns: 400, ColdFor: coldTestTime, ColdRequestsPerSecond: coldTestRate}},
-		Routes:   []cfvfleet.Route{{Name: "look", Host: "h", PathPrefix: "/look/", Kind: cfvfleet.Safe, Service: "s", MaxAttempts: 2, Timeout: time.Second, LatencyObjective: 100 * time.Millisecond}},
+		Routes: []cfvfleet.Route{
+			{Name: "look", Host: "h", PathPrefix: "/look/", Kind: cfvfleet.Safe, Service: "s", MaxAttempts: 2, Timeout: time.Second, LatencyObjective: 100 * time.Millisecond},
+			{Name: "book", Host: "h", PathPrefix: "/book/", Kind: cfvfleet.Unsafe, Service: "s", MaxAttempts: 1, Timeout: time.Second, LatencyObjective: 100 * time.Millisecond},
+		},
 	}})
 	for _, n := range f.names {
 		f.apply(i, cfvfleet.Change{Entry: &cfvfleet.EntryChange{Name: n, Addr: n}})
--- a/io/cfventry/reach_test.go
+++ b/io/cfventry/reach_test.go
@@ -196,3 +196,18 @@
 		})
 	}
 }
+
+// Guards against requests that were refused as out of time because one connection could not be made in time: the error of a dial that
+// times out is also that of a context whose deadline has passed. The endpoint was not marked unavailable either.
+func TestDialThatTimesOutIsRetriedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newReachFleet(ctx, t, 1, 4)
+		f.path = "/book/"
+		f.links[0].cut(cutHang, f.endpoints[0].addr)
+		f.send(cutPerSec, 0, 5*time.Second)
+		failed, all := f.failedAt(1)
+		f.close(cancel)
+		assert.Equal(t, failed, 0, "of %d requests", all)
+	})
+}
