Give up the leadership while the leader is cut off from the endpoints

Orders of a leader that is cut off reach no endpoint, and new weights wait until the links are back: the leader keeps its lease, since it reaches the key-value store. It now releases the lease, or lets it expire if orders were sent just before, and entries that are cut off don't acquire it. Orders are never sent over a peer, since two machines would then count as two holders. TestLeaderIsReplacedSoonWhereTokensAreChecked, case "the leader is cut off from the endpoints": the last endpoint was not ordered within a minute before, and within the bound of 4 s now.

--- a/commands/hosted_loops.go
+++ b/commands/hosted_loops.go
@@ -129,6 +129,7 @@
 		Rollouts:      h.rollouts.Tick,
 		ReportUsage:   h.metering.tick(),
 		GoneEntries:   h.exchange.Gone,
+		CutOff:        h.entry.CutOff,
 		HandoverPause: h.settings.Bounds.HandoverPause, Now: cfvclock.SinceBoot, Log: h.log.Component("duty"), Count: h.metrics.Count,
 		CurrentLeader: func() (cfvmirror.Record, bool) { return h.state.Record(platform.KeyLeader) },
 		LastLeader:    func() (cfvmirror.Record, bool) { return h.state.Record(platform.KeyLastLeader) },
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -371,7 +371,7 @@
 // recordOutcome records the result of a request at an endpoint. A success also clears the
 // suspicion against the request.
 func (q *request) recordOutcome(ep *cfvfleet.Endpoint, failed bool) {
-	if failed && q.entry.cutOff() {
+	if failed && q.entry.CutOff() {
 		return // the links failed
 	}
 	q.recordSample(ep, failed)
--- a/io/cfventry/handover.go
+++ b/io/cfventry/handover.go
@@ -74,7 +74,7 @@
 // handsOver reports whether the request is to be handed over to a peer. An entry without peers tries the endpoints.
 func (q *request) handsOver() bool {
 	e := q.entry
-	return e.cutOff() && !q.handedOver && len(e.cfg.Peers()) > 0
+	return e.CutOff() && !q.handedOver && len(e.cfg.Peers()) > 0
 }
 
 // handOver hands the request over to peers, one after the other while they refuse it, and reports whether it has ended. If not, it
--- a/io/cfventry/handover_server.go
+++ b/io/cfventry/handover_server.go
@@ -42,7 +42,7 @@
 		e.cfg.Log.Warnw("a request was handed over by an address that belongs to no entry", "addr", r.RemoteAddr)
 		w.WriteHeader(http.StatusForbidden)
 		return
-	case e.stopping.Load() || e.cutOff() || handedOver > maxHandedOver:
+	case e.stopping.Load() || e.CutOff() || handedOver > maxHandedOver:
 		e.cfg.Metrics.Count("handovers.declined", 1)
 		e.cfg.Codec.SetHandoverAnswer(w.Header(), cfvcall.HandoverRefused)
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -76,7 +76,7 @@
 // It returns false for any other request.
 func (q *request) returnToPeer() bool {
 	e := q.entry
-	if !q.handedOver || q.possibleRuns > q.runsBefore || !e.cutOff() {
+	if !q.handedOver || q.possibleRuns > q.runsBefore || !e.CutOff() {
 		return false
 	}
 	e.cfg.Metrics.CountRefusal(cfverror.ReasonCutOff)
--- a/io/cfventry/health.go
+++ b/io/cfventry/health.go
@@ -16,7 +16,7 @@
 // markUnavailable makes the dispatcher avoid an endpoint whose connection failed, and schedules a
 // health probe after the backoff.
 func (e *Entry) markUnavailable(ep *cfvfleet.Endpoint, service *cfvfleet.Service) {
-	if e.cutOff() {
+	if e.CutOff() {
 		return // the links failed, and other entries may reach the endpoint
 	}
 	now := e.cfg.Now()
@@ -100,7 +100,7 @@
 
 // probeOnce sends one health probe, unless the endpoint wants none, and records its result.
 func (e *Entry) probeOnce(ep *cfvfleet.Endpoint, service *cfvfleet.Service) {
-	if e.cutOff() {
+	if e.CutOff() {
 		return
 	}
 	sentAt := e.cfg.Now()
@@ -114,7 +114,7 @@
 	}
 	healthy, coldFor, err := e.checkHealth(ep, service)
 	now := e.cfg.Now()
-	if err != nil && e.cutOff() {
+	if err != nil && e.CutOff() {
 		return
 	}
 	e.mu.Lock()
--- a/io/cfventry/reach.go
+++ b/io/cfventry/reach.go
@@ -26,8 +26,8 @@
 	done    chan struct{} // closed at the end of the check in progress; nil: there is none
 }
 
-// cutOff reports whether this entry is cut off from all endpoints. Without peers it makes no difference, and is not found out.
-func (e *Entry) cutOff() bool {
+// CutOff reports whether this entry is cut off from all endpoints. Without peers it makes no difference, and is not found out.
+func (e *Entry) CutOff() bool {
 	e.reach.mu.Lock()
 	defer e.reach.mu.Unlock()
 	return e.reach.reach.CutOff()
@@ -96,7 +96,7 @@
 		case <-ctx.Done():
 		}
 	}
-	return !e.cutOff()
+	return !e.CutOff()
 }
 
 // runCheck makes new connections to some endpoints until one succeeds, and records whether this entry is cut off.
--- a/io/cfvleader/leader.go
+++ b/io/cfvleader/leader.go
@@ -79,6 +79,7 @@
 	Rollouts         func(ctx context.Context, fencingToken int64) // carries out roll-outs; it must not wait
 	ReportUsage      func(ctx context.Context, fencingToken int64) // reports usage to the platform; it must not wait; nil: usage is not reported
 	GoneEntries      func() []string                               // entries that will probably not return
+	CutOff           func() bool                                   // reports whether this entry is cut off from the endpoints, which it can't order then; nil: it never is
 	HandoverPause    time.Duration                                 // minimum time between the orders of two leaders; 0: endpoints check fencing tokens, and none is needed
 	Now              func() time.Duration
 	Log              cfvlog.Logger
@@ -117,6 +118,9 @@
 
 // New returns a Leader that has not acquired the leadership.
 func New(cfg Config) *Leader {
+	if cfg.CutOff == nil {
+		cfg.CutOff = func() bool { return false }
+	}
 	return &Leader{cfg: cfg, plans: make(map[string]*cfvweights.Plan), results: make(chan orderResult, resultBufferSize), loadedSince: make(map[cfvfleet.DesiredWeights]time.Duration)}
 }
 
@@ -125,11 +129,18 @@
 func (l *Leader) Run(ctx context.Context) {
 	l.startedAt = l.cfg.Now()
 	cfvclock.Every(ctx, tickInterval, l.tick)
+	l.resign(ctx)
+}
+
+// resign releases the leadership, unless orders were sent just before: the next leader relies on the rest of the lease.
+func (l *Leader) resign(ctx context.Context) {
 	if l.fencingToken == 0 {
 		return
 	}
+	fencingToken := l.fencingToken
+	l.fencingToken = 0
 	if l.lastOrderAt > 0 && l.cfg.Now()-l.lastOrderAt < l.cfg.HandoverPause {
-		l.cfg.Log.Infow("orders were sent just now, letting the leadership expire", "fence", l.fencingToken)
+		l.cfg.Log.Infow("orders were sent just now, letting the leadership expire", "fence", fencingToken)
 		return
 	}
 	releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
@@ -138,10 +149,18 @@
 		l.cfg.Log.Warnw("could not release the leadership, letting it expire", "error", err.Error())
 		return
 	}
-	l.cfg.Log.Infow("released the leadership", "fence", l.fencingToken)
+	l.cfg.Log.Infow("released the leadership", "fence", fencingToken)
 }
 
 func (l *Leader) tick(ctx context.Context) {
+	if l.cfg.CutOff() {
+		l.vacantSince = 0
+		if l.fencingToken != 0 {
+			l.cfg.Log.Warnw("giving up the leadership, since no endpoint can be reached", "fence", l.fencingToken)
+			l.resign(ctx)
+		}
+		return
+	}
 	if l.fencingToken == 0 {
 		l.tryAcquire(ctx)
 		return
--- a/io/cfvleader/leader_test.go
+++ b/io/cfvleader/leader_test.go
@@ -41,6 +41,7 @@
 	lease           int64
 	leaseExpires    time.Time
 	disconnected    map[string]bool // entries that cannot reach the key-value store
+	cutOff          map[string]bool // entries that cannot reach the endpoints
 	endpointsSilent bool            // endpoints do not respond
 	orders          []sentOrder
 	loaded          map[string]int64
@@ -199,7 +200,7 @@
 		LoadStatus: func(_ context.Context, _, id string) (cfvweights.LoadStatus, error) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
-			if c.endpointsSilent {
+			if c.endpointsSilent || c.cutOff[node] {
 				return cfvweights.LoadStatus{}, errors.New("no response")
 			}
 			return cfvweights.LoadStatus{Versions: map[string]int64{"m": max(c.loaded[id], 1)}}, nil
@@ -216,7 +217,12 @@
 		Rollouts:    c.carryOutRollouts(node),
 		ReportUsage: c.carryOutRollouts(node), // under the same condition
 		GoneEntries: func() []string { return nil },
-		Count:       func(string, int64) {},
+		CutOff: func() bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.cutOff[node]
+		},
+		Count: func(string, int64) {},
 	})
 }
 
@@ -263,7 +269,7 @@
 
 // newCluster returns a cluster without entries.
 func newCluster(pause time.Duration) *cluster {
-	return &cluster{disconnected: make(map[string]bool), loaded: make(map[string]int64), states: make(map[string]*cfvstate.State), rollouts: make(map[string]int), handoverPause: pause}
+	return &cluster{disconnected: make(map[string]bool), cutOff: make(map[string]bool), loaded: make(map[string]int64), states: make(map[string]*cfvstate.State), rollouts: make(map[string]int), handoverPause: pause}
 }
 
 // Failure: after weights were set, the leader froze, and 4.3 s passed until the next one sent its first order:
@@ -280,6 +286,11 @@
 			defer c.mu.Unlock()
 			c.disconnected[c.leader] = true
 		},
+		"the leader is cut off from the endpoints": func(c *cluster, _ map[string]context.CancelFunc) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.cutOff[c.leader] = true
+		},
 		"two leaders in a row stop": func(c *cluster, stop map[string]context.CancelFunc) {
 			stop[c.leader]()
 			time.Sleep(800 * time.Millisecond)
