Keep the cache stores of a watcher that has lost its own links

A watcher that is cut off from the endpoints and the stores told its peers at once that the stores were lost, and all entries forgot which parts they hold.

--- a/commands/hosted_loops.go
+++ b/commands/hosted_loops.go
@@ -20,7 +20,7 @@
 // this entry.
 func (h *hostedEntry) startLoops(ctx context.Context) {
 	inventory := cfvinventory.New(cfvinventory.Config{
-		IsRelay: func() bool { return h.roster().IsListedRelay(h.settings.Node) }, Events: h.control.WatchParts, List: h.control.ListParts, View: h.state.Read, Catalog: h.parts.Do,
+		IsRelay: func() bool { return h.roster().IsListedRelay(h.settings.Node) }, Events: h.control.WatchParts, List: h.control.ListParts, View: h.state.Read, Catalog: h.parts.Do, Reaches: h.entry.ReachesEndpoints,
 		Now: cfvclock.SinceBoot, Log: h.log.Component("stock"),
 	})
 	go h.watcher.Run(ctx)
--- a/io/cfvinventory/watcher.go
+++ b/io/cfvinventory/watcher.go
@@ -28,6 +28,7 @@
 	List    func(ctx context.Context, addr string) (cfvparts.Batch, error)
 	View    func(func(v *cfvfleet.View))
 	Catalog func(func(c *cfvparts.Catalog))
+	Reaches func(ctx context.Context) bool // reports whether this entry reaches endpoints, and thus not only a store fails; nil: it does
 	Now     func() time.Duration
 	Log     cfvlog.Logger
 }
@@ -40,6 +41,9 @@
 
 // New returns a Watcher.
 func New(cfg Config) *Watcher {
+	if cfg.Reaches == nil {
+		cfg.Reaches = func(context.Context) bool { return true }
+	}
 	return &Watcher{cfg: cfg, running: make(map[string]context.CancelFunc)}
 }
 
@@ -99,7 +103,9 @@
 			return
 		}
 		if err != nil {
-			if !lost {
+			if !lost && !w.cfg.Reaches(ctx) {
+				w.cfg.Log.Infow("cache store and endpoints are unreachable", "store", addr, "error", err.Error())
+			} else if !lost {
 				// Only the first failure counts: a peer that still reaches the store knows better than later ones.
 				w.cfg.Catalog(func(c *cfvparts.Catalog) { c.Lose(w.cfg.Now(), addr) })
 				w.cfg.Log.Warnw("cache store is unreachable", "store", addr, "error", err.Error())
