Test what callers get of requests that are handed over

Refusals, broken hops, incomplete responses and streams, attempts of both entries, strangers, a peer that stops in the middle, a caller that leaves, and headers and paths on the way. Without the wait in Stop for requests of peers, the case of the peer that stops gets 502.

--- a/io/cfventry/cold_test.go
+++ b/io/cfventry/cold_test.go
@@ -45,6 +45,7 @@
 	coldTill time.Time
 	arrivals []time.Time // of requests while it was cold
 	runs     int
+	left     int // requests whose caller closed the connection
 }
 
 func (p *coldEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -59,7 +60,14 @@
 	}
 	work := p.work
 	p.mu.Unlock()
-	time.Sleep(work)
+	select {
+	case <-time.After(work):
+	case <-r.Context().Done():
+		p.mu.Lock()
+		p.left++
+		p.mu.Unlock()
+		return
+	}
 	w.Header().Set(testRequestID, r.Header.Get(testRequestID))
 	w.Header().Set(testStamp, "s")
 	w.Header().Set(coldTestAlive, strconv.FormatInt(max(left, 0).Milliseconds(), 10))
@@ -180,7 +188,8 @@
 		Services: []cfvfleet.Service{{Name: "s", HealthPath: "/healthz", MaxConns: 400, ColdFor: coldTestTime, ColdRequestsPerSecond: coldTestRate}},
 		Routes: []cfvfleet.Route{
 			{Name: "look", Host: "h", PathPrefix: "/look/", Kind: cfvfleet.Safe, Service: "s", MaxAttempts: 2, Timeout: time.Second, LatencyObjective: 100 * time.Millisecond},
-			{Name: "book", Host: "h", PathPrefix: "/book/", Kind: cfvfleet.Unsafe, Service: "s", MaxAttempts: 1, Timeout: time.Second, LatencyObjective: 100 * time.Millisecond},
+			{Name: "book", Host: "h", PathPrefix: "/book/", Kind: cfvfleet.Unsafe, Service: "s", MaxAttempts: 1, Timeout: 10 * time.Second, LatencyObjective: 100 * time.Millisecond},
+			{Name: "ask", Host: "h", PathPrefix: "/ask/", Kind: cfvfleet.Streaming, Service: "s", MaxAttempts: 1, Timeout: 10 * time.Second, LatencyObjective: time.Second, Patience: 4 * time.Second},
 		},
 	}})
 	for _, n := range f.names {
@@ -195,7 +204,11 @@
 		Limits:    Limits{RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second},
 		Codec: Codec{
 			ReadRequestMeta: func(h http.Header) (cfvcall.RequestMeta, error) {
-				return cfvcall.RequestMeta{ID: h.Get(testRequestID), Timeout: time.Second}, nil
+				timeout, err := time.ParseDuration(h.Get(testTimeout))
+				if err != nil {
+					timeout = time.Second
+				}
+				return cfvcall.RequestMeta{ID: h.Get(testRequestID), Timeout: timeout}, nil
 			},
 			RequestHeader: func(h http.Header, _ cfvcall.ForwardOptions) http.Header { return h },
 			ReadResponseMeta: func(_ int, h http.Header) cfvcall.ResponseMeta {
--- a/io/cfventry/endpoint_faults_test.go
+++ b/io/cfventry/endpoint_faults_test.go
@@ -30,6 +30,7 @@
 	testStamp     = "Stamp"
 	testNotRun    = "Notrun"
 	testHandover  = "Handover"
+	testTimeout   = "Timeout"
 )
 
 // rawEndpoint answers requests with bytes of its own choice, on connections in memory.
--- /dev/null
+++ b/io/cfventry/handover_test.go
@@ -0,0 +1,209 @@
+package cfventry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"coltsfootvalve/core/cfvcall"
+
+	"gotest.tools/v3/assert"
+)
+
+// peerAnswer returns a handler that reads the request and answers it as a peer does.
+func peerAnswer(a cfvcall.HandoverAnswer, answer func(w http.ResponseWriter)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(testHandover, strconv.Itoa(int(a)))
+		answer(w)
+	}
+}
+
+// Guards against wrong statements of whether a request ran that was handed over, against a second run of an unsafe one, and
+// against requests that go round between entries that are cut off.
+func TestHandedOverRequestIsAnsweredTruly(t *testing.T) {
+	refuse := peerAnswer(cfvcall.HandoverRefused, func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) })
+	abort := peerAnswer(cfvcall.HandoverTaken, func(http.ResponseWriter) { panic(http.ErrAbortHandler) })
+	full := peerAnswer(cfvcall.HandoverTaken, func(w http.ResponseWriter) {
+		w.Header().Set("Retry-After", "7")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	short := peerAnswer(cfvcall.HandoverTaken, func(w http.ResponseWriter) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "a part")
+		panic(http.ErrAbortHandler)
+	})
+	cutStream := peerAnswer(cfvcall.HandoverTaken, func(w http.ResponseWriter) {
+		_, _ = io.WriteString(w, "id: 1\n\nid: 2")
+	})
+	stranger := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) }
+	tests := map[string]struct {
+		path       string
+		peers      map[int]http.HandlerFunc
+		cutOff     []int
+		status     int // 0: the connection is broken
+		retryAfter string
+		runs       int
+	}{
+		"served":                          {path: "/book/", cutOff: []int{0}, status: http.StatusOK, runs: 1},
+		"refused by two":                  {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: refuse, 2: refuse}, status: http.StatusOK, runs: 1},
+		"refused by all":                  {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: refuse, 2: refuse, 3: refuse}, status: http.StatusServiceUnavailable, retryAfter: "0.300"},
+		"all are cut off":                 {path: "/book/", cutOff: []int{0, 1, 2, 3}, status: http.StatusServiceUnavailable, retryAfter: "0.300"},
+		"the peer's refusal of its own":   {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: full, 2: full, 3: full}, status: http.StatusServiceUnavailable, retryAfter: "7"},
+		"an unsafe one is broken off":     {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: abort, 2: abort, 3: abort}, status: http.StatusBadGateway},
+		"a safe one is broken off":        {path: "/look/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: abort, 2: abort, 3: abort}, status: http.StatusBadGateway},
+		"a stream that ends in an event":  {path: "/ask/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: cutStream, 2: cutStream, 3: cutStream}},
+		"an incomplete response":          {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: short, 2: short, 3: short}, status: http.StatusBadGateway},
+		"the peer does not know handover": {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: stranger, 2: stranger, 3: stranger}, status: http.StatusBadGateway},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newReachFleet(ctx, t, 4, 3)
+				f.cutOff(tt.cutOff...)
+				f.peers = tt.peers
+				r := ask(f.entries[0], tt.path, "r1")
+				runs := f.runs()
+				f.close(cancel)
+				assert.Equal(t, r.Code, tt.status)
+				assert.Equal(t, r.Header().Get("Retry-After"), tt.retryAfter)
+				assert.Equal(t, r.Header().Get(testHandover), "")
+				assert.Equal(t, runs, tt.runs)
+			})
+		})
+	}
+}
+
+// timedWriter records when bytes are written to a caller and flushed.
+type timedWriter struct {
+	*httptest.ResponseRecorder
+	flushed []time.Time
+}
+
+// Flush sends what was written.
+func (w *timedWriter) Flush() { w.flushed = append(w.flushed, time.Now()) }
+
+// Guards against events that wait at the entry that handed their request over until the stream ends.
+func TestEventsOfAHandedOverStreamArriveAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 500 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newReachFleet(ctx, t, 2, 1)
+		f.cutOff(0)
+		f.peers[1] = peerAnswer(cfvcall.HandoverTaken, func(w http.ResponseWriter) {
+			for range 3 {
+				_, _ = io.WriteString(w, "id: 1\n\n")
+				w.(http.Flusher).Flush()
+				time.Sleep(pause)
+			}
+		})
+		start, w := time.Now(), &timedWriter{ResponseRecorder: httptest.NewRecorder()}
+		asked := httptest.NewRequest(http.MethodPost, "http://h/ask/", nil)
+		asked.Header.Set(testTimeout, "8s")
+		f.entries[0].serve(w, asked)
+		f.close(cancel)
+		assert.Equal(t, w.Code, http.StatusOK)
+		assert.Equal(t, len(w.flushed), 3)
+		for i, at := range w.flushed {
+			assert.Assert(t, at.Sub(start) < time.Duration(i)*pause+100*time.Millisecond, "event %d after %s", i, at.Sub(start))
+		}
+	})
+}
+
+// Guards against more attempts than the route allows: those of the entry that hands a request over and those of the peer count together.
+func TestAttemptsBeforeTheHandoverCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newReachFleet(ctx, t, 2, 3)
+		for _, p := range f.endpoints {
+			p.work = 2 * time.Second // longer than the route's time-out: each attempt is given up
+		}
+		asked := httptest.NewRequest(http.MethodPost, "http://h/look/", nil)
+		asked.Header.Set(testHandover, "1")
+		asked.RemoteAddr = "10.1.0.2:1000"
+		w := httptest.NewRecorder()
+		f.entries[1].PeerHandler(http.NotFoundHandler()).ServeHTTP(w, asked)
+		runs := f.runs()
+		f.close(cancel)
+		assert.Equal(t, runs, 1, "the route allows two")
+		assert.Equal(t, w.Code, http.StatusGatewayTimeout)
+	})
+}
+
+// Guards against callers that reach endpoints over the peers' listener.
+func TestRequestsOfStrangersAreNotServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newReachFleet(ctx, t, 2, 1)
+		asked := httptest.NewRequest(http.MethodPost, "http://h/book/", nil)
+		asked.Header.Set(testHandover, "0")
+		w := httptest.NewRecorder() // from 192.0.2.1
+		f.entries[1].PeerHandler(http.NotFoundHandler()).ServeHTTP(w, asked)
+		runs := f.runs()
+		f.close(cancel)
+		assert.Equal(t, w.Code, http.StatusForbidden)
+		assert.Equal(t, runs, 0)
+	})
+}
+
+// Guards against requests that are cut because the peer that serves them stops, or go on at an endpoint after their caller has left.
+func TestHandedOverRequestEndsWithItsPeerOrCaller(t *testing.T) {
+	const work = drainDelay + time.Second
+	tests := map[string]struct {
+		stops, leaves bool
+		status        int
+	}{
+		"the peer stops":    {stops: true, status: http.StatusOK},
+		"the caller leaves": {leaves: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newReachFleet(ctx, t, 2, 1)
+				f.endpoints[0].work = work
+				peer := f.entries[1]
+				peer.cfg.Limits.ShutdownTimeout, peer.cfg.CallerAddr, peer.cfg.ReadyAddr = 8*time.Second, "callers", "ready"
+				peer.cfg.Listen = func(string, string) (net.Listener, error) { return newPipeListener(), nil }
+				assert.NilError(t, peer.Start(ctx))
+				f.cutOff(0)
+				callerCtx, leave := context.WithCancel(ctx)
+				asked := httptest.NewRequest(http.MethodPost, "http://h/book/", nil).WithContext(callerCtx)
+				asked.Header.Set(testRequestID, "r1")
+				asked.Header.Set(testTimeout, "8s")
+				w := httptest.NewRecorder()
+				answered := make(chan struct{})
+				go func() {
+					f.entries[0].serve(w, asked)
+					close(answered)
+				}()
+				time.Sleep(50 * time.Millisecond)
+				switch {
+				case tt.stops:
+					assert.Equal(t, peer.running.Load(), int64(1))
+					assert.NilError(t, peer.Stop(ctx))
+					_ = f.servers[1].Close()
+					<-answered
+					assert.Equal(t, w.Code, tt.status)
+				case tt.leaves:
+					leave()
+					<-answered
+					time.Sleep(50 * time.Millisecond)
+					f.endpoints[0].mu.Lock()
+					assert.Equal(t, f.endpoints[0].left, 1, "the endpoint goes on after the caller has left")
+					f.endpoints[0].mu.Unlock()
+					assert.NilError(t, peer.Stop(ctx))
+				}
+				leave()
+				f.close(cancel)
+			})
+		})
+	}
+}
--- a/io/cfventry/reach_test.go
+++ b/io/cfventry/reach_test.go
@@ -112,14 +112,15 @@
 type reachFleet struct {
 	*coldFleet
 	links   []*testLinks
-	servers []*http.Server // of the entries, for peers
+	servers []*http.Server           // of the entries, for peers
+	peers   map[int]http.HandlerFunc // take the place of entries as peers
 }
 
 // peerAddr returns the address at which an entry listens for peers.
 func peerAddr(entry int) string { return fmt.Sprintf("10.1.0.%d:90", entry+1) }
 
 func newReachFleet(ctx context.Context, t *testing.T, entries, endpoints int) *reachFleet {
-	f := &reachFleet{}
+	f := &reachFleet{peers: make(map[int]http.HandlerFunc)}
 	f.coldFleet = newColdFleetWith(ctx, t, entries, endpoints, func(_ int, cfg *Config) {
 		links := &testLinks{below: cfg.Dial}
 		f.links = append(f.links, links)
@@ -137,7 +138,14 @@
 		l, err := f.network.Listen("tcp", peerAddr(i))
 		assert.NilError(t, err)
 		f.apply(i, cfvfleet.Change{Entry: &cfvfleet.EntryChange{Name: f.names[i], Addr: peerAddr(i)}})
-		server := &http.Server{Handler: e.PeerHandler(http.NotFoundHandler())}
+		own := e.PeerHandler(http.NotFoundHandler())
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if h := f.peers[i]; h != nil {
+				h(w, r)
+				return
+			}
+			own.ServeHTTP(w, r)
+		})}
 		f.servers = append(f.servers, server)
 		go func() { _ = server.Serve(l) }()
 	}
@@ -153,6 +161,24 @@
 	f.coldFleet.close(cancel)
 }
 
+// cutOff cuts the links of some entries, which know it at once.
+func (f *reachFleet) cutOff(entries ...int) {
+	for _, i := range entries {
+		f.links[i].cut(cutHang, "")
+		f.entries[i].reach.reach.Checked(f.now(), 1, 0)
+	}
+}
+
+// runs returns how many requests the endpoints ran.
+func (f *reachFleet) runs() (n int) {
+	for _, p := range f.endpoints {
+		p.mu.Lock()
+		n += p.runs
+		p.mu.Unlock()
+	}
+	return n
+}
+
 // failedAt returns the failed and all judged requests of the first n entries.
 func (f *reachFleet) failedAt(n int) (failed, all int) {
 	f.mu.Lock()
