Let a peer that stops take requests while it takes those of its callers

What callers saw: with five of eight entries cut off and the others stopping one second apart, 729 of 911 requests of two seconds were refused, since peers refused handed-over requests from the signal on. A stopping peer now takes them until the load balancer has noticed, as it does its callers' own, and says so: it is asked only if no other peer is left. What doesn't fit into its time goes back to the sender as not run. TestHandedOverRequestIsAnsweredTruly, case "all others stop", got 503 before. Heads of handed-over requests are reserved in the budget for bodies as well.

--- a/core/cfvcall/handover.go
+++ b/core/cfvcall/handover.go
@@ -14,7 +14,8 @@
 
 // Values of HandoverAnswer.
 const (
-	HandoverUnknown HandoverAnswer = iota // the response does not come from an entry that was asked
-	HandoverTaken                         // the response is the one for the caller
-	HandoverRefused                       // the request did not run there, and another entry may be asked
+	HandoverUnknown       HandoverAnswer = iota // the response does not come from an entry that was asked
+	HandoverTaken                               // the response is the one for the caller
+	HandoverTakenStopping                       // likewise, and the entry stops soon, so that others are to be asked first
+	HandoverRefused                             // the request did not run there, and another entry may be asked
 )
--- a/core/cfvreach/peers.go
+++ b/core/cfvreach/peers.go
@@ -8,7 +8,8 @@
 
 // Limits of the choice of peers.
 const (
-	RefusedPeriod  = time.Second // a peer that took no request is left out for this long
+	refusedPeriod  = time.Second // a peer that took no request is left out for this long
+	stoppingPeriod = time.Second // a peer that stops is only asked if no other is left, for this long
 	otherDomainSum = 1           // a peer in another failure domain counts as if it ran so many requests more
 )
 
@@ -16,23 +17,31 @@
 type Peers struct {
 	running    map[string]int           // requests that were handed over and have not ended, by peer
 	leftOutFor map[string]time.Duration // by peer: until when it gets none
+	stopping   map[string]time.Duration // by peer: until when others are asked first
 }
 
 // NewPeers returns a choice that knows nothing of the peers.
 func NewPeers() *Peers {
-	return &Peers{running: make(map[string]int), leftOutFor: make(map[string]time.Duration)}
+	return &Peers{running: make(map[string]int), leftOutFor: make(map[string]time.Duration), stopping: make(map[string]time.Duration)}
 }
 
 // Start chooses a peer for a request, none of those that were tried, and counts the request there until Finish is called. Of two that
 // are drawn by the random numbers in [0, 1) it is the one with fewer requests; one in the same failure domain goes first. It
 // returns false if there is none.
 func (p *Peers) Start(now time.Duration, domain string, peers []cfvfleet.Entry, tried map[string]bool, random func() float64) (peer cfvfleet.Entry, ok bool) {
-	candidates := make([]cfvfleet.Entry, 0, len(peers))
+	var candidates, stopping []cfvfleet.Entry
 	for _, e := range peers {
-		if !tried[e.Name] && now >= p.leftOutFor[e.Name] {
+		switch {
+		case tried[e.Name] || now < p.leftOutFor[e.Name]:
+		case now < p.stopping[e.Name]:
+			stopping = append(stopping, e)
+		default:
 			candidates = append(candidates, e)
 		}
 	}
+	if len(candidates) == 0 {
+		candidates = stopping
+	}
 	if len(candidates) == 0 {
 		return peer, false
 	}
@@ -55,13 +64,27 @@
 	return n
 }
 
-// Finish records that a request has ended that was handed over. A peer that refused it or did not respond gets none for a while.
-func (p *Peers) Finish(now time.Duration, peer string, taken bool) {
+// Result is what a peer did with a request.
+type Result int
+
+// Values of Result.
+const (
+	Taken         Result = iota
+	TakenStopping        // the peer stops soon
+	NotTaken             // the peer refused the request, or did not respond
+)
+
+// Finish records that a request has ended that was handed over. A peer that did not take it gets none for a while.
+func (p *Peers) Finish(now time.Duration, peer string, r Result) {
 	if p.running[peer]--; p.running[peer] <= 0 {
 		delete(p.running, peer)
 	}
 	delete(p.leftOutFor, peer)
-	if !taken {
-		p.leftOutFor[peer] = now + RefusedPeriod
+	switch r {
+	case NotTaken:
+		p.leftOutFor[peer] = now + refusedPeriod
+	case TakenStopping:
+		p.stopping[peer] = now + stoppingPeriod
+	case Taken:
 	}
 }
--- a/io/cfventry/handover.go
+++ b/io/cfventry/handover.go
@@ -65,10 +65,10 @@
 }
 
 // finish records the end of a request at a peer.
-func (h *handovers) finish(e *Entry, peer string, taken bool) {
+func (h *handovers) finish(e *Entry, peer string, r cfvreach.Result) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.peers.Finish(e.cfg.Now(), peer, taken)
+	h.peers.Finish(e.cfg.Now(), peer, r)
 }
 
 // handsOver reports whether the request is to be handed over to a peer. An entry without peers tries the endpoints.
@@ -99,14 +99,7 @@
 			q.askedPeers = make(map[string]bool)
 		}
 		q.askedPeers[peer.Name] = true
-		taken := true
-		o := func() outcome {
-			defer func() { e.handovers.finish(e, peer.Name, taken) }() // also if the response is aborted
-			o, peerTook := q.handOverTo(peer)
-			taken = peerTook
-			return o
-		}()
-		switch o {
+		switch q.handOverTo(peer) {
 		case outcomeDone:
 			return true
 		case outcomeCallerGone:
@@ -128,10 +121,11 @@
 	return true
 }
 
-// handOverTo sends the request to a peer and forwards its response, unless the request is to be retried. It reports whether the
-// peer is one to send more requests to.
-func (q *request) handOverTo(peer cfvfleet.Entry) (o outcome, taken bool) {
+// handOverTo sends the request to a peer and forwards its response, unless the request is to be retried.
+func (q *request) handOverTo(peer cfvfleet.Entry) outcome {
 	e := q.entry
+	result := cfvreach.NotTaken
+	defer func() { e.handovers.finish(e, peer.Name, result) }() // also if the response is aborted
 	e.cfg.Metrics.Count("handovers", 1)
 	ctx, cancel := context.WithTimeout(q.r.Context(), q.timeLeft())
 	defer cancel()
@@ -144,7 +138,7 @@
 			q.possibleRuns++
 		}
 		q.logHandover(peer, "a peer did not answer", "wasSent", wasSent, "error", err.Error())
-		return q.handoverFailure(wasSent), false
+		return q.handoverFailure(wasSent)
 	}
 	defer resp.Body.Close()
 	switch e.cfg.Codec.ReadHandoverAnswer(resp.Header) {
@@ -152,21 +146,25 @@
 		e.cfg.Metrics.Count("handovers.refused", 1)
 		q.logHandover(peer, "a peer did not take a request", "status", resp.StatusCode)
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxRejectBodyBytes))
-		return outcomeNotRun, false
+		return outcomeNotRun
 	case cfvcall.HandoverUnknown:
 		q.logHandover(peer, "the response does not come from a peer's entry", "status", resp.StatusCode)
 		q.possibleRuns++
-		return outcomeFailed, false
+		return outcomeFailed
+	case cfvcall.HandoverTakenStopping:
+		result = cfvreach.TakenStopping
+	case cfvcall.HandoverTaken:
+		result = cfvreach.Taken
 	}
 	q.possibleRuns++
 	if resp.StatusCode/100 == 2 && q.route.Kind == cfvfleet.Streaming {
-		return q.forwardPeerStream(peer, resp), true
+		return q.forwardPeerStream(peer, resp)
 	}
 	if q.stream.hasStarted() {
 		q.logHandover(peer, "a peer did not go on with a stream", "status", resp.StatusCode, "lastEvent", q.stream.lastEventID)
-		return outcomeFailed, true
+		return outcomeFailed
 	}
-	return q.forwardPeerResponse(peer, resp), true
+	return q.forwardPeerResponse(peer, resp)
 }
 
 // handoverRequest returns the request as the caller sent it, with the time that is left.
--- a/io/cfventry/handover_server.go
+++ b/io/cfventry/handover_server.go
@@ -36,23 +36,29 @@
 	defer e.running.Add(-1)
 	handedOver := e.handedOver.Add(1)
 	defer e.handedOver.Add(-1)
+	head := headBytes(r) * headMemoryFactor
 	switch {
 	case !e.isPeer(r.RemoteAddr):
 		e.cfg.Metrics.Count("handovers.strangers", 1)
 		e.cfg.Log.Warnw("a request was handed over by an address that belongs to no entry", "addr", r.RemoteAddr)
 		w.WriteHeader(http.StatusForbidden)
 		return
-	case e.stopping.Load() || e.CutOff() || handedOver > maxHandedOver:
+	case e.draining() == drainOver || e.CutOff() || handedOver > maxHandedOver || !e.cfg.BodyBudget.Reserve(0, head):
 		e.cfg.Metrics.Count("handovers.declined", 1)
 		e.cfg.Codec.SetHandoverAnswer(w.Header(), cfvcall.HandoverRefused)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	defer e.cfg.BodyBudget.Release(head)
 	e.cfg.Metrics.Count("handovers.taken", 1)
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	defer context.AfterFunc(e.baseContext, func() { cancel(context.Cause(e.baseContext)) })()
-	e.cfg.Codec.SetHandoverAnswer(w.Header(), cfvcall.HandoverTaken)
+	answer := cfvcall.HandoverTaken
+	if e.draining() == drainRuns {
+		answer = cfvcall.HandoverTakenStopping
+	}
+	e.cfg.Codec.SetHandoverAnswer(w.Header(), answer)
 	e.serveRequest(w, r.WithContext(ctx), func(q *request) { q.handedOver, q.possibleRuns, q.runsBefore = true, runs, runs })
 }
 
@@ -72,6 +78,47 @@
 	return false
 }
 
+// headBytes returns the length of a request's head.
+func headBytes(r *http.Request) (n int64) {
+	n = int64(len(r.RequestURI))
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += int64(len(name) + len(v))
+		}
+	}
+	return n
+}
+
+// drainState tells whether an entry that stops still takes requests.
+type drainState int
+
+const (
+	drainNone drainState = iota // the entry does not stop
+	drainRuns                   // it stops, and takes requests until the load balancer has noticed
+	drainOver
+)
+
+// draining returns whether the entry stops. Peers may know of no other that takes their requests, so it takes them as long as those
+// of its own callers.
+func (e *Entry) draining() drainState {
+	stopAt, stopping := e.stopTime()
+	switch {
+	case !stopping:
+		return drainNone
+	case stopAt-e.cfg.Now() > e.cfg.Limits.ShutdownTimeout-shutdownMargin-answerTime-drainDelay:
+		return drainRuns
+	}
+	return drainOver
+}
+
+// notTaken marks the refusal of a request that a peer handed over and that does not fit into the time until this entry stops. The
+// peer asks another entry.
+func (q *request) notTaken(reason cfverror.Reason) {
+	if q.handedOver && q.possibleRuns == q.runsBefore && reason == cfverror.ReasonStopping {
+		q.entry.cfg.Codec.SetHandoverAnswer(q.w.Header(), cfvcall.HandoverRefused)
+	}
+}
+
 // returnToPeer refuses a request that a peer handed over before this entry was cut off as well, so that the peer asks another entry.
 // It returns false for any other request.
 func (q *request) returnToPeer() bool {
--- a/io/cfventry/handover_test.go
+++ b/io/cfventry/handover_test.go
@@ -47,6 +47,7 @@
 		path       string
 		peers      map[int]http.HandlerFunc
 		cutOff     []int
+		stopping   []int
 		status     int // 0: the connection is broken
 		retryAfter string
 		runs       int
@@ -54,6 +55,7 @@
 		"served":                          {path: "/book/", cutOff: []int{0}, status: http.StatusOK, runs: 1},
 		"refused by two":                  {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: refuse, 2: refuse}, status: http.StatusOK, runs: 1},
 		"refused by all":                  {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: refuse, 2: refuse, 3: refuse}, status: http.StatusServiceUnavailable, retryAfter: "0.300"},
+		"all others stop":                 {path: "/book/", cutOff: []int{0}, stopping: []int{1, 2, 3}, status: http.StatusOK, runs: 1},
 		"all are cut off":                 {path: "/book/", cutOff: []int{0, 1, 2, 3}, status: http.StatusServiceUnavailable, retryAfter: "0.300"},
 		"the peer's refusal of its own":   {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: full, 2: full, 3: full}, status: http.StatusServiceUnavailable, retryAfter: "7"},
 		"an unsafe one is broken off":     {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: abort, 2: abort, 3: abort}, status: http.StatusBadGateway},
@@ -69,6 +71,11 @@
 				f := newReachFleet(ctx, t, 4, 3)
 				f.cutOff(tt.cutOff...)
 				f.peers = tt.peers
+				for _, i := range tt.stopping {
+					f.entries[i].cfg.Limits.ShutdownTimeout = 8 * time.Second
+					f.entries[i].stopAt.Store(int64(f.now() + 7*time.Second))
+					f.entries[i].stopping.Store(true)
+				}
 				r := ask(f.entries[0], tt.path, "r1")
 				runs := f.runs()
 				f.close(cancel)
--- a/io/cfventry/reach.go
+++ b/io/cfventry/reach.go
@@ -14,16 +14,20 @@
 // reachSample is the number of endpoints to which a check of the links makes a new connection.
 const reachSample = 3
 
+// recheckDelay is how long the result of a check holds for an endpoint that fails.
+const recheckDelay = 50 * time.Millisecond
+
 // cutOffReason is why an attempt is cancelled that has no connection when the entry is found to be cut off. It says nothing about
 // the endpoint.
 const cutOffReason = "the entry is cut off from the endpoints"
 
 // reach is what this entry knows of its links to the endpoints. It is safe for concurrent use.
 type reach struct {
-	mu      sync.Mutex
-	reach   *cfvreach.Reach
-	reached string        // ID of the endpoint that succeeded last
-	done    chan struct{} // closed at the end of the check in progress; nil: there is none
+	mu        sync.Mutex
+	reach     *cfvreach.Reach
+	reached   string        // ID of the endpoint that succeeded last
+	checkedAt time.Duration // end of the last check
+	done      chan struct{} // closed at the end of the check in progress; nil: there is none
 }
 
 // CutOff reports whether this entry is cut off from all endpoints. Without peers it makes no difference, and is not found out.
@@ -85,7 +89,7 @@
 		return true
 	}
 	e.reach.mu.Lock()
-	if e.reach.done == nil && !e.reach.reach.CutOff() {
+	if e.reach.done == nil && !e.reach.reach.CutOff() && e.cfg.Now()-e.reach.checkedAt > recheckDelay {
 		e.startCheck()
 	}
 	done := e.reach.done
@@ -109,6 +113,7 @@
 	if firstSign == 0 {
 		firstSign = e.cfg.Now()
 	}
+	e.reach.checkedAt = e.cfg.Now()
 	changed := e.reach.reach.Checked(e.cfg.Now(), len(sample), reached)
 	cut := e.reach.reach.CutOff()
 	e.reach.mu.Unlock()
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -235,6 +235,7 @@
 	if q.stream.hasStarted() {
 		q.abortStream(s.refusal.Message)
 	}
+	q.notTaken(s.refusal.Reason)
 	if s.retryAfter > 0 {
 		q.w.Header().Set("Retry-After", strconv.FormatFloat(s.retryAfter.Seconds(), 'f', 3, 64))
 	}
