Keep connections to endpoints that are silent for up to two seconds

What callers saw: 502 for requests that ran at endpoints which were silent for a moment. Cause: TCP_USER_TIMEOUT (1.5 s) also decides when keep-alive probes give up, whatever their count: with probes after 1 and 2 s, one that was lost ended the connection at the second. The endpoint was marked unavailable, and its requests were said to have taken it down. Change: 3.5 s, so that three probes in a row must be lost and the retransmission after 3 s is awaited. TestConnectionSurvivesASilentEndpoint (real sockets, whose packets the kernel drops) failed before in four of five cases, one of them a silence of 0.1 s; all pass.

--- a/io/cfventry/connpool.go
+++ b/io/cfventry/connpool.go
@@ -21,10 +21,12 @@
 
 // Timeouts and limits of connections to endpoints.
 const (
-	dialTimeout            = 400 * time.Millisecond
-	ackTimeout             = 1500 * time.Millisecond // a connection fails if sent bytes stay unacknowledged for longer
-	keepAliveIdle          = time.Second             // probes show that an endpoint vanished while a response is awaited
-	keepAliveInterval      = time.Second             // the kernel counts it in seconds
+	dialTimeout = 400 * time.Millisecond
+	// A connection fails if sent bytes stay unacknowledged for longer. It also ends at the first keep-alive probe that is due so long
+	// after the last packet, whatever the count, if the one before was lost: an endpoint may be silent for two seconds.
+	ackTimeout             = 3500 * time.Millisecond
+	keepAliveIdle          = time.Second // probes show that an endpoint vanished while a response is awaited
+	keepAliveInterval      = time.Second // the kernel counts it in seconds
 	keepAliveCount         = 2
 	defaultIdleTimeout     = 4 * time.Second        // used until an endpoint announces how long it keeps idle connections
 	idleMargin             = 500 * time.Millisecond // the entry closes an idle connection this much earlier than the endpoint
