--- a/io/cfventry/cold_test.go
+++ b/io/cfventry/cold_test.go
@@ -190,6 +190,7 @@
 			{Name: "look", Host: "h", PathPrefix: "/look/", Kind: cfvfleet.Safe, Service: "s", MaxAttempts: 2, Timeout: time.Second, LatencyObjective: 100 * time.Millisecond},
 			{Name: "book", Host: "h", PathPrefix: "/book/", Kind: cfvfleet.Unsafe, Service: "s", MaxAttempts: 1, Timeout: 10 * time.Second, LatencyObjective: 100 * time.Millisecond},
 			{Name: "ask", Host: "h", PathPrefix: "/ask/", Kind: cfvfleet.Streaming, Service: "s", MaxAttempts: 1, Timeout: 10 * time.Second, LatencyObjective: time.Second, Patience: 4 * time.Second},
+			{Name: "again", Host: "h", PathPrefix: "/again/", Kind: cfvfleet.Streaming, Service: "s", MaxAttempts: 2, Resumable: true, Timeout: 10 * time.Second, LatencyObjective: time.Second, Patience: 4 * time.Second},
 		},
 	}})
 	for _, n := range f.names {
@@ -222,6 +223,7 @@
 			HandoverHeader: func(h http.Header, opts cfvcall.HandoverOptions) http.Header {
 				out := h.Clone()
 				out.Set(testHandover, strconv.Itoa(opts.PossibleRuns))
+				out.Set("Last-Event-Id", opts.ResumeAfter)
 				return out
 			},
 			ReadHandover: func(h http.Header) (int, bool) {
--- a/io/cfventry/handover_test.go
+++ b/io/cfventry/handover_test.go
@@ -124,6 +124,32 @@
 	})
 }
 
+// Guards against a stream that ends because the peer that served it broke off, or that goes on with events which its caller has.
+func TestHandedOverStreamGoesOnAtAnotherPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newReachFleet(ctx, t, 3, 1)
+		f.cutOff(0)
+		asked := 0
+		peer := func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(testHandover, strconv.Itoa(int(cfvcall.HandoverTaken)))
+			if asked++; asked == 1 {
+				_, _ = io.WriteString(w, "id: 1\n\nid: 2")
+				w.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			assert.Check(t, r.Header.Get("Last-Event-Id") == "1" && r.Header.Get(testHandover) == "1", "%v", r.Header)
+			_, _ = io.WriteString(w, "id: 2\n\n")
+		}
+		f.peers[1], f.peers[2] = peer, peer
+		r := ask(f.entries[0], "/again/", "r1")
+		f.close(cancel)
+		assert.Equal(t, r.Code, http.StatusOK)
+		assert.Equal(t, r.Body.String(), "id: 1\n\nid: 2\n\n")
+		assert.Equal(t, asked, 2)
+	})
+}
+
 // Guards against more attempts than the route allows: those of the entry that hands a request over and those of the peer count together.
 func TestAttemptsBeforeTheHandoverCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
