Send the responses to peers before their listener is closed

A handler's response is only sent after it has returned, which is when the entry that stops counted it as ended and closed the connections of its peers. It now shuts the listener down and waits up to 150 ms. Found by reading; no test shows the loss.

--- a/commands/hosted_entry.go
+++ b/commands/hosted_entry.go
@@ -172,9 +172,22 @@
 	default:
 		h.log.Warnw("the leadership was not released before the entry stopped")
 	}
-	return errors.Join(err, h.peerServer.Close())
+	return errors.Join(err, h.stopPeerServer(ctx))
 }
 
+// stopPeerServer closes the peers' listener once the responses to requests that peers handed over have been sent.
+func (h *hostedEntry) stopPeerServer(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, peerStopTimeout)
+	defer cancel()
+	if err := h.peerServer.Shutdown(ctx); err == nil {
+		return nil
+	}
+	return h.peerServer.Close()
+}
+
+// peerStopTimeout is how long responses to peers may take when the entry has stopped.
+const peerStopTimeout = 150 * time.Millisecond
+
 // startMetrics serves the metrics on a port of their own, if one is configured.
 func (h *hostedEntry) startMetrics() error {
 	if h.metricsAddr == "" {
--- a/io/cfventry/handover_server.go
+++ b/io/cfventry/handover_server.go
@@ -45,6 +45,9 @@
 		return
 	case e.draining() == drainOver || e.CutOff() || handedOver > maxHandedOver || !e.cfg.BodyBudget.Reserve(0, head):
 		e.cfg.Metrics.Count("handovers.declined", 1)
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		e.cfg.Codec.SetHandoverAnswer(w.Header(), cfvcall.HandoverRefused)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
