Ask another peer if one has no memory or no recent configuration for a request

A caller at a cut-off entry got the 503 of the first peer that was asked, though another had room. Such refusals, which say that the request did not run there, go back to the entry that handed it over.

--- a/io/cfventry/endpoint_faults_test.go
+++ b/io/cfventry/endpoint_faults_test.go
@@ -107,7 +107,12 @@
 
 // ask sends a request to the entry and returns its response. An aborted response has status 0.
 func ask(e *Entry, path, id string) (r *httptest.ResponseRecorder) {
-	req := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("b"))
+	return askWithBody(e, path, id, "b")
+}
+
+// askWithBody does the same with a body.
+func askWithBody(e *Entry, path, id, body string) (r *httptest.ResponseRecorder) {
+	req := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader(body))
 	req.Header.Set(testRequestID, id)
 	r = httptest.NewRecorder()
 	defer func() {
--- a/io/cfventry/handover_server.go
+++ b/io/cfventry/handover_server.go
@@ -114,10 +114,14 @@
 	return drainOver
 }
 
-// notTaken marks the refusal of a request that a peer handed over and that does not fit into the time until this entry stops. The
-// peer asks another entry.
+// notTaken marks the refusal of a request that a peer handed over if another entry may serve it: it did not run here, since it does not fit into
+// the time until this entry stops, or this entry has no memory for it or no recent configuration.
 func (q *request) notTaken(reason cfverror.Reason) {
-	if q.handedOver && q.possibleRuns == q.runsBefore && reason == cfverror.ReasonStopping {
+	if !q.handedOver || q.possibleRuns > q.runsBefore {
+		return
+	}
+	switch reason {
+	case cfverror.ReasonStopping, cfverror.ReasonBodyMemory, cfverror.ReasonSettings:
 		q.entry.cfg.Codec.SetHandoverAnswer(q.w.Header(), cfvcall.HandoverRefused)
 	}
 }
--- a/io/cfventry/handover_test.go
+++ b/io/cfventry/handover_test.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"coltsfootvalve/core/cfvcall"
+	"coltsfootvalve/core/cfvlimit"
 
 	"gotest.tools/v3/assert"
 )
@@ -28,6 +30,7 @@
 // Guards against wrong statements of whether a request ran that was handed over, against a second run of an unsafe one, and
 // against requests that go round between entries that are cut off.
 func TestHandedOverRequestIsAnsweredTruly(t *testing.T) {
+	const bodyBytes = 2000
 	refuse := peerAnswer(cfvcall.HandoverRefused, func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) })
 	abort := peerAnswer(cfvcall.HandoverTaken, func(http.ResponseWriter) { panic(http.ErrAbortHandler) })
 	full := peerAnswer(cfvcall.HandoverTaken, func(w http.ResponseWriter) {
@@ -48,6 +51,7 @@
 		peers      map[int]http.HandlerFunc
 		cutOff     []int
 		stopping   []int
+		noMemory   []int
 		status     int // 0: the connection is broken
 		retryAfter string
 		runs       int
@@ -56,6 +60,7 @@
 		"refused by two":                  {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: refuse, 2: refuse}, status: http.StatusOK, runs: 1},
 		"refused by all":                  {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: refuse, 2: refuse, 3: refuse}, status: http.StatusServiceUnavailable, retryAfter: "0.300"},
 		"all others stop":                 {path: "/book/", cutOff: []int{0}, stopping: []int{1, 2, 3}, status: http.StatusOK, runs: 1},
+		"two have no memory":              {path: "/book/", cutOff: []int{0}, noMemory: []int{1, 2}, status: http.StatusOK, runs: 1},
 		"all are cut off":                 {path: "/book/", cutOff: []int{0, 1, 2, 3}, status: http.StatusServiceUnavailable, retryAfter: "0.300"},
 		"the peer's refusal of its own":   {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: full, 2: full, 3: full}, status: http.StatusServiceUnavailable, retryAfter: "7"},
 		"an unsafe one is broken off":     {path: "/book/", cutOff: []int{0}, peers: map[int]http.HandlerFunc{1: abort, 2: abort, 3: abort}, status: http.StatusBadGateway},
@@ -71,18 +76,24 @@
 				f := newReachFleet(ctx, t, 4, 3)
 				f.cutOff(tt.cutOff...)
 				f.peers = tt.peers
-				for _, i := range tt.stopping {
-					f.entries[i].cfg.Limits.ShutdownTimeout = 8 * time.Second
-					f.entries[i].stopAt.Store(int64(f.now() + 7*time.Second))
-					f.entries[i].stopping.Store(true)
+				for _, i := range tt.noMemory {
+					f.entries[i].cfg.BodyBudget = cfvlimit.NewByteBudget(2 * bodyBytes)
+					assert.Assert(t, f.entries[i].cfg.BodyBudget.Reserve(0, bodyBytes+1), "for other requests")
+				}
+				const requests = 5
+				for range requests { // each peer is the first to be asked now and then
+					for _, i := range tt.stopping {
+						f.entries[i].cfg.Limits.ShutdownTimeout = 8 * time.Second
+						f.entries[i].stopAt.Store(int64(f.now() + 7*time.Second))
+						f.entries[i].stopping.Store(true)
+					}
+					r := askWithBody(f.entries[0], tt.path, "r1", strings.Repeat("b", bodyBytes))
+					assert.Check(t, r.Code == tt.status && r.Header().Get("Retry-After") == tt.retryAfter && r.Header().Get(testHandover) == "", "%d, %v", r.Code, r.Header())
+					time.Sleep(1100 * time.Millisecond) // no peer is left out any more
 				}
-				r := ask(f.entries[0], tt.path, "r1")
 				runs := f.runs()
 				f.close(cancel)
-				assert.Equal(t, r.Code, tt.status)
-				assert.Equal(t, r.Header().Get("Retry-After"), tt.retryAfter)
-				assert.Equal(t, r.Header().Get(testHandover), "")
-				assert.Equal(t, runs, tt.runs)
+				assert.Equal(t, runs, requests*tt.runs)
 			})
 		})
 	}
