--- a/io/cfvinventory/watcher_test.go
+++ b/io/cfvinventory/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,9 +33,15 @@
 				}})
 				state.Apply("test", []cfvmirror.Record{{Key: "config", Revision: 1}}, 1, true)
 				catalog := cfvparts.NewCatalog()
+				var mu sync.Mutex
+				do := func(f func(*cfvparts.Catalog)) {
+					mu.Lock()
+					defer mu.Unlock()
+					f(catalog)
+				}
 				fails := func() bool { return time.Since(start) > 5*time.Second }
 				w := New(Config{
-					IsRelay: func() bool { return true }, View: state.Read, Catalog: func(f func(*cfvparts.Catalog)) { f(catalog) }, Now: now, Log: cfvlog.Discard(),
+					IsRelay: func() bool { return true }, View: state.Read, Catalog: do, Now: now, Log: cfvlog.Discard(),
 					Reaches: func(context.Context) bool { return tt.reaches },
 					List: func(context.Context, string) (cfvparts.Batch, error) {
 						if fails() {
