Go on asking a peer after a caller has left

A hop that ended because its caller left or its time was over counted as one that the peer did not take, so the peer got no request for a second, and callers were refused if no other was left. TestPeerIsAskedAgainAfterACallerHasLeft got 503 before. TestPeerRefusesOnAKeptConnection passes without a change: it was suspected that the write deadline of an earlier request remains.

--- a/io/cfventry/handover.go
+++ b/io/cfventry/handover.go
@@ -138,7 +138,11 @@
 			q.possibleRuns++
 		}
 		q.logHandover(peer, "a peer did not answer", "wasSent", wasSent, "error", err.Error())
-		return q.handoverFailure(wasSent)
+		o := q.handoverFailure(wasSent)
+		if o == outcomeCallerGone || o == outcomeExpired {
+			result = cfvreach.Taken // it says nothing about the peer
+		}
+		return o
 	}
 	defer resp.Body.Close()
 	switch e.cfg.Codec.ReadHandoverAnswer(resp.Header) {
--- a/io/cfventry/handover_test.go
+++ b/io/cfventry/handover_test.go
@@ -251,3 +251,35 @@
 		})
 	}
 }
+
+// Guards against a peer that gets no requests for a second because a caller has left.
+func TestPeerIsAskedAgainAfterACallerHasLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newReachFleet(ctx, t, 2, 1)
+		f.cutOff(0)
+		f.endpoints[0].work = 200 * time.Millisecond
+		callerCtx, leave := context.WithCancel(ctx)
+		time.AfterFunc(100*time.Millisecond, leave)
+		f.entries[0].serve(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "http://h/book/", nil).WithContext(callerCtx))
+		r := ask(f.entries[0], "/book/", "r2")
+		f.close(cancel)
+		assert.Equal(t, r.Code, http.StatusOK)
+	})
+}
+
+// Guards against a refusal that can't be written because the time limit of the request before has passed, so that the request is said to
+// have run perhaps.
+func TestPeerRefusesOnAKeptConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newReachFleet(ctx, t, 2, 1)
+		f.cutOff(0)
+		assert.Equal(t, ask(f.entries[0], "/book/", "r1").Code, http.StatusOK)
+		time.Sleep(handoverIdleTimeout - 500*time.Millisecond)
+		f.cutOff(1)
+		r := ask(f.entries[0], "/book/", "r2")
+		f.close(cancel)
+		assert.Equal(t, r.Code, http.StatusServiceUnavailable)
+	})
+}
--- a/io/cfventry/reach_test.go
+++ b/io/cfventry/reach_test.go
@@ -165,7 +165,9 @@
 func (f *reachFleet) cutOff(entries ...int) {
 	for _, i := range entries {
 		f.links[i].cut(cutHang, "")
+		f.entries[i].reach.mu.Lock()
 		f.entries[i].reach.reach.Checked(f.now(), 1, 0)
+		f.entries[i].reach.mu.Unlock()
 	}
 }
 
