--- a/io/cfventry/reach.go
+++ b/io/cfventry/reach.go
@@ -11,11 +11,13 @@
 	"coltsfootvalve/core/cfvreach"
 )
 
-// reachSample is the number of endpoints to which a check of the links makes a new connection.
-const reachSample = 3
-
-// recheckDelay is how long the result of a check holds for an endpoint that fails.
-const recheckDelay = 50 * time.Millisecond
+// Numbers and times of a check of the links to the endpoints.
+const (
+	reachSample    = 9                      // endpoints to which it makes new connections
+	firstDials     = 3                      // of these at first
+	moreDialsDelay = 100 * time.Millisecond // the others follow if none has succeeded by then
+	recheckDelay   = 50 * time.Millisecond  // its result holds so long for an endpoint that fails
+)
 
 // cutOffReason is why an attempt is cancelled that has no connection when the entry is found to be cut off. It says nothing about
 // the endpoint.
@@ -83,7 +85,8 @@
 	}()
 }
 
-// ReachesEndpoints checks the links now, and returns false if this entry is cut off from all endpoints. It takes up to dialTimeout.
+// ReachesEndpoints checks the links now, and returns false if this entry is cut off from all endpoints. It takes up
+// to moreDialsDelay and dialTimeout.
 func (e *Entry) ReachesEndpoints(ctx context.Context) bool {
 	if e.cfg.Peers == nil {
 		return true
@@ -136,28 +139,48 @@
 	}
 }
 
-// dialAny makes new connections to endpoints until one succeeds, and returns how many did: one or none.
+// dialAny makes new connections to endpoints until one succeeds, and returns how many did: one or none. It begins with firstDials of them.
 func (e *Entry) dialAny(sample []*cfvfleet.Endpoint) (reached int) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	results := make(chan bool, len(sample))
-	for _, ep := range sample {
-		go func() {
-			conn, err := e.connPools.dial(ctx, "tcp", ep.Addr)
-			if err == nil {
-				_ = conn.Close()
-			}
-			results <- err == nil
-		}()
+	results, started := make(chan bool, len(sample)), 0
+	start := func(n int) {
+		for _, ep := range sample[started:n] {
+			go func() { results <- e.dialOnce(ctx, ep) }()
+		}
+		started = n
 	}
-	for range sample {
-		if <-results {
-			return 1
+	start(min(firstDials, len(sample)))
+	more := time.NewTimer(moreDialsDelay)
+	defer more.Stop()
+	for failed := 0; failed < len(sample); {
+		select {
+		case ok := <-results:
+			if ok {
+				return 1
+			}
+			if failed++; failed == started {
+				start(len(sample))
+			}
+		case <-more.C:
+			start(len(sample))
 		}
 	}
 	return 0
 }
 
+// dialOnce reports whether a new connection to an endpoint can be made.
+func (e *Entry) dialOnce(ctx context.Context, ep *cfvfleet.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := e.connPools.dial(ctx, "tcp", ep.Addr)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // reachSample returns the endpoint that succeeded last and random ones.
 func (e *Entry) reachSample() (sample []*cfvfleet.Endpoint) {
 	var all []*cfvfleet.Endpoint
--- a/io/cfventry/reach_test.go
+++ b/io/cfventry/reach_test.go
@@ -33,6 +33,7 @@
 	mu    sync.Mutex
 	kind  cutKind
 	only  string // address of the only endpoint that is cut off; empty: all are
+	spare string // address of an endpoint that is not cut off
 	conns []*testLinkConn
 }
 
@@ -52,7 +53,7 @@
 func (l *testLinks) kindFor(addr string) cutKind {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.only != "" && l.only != addr {
+	if l.only != "" && l.only != addr || l.spare == addr {
 		return cutNone
 	}
 	return l.kind
@@ -239,3 +240,42 @@
 		assert.Equal(t, failed, 0, "of %d requests", all)
 	})
 }
+
+// Guards against entries that count as cut off because endpoints are silent or down, while one is reached.
+func TestEntryIsNotCutOffWhileAnEndpointResponds(t *testing.T) {
+	tests := map[string]struct {
+		kind  cutKind
+		only  bool // one endpoint is cut off, not all but one
+		lasts time.Duration
+	}{
+		"one is silent for a second":  {kind: cutHang, only: true, lasts: time.Second},
+		"one vanishes":                {kind: cutHang, only: true, lasts: 10 * time.Second},
+		"one ends":                    {kind: cutReset, only: true, lasts: 10 * time.Second},
+		"all but one vanish":          {kind: cutHang, lasts: 10 * time.Second},
+		"all but one end":             {kind: cutReset, lasts: 10 * time.Second},
+		"all but one refuse new ones": {kind: cutRefuse, lasts: 10 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newReachFleet(ctx, t, 2, 6)
+				links := f.links[0]
+				if !tt.only {
+					links.spare = f.endpoints[5].addr
+				}
+				time.AfterFunc(cutFrom, func() {
+					if tt.only {
+						links.cut(tt.kind, f.endpoints[0].addr)
+					} else {
+						links.cut(tt.kind, "")
+					}
+				})
+				time.AfterFunc(cutFrom+tt.lasts, func() { links.cut(cutNone, "") })
+				f.send(cutPerSec, 0, cutUntil)
+				f.close(cancel)
+				assert.Equal(t, f.entries[0].reach.reach.Since(), time.Duration(0), "it was cut off")
+			})
+		})
+	}
+}
