Hand requests over within the failure domain

Handed-over requests crossed failure domains where peers of their own could serve them. They stay within it now unless the peers that are left there would serve more than three times their callers.

--- a/core/cfvreach/peers.go
+++ b/core/cfvreach/peers.go
@@ -10,7 +10,7 @@
 const (
 	refusedPeriod  = time.Second // a peer that took no request is left out for this long
 	stoppingPeriod = time.Second // a peer that stops is only asked if no other is left, for this long
-	otherDomainSum = 1           // a peer in another failure domain counts as if it ran so many requests more
+	maxLoadFactor  = 3           // peers of the same failure domain serve its callers if their load grows by this factor at most
 )
 
 // Peers chooses the peers to which an entry that is cut off hands requests over. It is not safe for concurrent use.
@@ -25,22 +25,32 @@
 	return &Peers{running: make(map[string]int), leftOutFor: make(map[string]time.Duration), stopping: make(map[string]time.Duration)}
 }
 
-// Start chooses a peer for a request, none of those that were tried, and counts the request there until Finish is called. Of two that
-// are drawn by the random numbers in [0, 1) it is the one with fewer requests; one in the same failure domain goes first. It
-// returns false if there is none.
+// Start chooses a peer for a request, none of those that were tried, and counts the request there until Finish is called. It is the one with
+// fewer requests of two that are drawn by the random numbers in [0, 1), in the same failure domain if enough peers of it are left to
+// serve its callers. It returns false if there is none.
 func (p *Peers) Start(now time.Duration, domain string, peers []cfvfleet.Entry, tried map[string]bool, random func() float64) (peer cfvfleet.Entry, ok bool) {
-	var candidates, stopping []cfvfleet.Entry
+	var candidates, near, stopping []cfvfleet.Entry
+	sameDomain := 1 // this entry
 	for _, e := range peers {
+		if e.Domain == domain {
+			sameDomain++
+		}
 		switch {
 		case tried[e.Name] || now < p.leftOutFor[e.Name]:
 		case now < p.stopping[e.Name]:
 			stopping = append(stopping, e)
 		default:
 			candidates = append(candidates, e)
+			if e.Domain == domain {
+				near = append(near, e)
+			}
 		}
 	}
-	if len(candidates) == 0 {
+	switch {
+	case len(candidates) == 0:
 		candidates = stopping
+	case len(near)*maxLoadFactor >= sameDomain:
+		candidates = near
 	}
 	if len(candidates) == 0 {
 		return peer, false
@@ -49,21 +59,13 @@
 		return candidates[min(int(random()*float64(len(candidates))), len(candidates)-1)]
 	}
 	peer = draw()
-	if other := draw(); p.load(other, domain) < p.load(peer, domain) {
+	if other := draw(); p.running[other.Name] < p.running[peer.Name] {
 		peer = other
 	}
 	p.running[peer.Name]++
 	return peer, true
 }
 
-func (p *Peers) load(e cfvfleet.Entry, domain string) int {
-	n := p.running[e.Name]
-	if e.Domain != domain {
-		n += otherDomainSum
-	}
-	return n
-}
-
 // Result is what a peer did with a request.
 type Result int
 
