--- a/io/cfventry/cold_test.go
+++ b/io/cfventry/cold_test.go
@@ -45,6 +45,7 @@
 	coldTill time.Time
 	arrivals []time.Time // of requests while it was cold
 	runs     int
+	left     int // requests whose caller closed the connection
 }
 
 func (p *coldEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -59,7 +60,14 @@
 	}
 	work := p.work
 	p.mu.Unlock()
-	time.Sleep(work)
+	select {
+	case <-time.After(work):
+	case <-r.Context().Done():
+		p.mu.Lock()
+		p.left++
+		p.mu.Unlock()
+		return
+	}
 	w.Header().Set(testRequestID, r.Header.Get(testRequestID))
 	w.Header().Set(testStamp, "s")
 	w.Header().Set(coldTestAlive, strconv.FormatInt(max(left, 0).Milliseconds(), 10))
@@ -119,14 +127,24 @@
 	entries   []*Entry
 	states    []*cfvstate.State
 	names     []string
+	configure func(entry int, cfg *Config) // changes the configuration of an entry; nil: none is changed
 
-	mu       sync.Mutex
-	changes  map[string]cfvfleet.Change
-	revision int64
+	mu               sync.Mutex
+	changes          map[string]cfvfleet.Change
+	revision         int64
+	answered, failed map[int]int // requests by entry
 }
 
 func newColdFleet(ctx context.Context, t *testing.T, entries, endpoints int) *coldFleet {
-	f := &coldFleet{t: t, ctx: ctx, network: cfvfakenet.New(500 * time.Microsecond), began: time.Now(), changes: make(map[string]cfvfleet.Change)}
+	return newColdFleetWith(ctx, t, entries, endpoints, nil)
+}
+
+// newColdFleetWith returns a fleet of entries whose configurations are changed by configure.
+func newColdFleetWith(ctx context.Context, t *testing.T, entries, endpoints int, configure func(entry int, cfg *Config)) *coldFleet {
+	f := &coldFleet{
+		t: t, ctx: ctx, network: cfvfakenet.New(500 * time.Microsecond), began: time.Now(), changes: make(map[string]cfvfleet.Change), configure: configure,
+		answered: make(map[int]int), failed: make(map[int]int),
+	}
 	for i := range entries {
 		f.names = append(f.names, fmt.Sprintf("entry-%02d", i))
 	}
@@ -168,7 +186,12 @@
 	f.apply(i, cfvfleet.Change{Config: &cfvfleet.Config{
 		Version:  1,
 		Services: []cfvfleet.Service{{Name: "s", HealthPath: "/healthz", MaxConns: 400, ColdFor: coldTestTime, ColdRequestsPerSecond: coldTestRate}},
-		Routes:   []cfvfleet.Route{{Name: "look", Host: "h", PathPrefix: "/look/", Kind: cfvfleet.Safe, Service: "s", MaxAttempts: 2, Timeout: time.Second, LatencyObjective: 100 * time.Millisecond}},
+		Routes: []cfvfleet.Route{
+			{Name: "look", Host: "h", PathPrefix: "/look/", Kind: cfvfleet.Safe, Service: "s", MaxAttempts: 2, Timeout: time.Second, LatencyObjective: 100 * time.Millisecond},
+			{Name: "book", Host: "h", PathPrefix: "/book/", Kind: cfvfleet.Unsafe, Service: "s", MaxAttempts: 1, Timeout: 10 * time.Second, LatencyObjective: 100 * time.Millisecond},
+			{Name: "ask", Host: "h", PathPrefix: "/ask/", Kind: cfvfleet.Streaming, Service: "s", MaxAttempts: 1, Timeout: 10 * time.Second, LatencyObjective: time.Second, Patience: 4 * time.Second},
+			{Name: "again", Host: "h", PathPrefix: "/again/", Kind: cfvfleet.Streaming, Service: "s", MaxAttempts: 2, Resumable: true, Timeout: 10 * time.Second, LatencyObjective: time.Second, Patience: 4 * time.Second},
+		},
 	}})
 	for _, n := range f.names {
 		f.apply(i, cfvfleet.Change{Entry: &cfvfleet.EntryChange{Name: n, Addr: n}})
@@ -176,13 +199,17 @@
 	for id := range f.endpoints {
 		f.announce(i, id, 1, 0)
 	}
-	e := New(Config{
+	cfg := Config{
 		Name: name, State: state, Now: f.now, Random: seededRandom(uint64(i)), Log: cfvlog.Discard(), Metrics: cfvmetric.New(), Dial: f.network.DialContext,
 		PeerLoads: func() (map[string]cfvdispatch.Load, map[string]cfvdispatch.Demand) { return nil, nil },
 		Limits:    Limits{RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second},
 		Codec: Codec{
 			ReadRequestMeta: func(h http.Header) (cfvcall.RequestMeta, error) {
-				return cfvcall.RequestMeta{ID: h.Get(testRequestID), Timeout: time.Second}, nil
+				timeout, err := time.ParseDuration(h.Get(testTimeout))
+				if err != nil {
+					timeout = time.Second
+				}
+				return cfvcall.RequestMeta{ID: h.Get(testRequestID), Timeout: timeout}, nil
 			},
 			RequestHeader: func(h http.Header, _ cfvcall.ForwardOptions) http.Header { return h },
 			ReadResponseMeta: func(_ int, h http.Header) cfvcall.ResponseMeta {
@@ -192,9 +219,28 @@
 				left, _ := strconv.Atoi(h.Get(coldTestAlive))
 				return "", status == http.StatusOK, time.Duration(left) * time.Millisecond
 			},
-			PassesResponseHeader: func(string) bool { return true },
+			PassesResponseHeader: func(name string) bool { return name != testHandover },
+			HandoverHeader: func(h http.Header, opts cfvcall.HandoverOptions) http.Header {
+				out := h.Clone()
+				out.Set(testHandover, strconv.Itoa(opts.PossibleRuns))
+				out.Set("Last-Event-Id", opts.ResumeAfter)
+				return out
+			},
+			ReadHandover: func(h http.Header) (int, bool) {
+				n, err := strconv.Atoi(h.Get(testHandover))
+				return n, err == nil
+			},
+			SetHandoverAnswer: func(h http.Header, a cfvcall.HandoverAnswer) { h.Set(testHandover, strconv.Itoa(int(a))) },
+			ReadHandoverAnswer: func(h http.Header) cfvcall.HandoverAnswer {
+				n, _ := strconv.Atoi(h.Get(testHandover))
+				return cfvcall.HandoverAnswer(n)
+			},
 		},
-	})
+	}
+	if f.configure != nil {
+		f.configure(i, &cfg)
+	}
+	e := New(cfg)
 	f.entries = append(f.entries, e)
 	e.startLoops(f.ctx)
 	return e
@@ -241,8 +287,10 @@
 					case at < judgedFrom:
 					case ok:
 						answered++
+						f.answered[i]++
 					default:
 						failed++
+						f.failed[i]++
 					}
 				})
 				time.Sleep(pause)
--- a/io/cfventry/connpool.go
+++ b/io/cfventry/connpool.go
@@ -21,10 +21,12 @@
 
 // Timeouts and limits of connections to endpoints.
 const (
-	dialTimeout            = 400 * time.Millisecond
-	ackTimeout             = 1500 * time.Millisecond // a connection fails if sent bytes stay unacknowledged for longer
-	keepAliveIdle          = time.Second             // probes show that an endpoint vanished while a response is awaited
-	keepAliveInterval      = time.Second             // the kernel counts it in seconds
+	dialTimeout = 400 * time.Millisecond
+	// A connection fails if sent bytes stay unacknowledged for longer. It also ends at the first keep-alive probe that is due so long
+	// after the last packet, whatever the count, if the one before was lost: an endpoint may be silent for two seconds.
+	ackTimeout             = 3500 * time.Millisecond
+	keepAliveIdle          = time.Second // probes show that an endpoint vanished while a response is awaited
+	keepAliveInterval      = time.Second // the kernel counts it in seconds
 	keepAliveCount         = 2
 	defaultIdleTimeout     = 4 * time.Second        // used until an endpoint announces how long it keeps idle connections
 	idleMargin             = 500 * time.Millisecond // the entry closes an idle connection this much earlier than the endpoint
@@ -43,6 +45,7 @@
 	now    func() time.Duration
 	// onIdleEnd is called when an endpoint closes a connection that is not in use sooner than it keeps idle ones. It must not block.
 	onIdleEnd func(cfvfleet.Incarnation)
+	onDialEnd func(id string, err error) // called with the result of each dial to an endpoint; nil: not called
 }
 
 // connPool is the connection pool of one endpoint.
@@ -168,6 +171,9 @@
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			p.onDial()
 			conn, err := p.dial(ctx, network, addr)
+			if p.onDialEnd != nil {
+				p.onDialEnd(id.ID, err)
+			}
 			if err != nil {
 				return nil, err
 			}
@@ -222,6 +228,15 @@
 	}
 }
 
+// closeAllIdle closes the idle connections to all endpoints.
+func (p *connPools) closeAllIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.byID {
+		pool.transport.CloseIdleConnections()
+	}
+}
+
 // retain closes the idle connections to all endpoints but the given ones and forgets their pools.
 func (p *connPools) retain(endpoints []*cfvfleet.Endpoint) {
 	retained := make(map[string]bool, len(endpoints))
--- a/io/cfventry/stop.go
+++ b/io/cfventry/stop.go
@@ -38,6 +38,7 @@
 	defer cancel()
 	_ = e.listener.Close() // fails only if it is closed already
 	err := e.callers.Drain(drainCtx)
+	e.awaitHandedOver(drainCtx)
 	if errors.Is(err, context.DeadlineExceeded) && e.running.Load() == 0 {
 		err = nil // only connections without a complete request are left
 	}
