Take a response with an invalid status as a failed attempt

An endpoint in trouble answered with the status 000, and its caller got a closed connection without an answer. net/http's client returns 101 and every number of three digits as the status of a response. The entry passed it to WriteHeader, which panics below 100; 101 and 600 to 999 went to the caller as they came. cfvforward passed them on as well.

A status outside 200 to 599 is now a failed attempt: the connection is closed, safe and resumable requests go to another endpoint, and other callers get 502. Nothing else in such a response is relied on, so its mark "not run" does not allow a second attempt either.

Ruled out: 1200 and other numbers that are not of three digits; the client rejects them itself.

TestInvalidStatusIsAFailedCall failed in 5 of 5: no error.

--- a/common/cfvhttp/json.go
+++ b/common/cfvhttp/json.go
@@ -85,6 +85,10 @@
 	return json.Unmarshal(data, out)
 }
 
+// IsFinalStatus reports whether a final response may have the status. http.Client also returns 101, and every number of three digits
+// below 100 or above 599, of which servers pass on some and panic at others.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status < 600 }
+
 // NotSent reports whether the request failed because no connection could be established, so
 // that no byte of it has reached the server.
 func NotSent(err error) bool {
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -186,7 +186,7 @@
 		if err == nil {
 			meta := e.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
 			q.recordNotice(ep, meta)
-			mayHaveRun = mayHaveRun && !q.saysNotRun(meta)
+			mayHaveRun = mayHaveRun && !(cfvhttp.IsFinalStatus(resp.StatusCode) && q.saysNotRun(meta))
 			_ = resp.Body.Close()
 		}
 		return q.handleObsolete(ep, reason, mayHaveRun)
@@ -196,6 +196,10 @@
 	}
 	dog.Stop()
 	defer resp.Body.Close()
+	if !cfvhttp.IsFinalStatus(resp.StatusCode) {
+		cancel() // so that the connection isn't used again
+		return q.handleInvalidStatus(ep, resp.StatusCode)
+	}
 	meta := e.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
 	q.applyResponseMeta(ep, meta)
 	q.recordNotice(ep, meta)
@@ -245,6 +249,18 @@
 	return outcomeFailed
 }
 
+// handleInvalidStatus handles a response whose status is none. Nothing else in it is relied on, not even that the request did not
+// run.
+func (q *request) handleInvalidStatus(ep *cfvfleet.Endpoint, status int) outcome {
+	q.entry.cfg.Metrics.Count("attempts.invalidStatus", 1)
+	q.logAttempt(ep, "the status of a response is invalid", "status", status)
+	q.entry.connPools.closeIdle(ep.ID)
+	q.excluded[ep.ID] = true
+	q.possibleRuns++
+	q.recordFailure(ep)
+	return outcomeFailed
+}
+
 // saysNotRun reports whether a response tells that the endpoint did not run the request.
 func (q *request) saysNotRun(meta cfvcall.ResponseMeta) bool {
 	return meta.RequestID == q.meta.ID && (meta.NotRun || meta.Misdirected)
--- a/io/cfvforward/client.go
+++ b/io/cfvforward/client.go
@@ -115,6 +115,12 @@
 		cancel(nil)
 		return nil, err
 	}
+	if !cfvhttp.IsFinalStatus(resp.StatusCode) {
+		watchdog.Stop()
+		cancel(nil)
+		resp.Body.Close()
+		return nil, cfverror.Unknown(cfverror.ReasonEndpointFailed, "endpoint %s answered with the status %03d", call.Address, resp.StatusCode)
+	}
 	watchdog.Start(call.IdleTimeout)
 	if call.OnHeader != nil {
 		call.OnHeader(readResponseMeta(resp.Header))
--- a/io/cfvforward/framing_test.go
+++ b/io/cfvforward/framing_test.go
@@ -117,3 +117,18 @@
 		})
 	}
 }
+
+// Guards against responses with an invalid status that are passed on: writing such a status panics.
+func TestInvalidStatusIsAFailedCall(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			answer := "HTTP/1.1 " + status + " Odd\r\nX-Request-Id: " + testID + "\r\nContent-Length: 2\r\n\r\nok"
+			call := Call{RequestID: testID, Address: "e:1", Method: http.MethodPost, Path: "/", IdleTimeout: timeout}
+			_, err := newCutClient(answer, false).Do(t.Context(), call, timeout)
+			assert.Equal(t, cfverror.From(err).Reason, cfverror.ReasonEndpointFailed)
+			assert.Equal(t, cfverror.From(err).Ran, cfverror.RanUnknown)
+			_, err = newCutClient(answer, false).Stream(t.Context(), call, timeout, cfvstream.New(testID), func(cfvopenai.Response) error { return nil })
+			assert.Equal(t, cfverror.From(err).Reason, cfverror.ReasonEndpointFailed)
+		})
+	}
+}
