Answer the caller of a request whose handler panics

A panic in the handler of a request closed its connection without an answer, and neither a log line of the entry nor a metric told of it: net/http recovers it and writes to its own log. A request that had been read whole thus ended in silence.

The entry now recovers the panic, logs it with its stack and counts it as callers.panics. The caller gets 500 without the headers of any other response if nothing was sent yet; otherwise the connection is broken off, so that the part doesn't look complete. http.ErrAbortHandler passes as before.

--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -158,10 +158,7 @@
 func (e *Entry) Start(ctx context.Context) (err error) {
 	router := echo.New()
 	router.HideBanner, router.HidePort = true, true
-	router.Any("/*", func(c echo.Context) error {
-		e.serve(c.Response().Writer, c.Request())
-		return nil
-	})
+	router.Any("/*", e.handle)
 	e.callerServer = &http.Server{
 		Handler: router, BaseContext: func(net.Listener) context.Context { return e.baseContext }, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
 		ConnState: callerConnState(cfvhttp.NewConnLimit(e.cfg.MaxCallers, callerBufferBytes, func() { e.cfg.Metrics.Count("callers.closed", 1) }).ConnState),
