Take a response that is reset during an upload as cut off

An endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. Callers got the part as a complete response, streams as ended in good order.

Linux reports a reset once. If the write in progress gets the error, the read of the response returns the end of the connection, which ends a response without a length. net/http gives the two no order.

Connections to endpoints now remember failed writes, and a read that would return the end of the connection waits for the write in progress and fails if the write does. This holds for the entry's connections and for all clients of cfvhttp.

--- a/common/cfvhttp/json.go
+++ b/common/cfvhttp/json.go
@@ -115,6 +115,15 @@
 	}
 }
 
+// reportResets connects to an address. See ReportResets.
+func (f DialFunc) reportResets(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := f(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return ReportResets(c), nil
+}
+
 // NewClient returns a client with its own connection pool, which keeps at most
 // maxIdlePerHost idle connections to each host.
 func NewClient(dialTimeout time.Duration, maxIdlePerHost int) *http.Client {
@@ -125,7 +134,7 @@
 // network of the operating system.
 func NewClientWithDial(dial DialFunc, dialTimeout time.Duration, maxIdlePerHost int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dial.WithTimeout(dialTimeout),
+		DialContext:         dial.WithTimeout(dialTimeout).reportResets,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     90 * time.Second,
 		DisableCompression:  true,
--- a/io/cfventry/connpool.go
+++ b/io/cfventry/connpool.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"coltsfootvalve/common/cfvhttp"
 	"coltsfootvalve/core/cfvcall"
 	"coltsfootvalve/core/cfvdispatch"
 	"coltsfootvalve/core/cfvfleet"
@@ -171,7 +172,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &endpointConn{Conn: conn, now: p.now, openedAt: p.now(), onIdleEnd: func(idleFor time.Duration) {
+			return &endpointConn{Conn: cfvhttp.ReportResets(conn), now: p.now, openedAt: p.now(), onIdleEnd: func(idleFor time.Duration) {
 				if idleFor < idle {
 					p.onIdleEnd(id)
 				}
--- a/io/cfventry/endpoint_faults_test.go
+++ b/io/cfventry/endpoint_faults_test.go
@@ -34,6 +34,8 @@
 // rawEndpoint answers requests with bytes of its own choice, on connections in memory.
 type rawEndpoint struct {
 	answer func(w io.Writer, id string, n int) // the nth answer on a connection; the connection stays open
+	early  func(id string) bool                // whether it answers before it reads the body; nil: never
+	wrap   func(net.Conn) net.Conn             // wraps the entry's end of a connection; nil: it stays as it is
 	mu     sync.Mutex
 	conns  []net.Conn
 	seen   int // requests received
@@ -51,13 +53,19 @@
 			if err != nil {
 				return
 			}
-			_, _ = io.Copy(io.Discard, req.Body)
+			id := req.Header.Get(testRequestID)
+			if e.early == nil || !e.early(id) {
+				_, _ = io.Copy(io.Discard, req.Body)
+			}
 			e.mu.Lock()
 			e.seen++
 			e.mu.Unlock()
-			e.answer(far, req.Header.Get(testRequestID), n)
+			e.answer(far, id, n)
 		}
 	}()
+	if e.wrap != nil {
+		return e.wrap(near), nil
+	}
 	return near, nil
 }
 
