Reset the connections of HTTP/1.0 callers whose response is cut off

A caller of HTTP/1.0 got a part of a long response, or of a stream, as a complete one. Such responses have no length and, in HTTP/1.0, no chunks, so they last until the connection is closed, and the entry broke off an incomplete response by closing the connection as well.

For callers of HTTP/1.0 the entry now resets the connection, which reads report as an error. Complete responses end as before. Callers of HTTP/1.1 get chunks, of which the last is missing.

TestCallersWithoutChunksNoticeACut failed before in 4 of 16 cases, all with HTTP/1.0: 15 bytes of a stream and 2 MB of a long response looked complete.

--- a/io/cfventry/early_test.go
+++ b/io/cfventry/early_test.go
@@ -15,6 +15,9 @@
 	"testing/synctest"
 	"time"
 
+	"coltsfootvalve/core/cfvdispatch"
+	"coltsfootvalve/core/cfvlimit"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -111,3 +114,70 @@
 		}
 	}
 }
+
+// Guards against responses that are cut off and look complete to callers of HTTP/1.0, whose responses may end with the connection.
+func TestCallersWithoutChunksNoticeACut(t *testing.T) {
+	const head, event = "HTTP/1.0 200 OK\r\nId: r\r\nStamp: s\r\n\r\n", "id: 1\ndata: a\n\n"
+	long := strings.Repeat("x", 2*maxBufferedResponse)
+	tests := map[string]struct {
+		path, part string
+		reset      bool // by the endpoint
+		status     int  // 0: the connection is reset
+	}{
+		"short":         {path: "/book/", part: "whole", status: http.StatusOK},
+		"short, cut":    {path: "/book/", part: "part", reset: true, status: http.StatusBadGateway},
+		"long":          {path: "/book/", part: long, status: http.StatusOK},
+		"long, cut":     {path: "/book/", part: long, reset: true},
+		"safe, cut":     {path: "/look/", part: long, reset: true},
+		"stream":        {path: "/ask/", part: event, status: http.StatusOK},
+		"stream, cut":   {path: "/ask/", part: event, reset: true},
+		"inside events": {path: "/ask/", part: event + "id: 2"},
+	}
+	for name, tt := range tests {
+		for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
+			t.Run(name+", "+proto, func(t *testing.T) {
+				var reset atomic.Bool
+				endpoint := &rawEndpoint{wrap: func(c net.Conn) net.Conn { return &resettableConn{Conn: c, reset: &reset} }}
+				endpoint.answer = func(w io.Writer, _ string, _ int) {
+					_, _ = io.WriteString(w, head+tt.part)
+					reset.Store(tt.reset)
+					_ = w.(net.Conn).Close()
+				}
+				defer endpoint.close()
+				e := newRawEntry(endpoint)
+				e.cfg.PeerLoads = func() (map[string]cfvdispatch.Load, map[string]cfvdispatch.Demand) { return nil, nil }
+				e.cfg.CallerAddr, e.cfg.ReadyAddr, e.cfg.BodyBudget = "127.0.0.1:0", "127.0.0.1:0", cfvlimit.NewByteBudget(8<<20)
+				var callers net.Listener
+				e.cfg.Listen = func(network, addr string) (net.Listener, error) {
+					l, err := net.Listen(network, addr)
+					if callers == nil {
+						callers = l
+					}
+					return l, err
+				}
+				assert.NilError(t, e.Start(t.Context()))
+				defer e.callerServer.Close()
+				defer e.readyServer.Close()
+				conn, err := net.Dial("tcp", callers.Addr().String())
+				assert.NilError(t, err)
+				defer conn.Close()
+				_, err = fmt.Fprintf(conn, "GET %s %s\r\nHost: h\r\nId: r\r\nConnection: close\r\n\r\n", tt.path, proto)
+				assert.NilError(t, err)
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				var body []byte
+				if err == nil {
+					body, err = io.ReadAll(resp.Body)
+				}
+				if tt.status == 0 {
+					assert.Assert(t, err != nil, "%d bytes look complete", len(body))
+					return
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, resp.StatusCode, tt.status)
+				if tt.status == http.StatusOK {
+					assert.Assert(t, string(body) == tt.part, "%d bytes", len(body))
+				}
+			})
+		}
+	}
+}
--- a/io/cfventry/panics.go
+++ b/io/cfventry/panics.go
@@ -2,20 +2,21 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"runtime/debug"
 
 	"github.com/labstack/echo/v4"
 )
 
-// handle serves a request of a caller. If its handler panics, the caller gets status 500, or a closed connection if a part of another
+// handle serves a request of a caller. If its handler panics, the caller gets status 500, or a broken connection if a part of a
 // response was sent already.
 func (e *Entry) handle(c echo.Context) error {
 	defer func() {
 		switch p := recover(); p {
 		case nil:
 		case http.ErrAbortHandler:
-			panic(p)
+			abort(c)
 		default:
 			e.handlePanic(c, p)
 		}
@@ -29,10 +30,31 @@
 	e.cfg.Metrics.Count("callers.panics", 1)
 	e.cfg.Log.Warnw("the handler of a request panicked", "panic", fmt.Sprint(p), "path", c.Request().URL.Path, "sent", c.Response().Committed, "stack", string(debug.Stack()))
 	if c.Response().Committed {
-		panic(http.ErrAbortHandler)
+		abort(c)
+		return
 	}
 	header := c.Response().Header()
 	clear(header) // may be of another response
 	header.Set("Connection", "close")
 	c.Response().WriteHeader(http.StatusInternalServerError)
 }
+
+// abort breaks the connection of an incomplete response. HTTP/1.0 has no chunks, so only a reset tells its callers from a response that
+// ends.
+func abort(c echo.Context) {
+	if c.Request().ProtoAtLeast(1, 1) {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := c.Response().Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	tcp := conn
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		tcp = wrapped.NetConn()
+	}
+	if l, ok := tcp.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = conn.Close()
+}
