Reserve memory for the heads of responses

Endpoints that sent header lines without end took an entry over its memory limit. The head of a response is bounded to 64 KiB, but needs 7 bytes of memory for each with short lines, and nothing bounded the heads of many requests together. Heads that arrive slowly are the worse case, since they are held for the whole second that a head may take.

A connection to an endpoint now reserves what arrives of a head beyond its first 4 KiB in the budget for bodies, until the attempt ends. Without room the attempt fails. A usual head fits into the first 4 KiB, the size of the read buffer (8 KiB before), and needs no room, so a full budget doesn't break off usual responses.

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -171,6 +171,7 @@
 	defer hedge.stop()
 	q.startTimes(choice)
 	sent := sendTracker{onConn: func(openedAt time.Duration) { q.times.sentAt, q.times.connectedAt = e.cfg.Now(), openedAt }}
+	defer sent.releaseHead()
 	dog := cfvhttp.NewWatchdog(cancel)
 	defer dog.Stop()
 	pending := &pendingAttempt{service: q.service.Name, endpoint: ep.ID, model: q.meta.Prompt.Model, version: opts.WeightVersion, workspace: opts.Workspace, scope: q.scope.name, sent: &sent, cancel: cancel}
@@ -178,6 +179,7 @@
 	pool := q.connPool(ep)
 	resp, err := q.sendInTurn(dog.WatchHead(sent.trace(ctx)), pool, choice, opts)
 	e.pending.remove(pending)
+	sent.endHead()
 	if errors.Is(err, errBecameCold) {
 		return q.handleBecameCold(ep)
 	}
@@ -306,6 +308,10 @@
 		q.recordFailure(ep)
 		return outcomeExpired
 	}
+	if errors.Is(err, errNoRoom) { // for the head of the response, which is no fault of the endpoint's process
+		q.excluded[ep.ID] = true
+		return outcomeFailed
+	}
 	if !wasSent && sent.reused {
 		go e.suspectRestart(ep.Incarnation())
 		return outcomeNotRun // the connection broke while it was idle, so the endpoint may be available
--- a/io/cfventry/connpool.go
+++ b/io/cfventry/connpool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 	"coltsfootvalve/core/cfvcall"
 	"coltsfootvalve/core/cfvdispatch"
 	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvlimit"
 
 	"golang.org/x/sys/unix"
 )
@@ -32,7 +34,8 @@
 	maxResponseHeaderBytes = 64 << 10
 	connShare              = 0.8 // share of the connections that an endpoint accepts which all entries together use
 	minConns               = 4
-	connBufferSize         = 8 << 10
+	readBufferSize         = 4 << 10 // a usual head of a response fits, and is not reserved
+	writeBufferSize        = 8 << 10
 )
 
 // connPools holds a connection pool for each incarnation of an endpoint.
@@ -42,6 +45,7 @@
 	onDial func() // counts new connections
 	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 	now    func() time.Duration
+	budget *cfvlimit.ByteBudget // for heads of responses
 	// onIdleEnd is called when an endpoint closes a connection that is not in use sooner than it keeps idle ones. It must not block.
 	onIdleEnd func(cfvfleet.Incarnation)
 }
@@ -125,7 +129,7 @@
 func (p *connPool) unshared() *http.Transport { return p.single() }
 
 // newConnPools returns empty pools. If dial is nil, connections are made over TCP.
-func newConnPools(now func() time.Duration, onDial func(), onIdleEnd func(cfvfleet.Incarnation), dial func(ctx context.Context, network, addr string) (net.Conn, error)) *connPools {
+func newConnPools(now func() time.Duration, onDial func(), onIdleEnd func(cfvfleet.Incarnation), dial func(ctx context.Context, network, addr string) (net.Conn, error), budget *cfvlimit.ByteBudget) *connPools {
 	if dial == nil {
 		dialer := &net.Dialer{
 			Timeout: dialTimeout, Control: setUserTimeout,
@@ -133,7 +137,7 @@
 		}
 		dial = dialer.DialContext
 	}
-	return &connPools{byID: make(map[string]*connPool), now: now, onDial: onDial, onIdleEnd: onIdleEnd, dial: dial}
+	return &connPools{byID: make(map[string]*connPool), now: now, onDial: onDial, onIdleEnd: onIdleEnd, dial: dial, budget: budget}
 }
 
 // get returns the connection pool of an endpoint. It replaces a pool that was made for another
@@ -172,14 +176,14 @@
 			if err != nil {
 				return nil, err
 			}
-			return &endpointConn{Conn: cfvhttp.ReportResets(conn), now: p.now, openedAt: p.now(), onIdleEnd: func(idleFor time.Duration) {
+			return &endpointConn{Conn: cfvhttp.ReportResets(conn), head: responseHead{budget: p.budget}, now: p.now, openedAt: p.now(), onIdleEnd: func(idleFor time.Duration) {
 				if idleFor < idle {
 					p.onIdleEnd(id)
 				}
 			}}, nil
 		},
 		MaxIdleConnsPerHost: conns, MaxConnsPerHost: conns, IdleConnTimeout: idle, DisableCompression: true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes, ReadBufferSize: connBufferSize, WriteBufferSize: connBufferSize,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes, ReadBufferSize: readBufferSize, WriteBufferSize: writeBufferSize,
 	}
 }
 
@@ -247,6 +251,7 @@
 	openedAt  time.Duration
 	onIdleEnd func(idleFor time.Duration)
 	writes    atomic.Int64
+	head      responseHead
 
 	mu        sync.Mutex
 	uses      int           // by requests so far
@@ -261,6 +266,13 @@
 	return c.uses
 }
 
+// isUse reports whether a use is the latest one.
+func (c *endpointConn) isUse(use int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return use == c.uses
+}
+
 // endUse records the end of a use, unless the next one has begun.
 func (c *endpointConn) endUse(use int) {
 	c.mu.Lock()
@@ -273,6 +285,9 @@
 // Read reads from the connection. A connection that is not in use is read all the time, so that its end is noticed.
 func (c *endpointConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if !c.head.add(n) {
+		return 0, fmt.Errorf("read the head of a response: %w", errNoRoom)
+	}
 	if err == nil {
 		return n, nil
 	}
@@ -299,6 +314,7 @@
 // Close closes the connection.
 func (c *endpointConn) Close() error {
 	c.use()
+	c.head.release()
 	return c.Conn.Close()
 }
 
@@ -321,6 +337,7 @@
 				return
 			}
 			use := c.use()
+			c.head.begin()
 			s.onConn(c.openedAt)
 			s.mu.Lock()
 			s.conn, s.use, s.writesBefore, s.reused = c, use, c.writes.Load(), info.Reused
@@ -336,6 +353,24 @@
 	})
 }
 
+// endHead tells that the head of the response is complete.
+func (s *sendTracker) endHead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil {
+		s.conn.head.end()
+	}
+}
+
+// releaseHead returns the memory for the head of the response, unless another request uses the connection already.
+func (s *sendTracker) releaseHead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != nil && s.conn.isUse(s.use) {
+		s.conn.head.release()
+	}
+}
+
 // hasConn reports whether the request has a connection.
 func (s *sendTracker) hasConn() bool {
 	s.mu.Lock()
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -132,7 +132,7 @@
 	}
 	e.pending, e.speeds = newPendingAttempts(), newSpeeds()
 	e.baseContext, e.endRequests = context.WithCancelCause(context.Background())
-	e.connPools = newConnPools(cfg.Now, func() { cfg.Metrics.Count("endpoints.dials", 1) }, func(id cfvfleet.Incarnation) { go e.suspectRestart(id) }, cfg.Dial)
+	e.connPools = newConnPools(cfg.Now, func() { cfg.Metrics.Count("endpoints.dials", 1) }, func(id cfvfleet.Incarnation) { go e.suspectRestart(id) }, cfg.Dial, cfg.BodyBudget)
 	probeDial := cfg.Dial
 	if probeDial == nil {
 		probeDial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext
--- a/soak/crowd/process_test.go
+++ b/soak/crowd/process_test.go
@@ -49,8 +49,13 @@
 	return bin
 }
 
-// startEntry starts an entry, and returns when it is ready.
+// startEntry starts an entry with one endpoint, and returns when it is ready.
 func startEntry(t *testing.T, bin string, maxFds int) *entryProcess {
+	return startEntryWith(t, bin, maxFds, map[string]string{"desk-0": startServer(t, http.HandlerFunc(serveEndpoint))})
+}
+
+// startEntryWith starts an entry with endpoints, of which it gets the addresses by their IDs.
+func startEntryWith(t *testing.T, bin string, maxFds int, endpoints map[string]string) *entryProcess {
 	kvStore := cfvfakeplatform.New()
 	put := func(key string, item any) {
 		data, err := json.Marshal(item)
@@ -58,9 +63,11 @@
 		kvStore.Put(key, data)
 	}
 	put("op/config", config())
-	put("servers/desk-0", map[string]any{
-		"service": "desk", "addr": startServer(t, http.HandlerFunc(serveEndpoint)), "zone": "north", "version": "v1", "slots": 200, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1,
-	})
+	for id, addr := range endpoints {
+		put("servers/"+id, map[string]any{
+			"service": "desk", "addr": addr, "zone": "north", "version": "v1", "slots": 200, "state": "ready", "coldLeftMs": 0, "seq": 1, "born": 1,
+		})
+	}
 	callerAddr, readyAddr := freeAddr(t), freeAddr(t)
 	settings, err := json.Marshal(map[string]any{
 		"node": "entry-0", "zone": "north", "ip": "127.0.0.1", "listen": map[string]string{"front": callerAddr, "ready": readyAddr, "control": freeAddr(t)},
@@ -108,8 +115,10 @@
 	route := func(name string) map[string]any {
 		return map[string]any{"name": name, "host": host, "pathPrefix": "/" + name + "/", "kind": "unsafe", "timeoutMs": 6000, "sloMs": 600, "service": "desk", "attempts": 1}
 	}
+	stream := route("ask")
+	stream["kind"] = "streaming"
 	return map[string]any{
-		"version": 1, "routes": []any{route("book"), route("long")},
+		"version": 1, "routes": []any{route("book"), route("long"), stream},
 		"services": []any{map[string]any{"name": "desk", "healthPath": "/healthz", "maxConns": 210}},
 		"limits":   map[string]any{"headerBytes": 16384, "bodyBytes": bodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": "tenant-a", "apiKeys": []string{"key-0"}}},
