Reserve memory for incomplete events of streams

Endpoints that sent a stream without the end of an event took an entry over its memory limit. An event may have 1 MiB, and the bytes of each stream were kept without a reservation.

The buffer of a stream is now reserved in the budget for bodies beyond 16 KiB, twice its size, since the complete events are copied. Without room the attempt fails; the endpoint doesn't count as down, since it is not known to be.

TestIncompleteEventsAreReserved is new with the budget it checks.

--- a/io/cfventry/response_heads_test.go
+++ b/io/cfventry/response_heads_test.go
@@ -67,3 +67,24 @@
 	cfg.BodyBudget = budget
 	return New(cfg)
 }
+
+// Guards against entries that end for their memory: the bytes of an event were kept until it was complete, however many other streams did
+// so.
+func TestIncompleteEventsAreReserved(t *testing.T) {
+	const budgetBytes = 256 << 10
+	budget := cfvlimit.NewByteBudget(budgetBytes)
+	first := &eventReader{r: strings.NewReader(strings.Repeat("x", 40<<10) + "\n\n" + "id"), budget: budget}
+	batch, err := first.next()
+	assert.NilError(t, err)
+	assert.Equal(t, len(batch), 40<<10+2)
+	assert.Assert(t, budget.Used() > 40<<10 && budget.Used() < budgetBytes)
+	second := &eventReader{r: strings.NewReader(strings.Repeat("x", 200<<10)), budget: budget}
+	_, err = second.next()
+	assert.ErrorIs(t, err, errNoRoom)
+	first.release()
+	second.release()
+	assert.Equal(t, budget.Used(), int64(0))
+	usual := &eventReader{r: strings.NewReader("id: 1\n\n"), budget: cfvlimit.NewByteBudget(0)}
+	_, err = usual.next()
+	assert.NilError(t, err)
+}
--- a/io/cfventry/stream.go
+++ b/io/cfventry/stream.go
@@ -10,6 +10,7 @@
 
 	"coltsfootvalve/common/cfvhttp"
 	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvlimit"
 )
 
 // streamState is the progress of a stream towards the caller.
@@ -47,12 +48,15 @@
 	maxEventBytes  = 1 << 20
 )
 
-// eventReader splits a stream of server-sent events into batches of complete events.
+// eventReader splits a stream of server-sent events into batches of complete events. Its buffer is reserved in a budget until it is
+// released, except for the size of a usual one.
 type eventReader struct {
-	r   io.Reader
-	buf []byte
-	tmp [streamReadSize]byte
-	err error
+	r        io.Reader
+	budget   *cfvlimit.ByteBudget
+	buf      []byte
+	reserved int64
+	tmp      [streamReadSize]byte
+	err      error
 }
 
 // next returns all complete events that have arrived, and waits for at least one. An event ends
@@ -71,11 +75,39 @@
 			return nil, errors.New("an event exceeds the size limit")
 		}
 		n, err := e.r.Read(e.tmp[:])
+		if !e.grow(n) {
+			return nil, errNoRoom
+		}
 		e.buf = append(e.buf, e.tmp[:n]...)
 		e.err = err
 	}
 }
 
+// grow makes room for n more bytes. It reports whether there is memory for them, and for the copy of the events that next returns.
+func (e *eventReader) grow(n int) bool {
+	needed := len(e.buf) + n
+	if needed <= cap(e.buf) {
+		return true
+	}
+	size := max(2*cap(e.buf), needed)
+	if more := int64(2*size) - 4*streamReadSize - e.reserved; more > 0 {
+		if !e.budget.Reserve(e.reserved, more) {
+			return false
+		}
+		e.reserved += more
+	}
+	buf := make([]byte, len(e.buf), size)
+	copy(buf, e.buf)
+	e.buf = buf
+	return true
+}
+
+// release returns the reserved memory.
+func (e *eventReader) release() {
+	e.budget.Release(e.reserved)
+	e.buf, e.reserved = nil, 0
+}
+
 // remainder returns the bytes after the last complete event.
 func (e *eventReader) remainder() []byte { return e.buf }
 
@@ -102,7 +134,8 @@
 	if q.stream == nil {
 		q.stream = &streamState{}
 	}
-	events := &eventReader{r: resp.Body}
+	events := &eventReader{r: resp.Body, budget: q.entry.cfg.BodyBudget}
+	defer events.release()
 	for {
 		dog.Start(q.stallLimit())
 		batch, err := events.next()
@@ -182,6 +215,9 @@
 		return outcomeCallerGone
 	case q.ended():
 		return outcomeExpired
+	case errors.Is(err, errNoRoom): // no fault of the endpoint's process
+		q.excluded[ep.ID] = true
+		return outcomeFailed
 	case cancelled:
 		q.entry.connPools.closeIdle(ep.ID)
 	case errors.Is(err, context.DeadlineExceeded):
--- a/soak/crowd/faulty_test.go
+++ b/soak/crowd/faulty_test.go
@@ -54,6 +54,7 @@
 		"body":                {start: chunked, repeat: chunk},
 		"body without chunks": {start: ok + "\r\n", repeat: bytes},
 		"body, unread":        {start: chunked, repeat: chunk, unread: true},
+		"stream, no event":    {start: chunked, repeat: chunk, path: "/ask/1"},
 		"stream, unread":      {start: chunked, repeat: strings.Repeat("7\r\nid: 1\n\n\r\n", 300), path: "/ask/1", unread: true},
 	}
 	bin := buildBinary(t)
