Take a response over its limit as an error

A response longer than its limit (64 MiB from an endpoint, 8 MiB in the control plane) was cut at the limit and returned without an error: callers got a part of the body as all of it, and an order to an engine whose response did not end counted as accepted. Clients now read one byte more than the limit and fail.

TestResponseOverTheLimitIsNotComplete failed before: no error for a response of 64 MiB and a byte.

--- a/common/cfvhttp/json.go
+++ b/common/cfvhttp/json.go
@@ -72,7 +72,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes))
+	data, err := ReadBody(resp.Body, MaxResponseBytes)
 	if err != nil {
 		return err
 	}
@@ -85,6 +85,18 @@
 	return json.Unmarshal(data, out)
 }
 
+// ErrBodyTooLong is the error of a body that is longer than its limit.
+var ErrBodyTooLong = errors.New("the body is too long")
+
+// ReadBody reads a whole body of at most limit bytes. A longer one is an error, so that its start is not taken for all of it.
+func ReadBody(r io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, ErrBodyTooLong
+	}
+	return data, err
+}
+
 // IsFinalStatus reports whether a final response may have the status. http.Client also returns 101, and every number of three digits
 // below 100 or above 599, of which servers pass on some and panic at others.
 func IsFinalStatus(status int) bool { return status >= http.StatusOK && status < 600 }
--- a/io/cfvforward/client.go
+++ b/io/cfvforward/client.go
@@ -169,7 +169,7 @@
 	}
 	defer r.close()
 	resp = Response{Meta: readResponseMeta(r.resp.Header), Status: r.resp.StatusCode, Header: r.resp.Header}
-	resp.Body, err = io.ReadAll(io.LimitReader(r, maxResponseBytes))
+	resp.Body, err = cfvhttp.ReadBody(r, maxResponseBytes)
 	if err != nil {
 		return resp, readError(r.resp.Request.Context(), call, err)
 	}
--- a/io/cfvforward/framing_test.go
+++ b/io/cfvforward/framing_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -132,3 +133,18 @@
 		})
 	}
 }
+
+// Guards against responses that are cut off and look complete: of a longer one than the limit, the start was returned without an error.
+func TestResponseOverTheLimitIsNotComplete(t *testing.T) {
+	for _, over := range []int{0, 1} {
+		c := newCutClient(unframed+strings.Repeat("x", maxResponseBytes+over), false)
+		resp, err := c.Do(t.Context(), Call{RequestID: testID, Address: "e:1", Method: http.MethodPost, Path: "/", IdleTimeout: timeout}, timeout)
+		if over == 0 {
+			assert.NilError(t, err)
+			assert.Equal(t, len(resp.Body), maxResponseBytes)
+			continue
+		}
+		assert.Equal(t, cfverror.From(err).Reason, cfverror.ReasonResponseTruncated)
+		assert.Equal(t, cfverror.From(err).Ran, cfverror.RanUnknown)
+	}
+}
