Bound the heads of responses in the control plane

An engine, a cache store or the key-value store that sent header lines without end made an entry read 10 MiB of them, net/http's default, and keep them in several times the memory; a health probe did the same for each endpoint.

--- a/common/cfvhttp/json.go
+++ b/common/cfvhttp/json.go
@@ -18,6 +18,9 @@
 // MaxResponseBytes is the maximum length of the body of a control-plane response.
 const MaxResponseBytes = 8 << 20
 
+// MaxHeaderBytes is the maximum length of the head of a response. Without a limit, net/http reads 10 MB.
+const MaxHeaderBytes = 64 << 10
+
 // StatusError is the error for a response with a status other than 2xx.
 type StatusError struct {
 	Status int
@@ -150,5 +153,7 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     90 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}}
 }
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -137,7 +137,7 @@
 	if probeDial == nil {
 		probeDial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext
 	}
-	e.probeClient = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DialContext: probeDial, DisableKeepAlives: true}}
+	e.probeClient = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DialContext: probeDial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxProbeHeaderBytes}}
 	return e
 }
 
--- a/io/cfvpeer/client.go
+++ b/io/cfvpeer/client.go
@@ -69,6 +69,8 @@
 		DialContext: c.cfg.Traffic.Dial(c.cfg.Dial.WithTimeout(dialTimeout)),
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout},
 		Protocols:   new(http.Protocols),
+
+		MaxResponseHeaderBytes: cfvhttp.MaxHeaderBytes,
 	}
 	if c.cfg.TLS == nil {
 		t.Protocols.SetUnencryptedHTTP2(true)
--- a/soak/crowd/faulty_test.go
+++ b/soak/crowd/faulty_test.go
@@ -56,6 +56,8 @@
 		"body, unread":        {start: chunked, repeat: chunk, unread: true},
 		"stream, no event":    {start: chunked, repeat: chunk, path: "/ask/1"},
 		"stream, unread":      {start: chunked, repeat: strings.Repeat("7\r\nid: 1\n\n\r\n", 300), path: "/ask/1", unread: true},
+		"health, head":        {start: "HTTP/1.1 200 OK\r\n", repeat: lines, health: true},
+		"health, body":        {start: chunked, repeat: chunk, health: true},
 	}
 	bin := buildBinary(t)
 	for name, tt := range tests {
