Bound events of many lines

An event of a stream had no limit, only each of its lines: an endpoint that sent data lines without an empty line made an entry keep all of them until no time was left. MaxEventBytes, 1 MiB, now holds for the whole event.

TestEventWithoutEndIsAnError failed before: 16 MB, all that the test has, were read for one event.

--- a/io/cfvopenai/events.go
+++ b/io/cfvopenai/events.go
@@ -7,7 +7,7 @@
 	"io"
 )
 
-// MaxEventBytes is the maximum size of one line of an event stream.
+// MaxEventBytes is the maximum size of one event, and of one line, of an event stream.
 const MaxEventBytes = 1 << 20
 
 // EventReader reads the data of server-sent events.
@@ -53,6 +53,9 @@
 		if seen {
 			data = append(data, '\n')
 		}
+		if len(data)+len(value) > MaxEventBytes {
+			return nil, fmt.Errorf("read event: more than %d bytes", MaxEventBytes)
+		}
 		data = append(data, bytes.TrimPrefix(value, []byte(" "))...)
 		seen = true
 	}
