--- a/common/cfvhttp/conn_limit.go
+++ b/common/cfvhttp/conn_limit.go
@@ -100,15 +100,19 @@
 
 // setBuffers sets the sizes of the kernel's buffers. Without it the kernel enlarges them to several MB each.
 func (l *ConnLimit) setBuffers(c net.Conn) {
+	if tcp, ok := InnermostConn(c).(*net.TCPConn); ok && l.bufferBytes > 0 {
+		_ = tcp.SetReadBuffer(l.bufferBytes) // fails only if the connection is closed
+		_ = tcp.SetWriteBuffer(l.bufferBytes)
+	}
+}
+
+// InnermostConn returns the connection that c wraps, over any number of wrappers that have NetConn.
+func InnermostConn(c net.Conn) net.Conn {
 	for {
 		wrapped, ok := c.(interface{ NetConn() net.Conn })
 		if !ok {
-			break
+			return c
 		}
 		c = wrapped.NetConn()
 	}
-	if tcp, ok := c.(*net.TCPConn); ok && l.bufferBytes > 0 {
-		_ = tcp.SetReadBuffer(l.bufferBytes) // fails only if the connection is closed
-		_ = tcp.SetWriteBuffer(l.bufferBytes)
-	}
 }
--- a/common/cfvhttp/json.go
+++ b/common/cfvhttp/json.go
@@ -18,6 +18,9 @@
 // MaxResponseBytes is the maximum length of the body of a control-plane response.
 const MaxResponseBytes = 8 << 20
 
+// MaxHeaderBytes is the maximum length of the head of a response. Without a limit, net/http reads 10 MB.
+const MaxHeaderBytes = 64 << 10
+
 // StatusError is the error for a response with a status other than 2xx.
 type StatusError struct {
 	Status int
@@ -72,7 +75,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes))
+	data, err := ReadBody(resp.Body, MaxResponseBytes)
 	if err != nil {
 		return err
 	}
@@ -85,6 +88,22 @@
 	return json.Unmarshal(data, out)
 }
 
+// ErrBodyTooLong is the error of a body that is longer than its limit.
+var ErrBodyTooLong = errors.New("the body is too long")
+
+// ReadBody reads a whole body of at most limit bytes. A longer one is an error, so that its start is not taken for all of it.
+func ReadBody(r io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return nil, ErrBodyTooLong
+	}
+	return data, err
+}
+
+// IsFinalStatus reports whether a final response may have the status. http.Client also returns 101, and every number of three digits
+// below 100 or above 599, of which servers pass on some and panic at others.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status < 600 }
+
 // NotSent reports whether the request failed because no connection could be established, so
 // that no byte of it has reached the server.
 func NotSent(err error) bool {
@@ -111,6 +130,15 @@
 	}
 }
 
+// reportResets connects to an address. See ReportResets.
+func (f DialFunc) reportResets(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := f(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return ReportResets(c), nil
+}
+
 // NewClient returns a client with its own connection pool, which keeps at most
 // maxIdlePerHost idle connections to each host.
 func NewClient(dialTimeout time.Duration, maxIdlePerHost int) *http.Client {
@@ -121,9 +149,11 @@
 // network of the operating system.
 func NewClientWithDial(dial DialFunc, dialTimeout time.Duration, maxIdlePerHost int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dial.WithTimeout(dialTimeout),
+		DialContext:         dial.WithTimeout(dialTimeout).reportResets,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     90 * time.Second,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: MaxHeaderBytes,
 	}}
 }
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -181,6 +181,7 @@
 	defer hedge.stop()
 	q.startTimes(choice)
 	sent := sendTracker{onConn: func(openedAt time.Duration) { q.times.sentAt, q.times.connectedAt = e.cfg.Now(), openedAt }}
+	defer sent.releaseHead()
 	dog := cfvhttp.NewWatchdog(cancel)
 	defer dog.Stop()
 	pending := &pendingAttempt{service: q.service.Name, endpoint: ep.ID, model: q.meta.Prompt.Model, version: opts.WeightVersion, workspace: opts.Workspace, scope: q.scope.name, sent: &sent, cancel: cancel}
@@ -188,6 +189,7 @@
 	pool := q.connPool(ep)
 	resp, err := q.sendInTurn(dog.WatchHead(sent.trace(ctx)), pool, choice, opts)
 	e.pending.remove(pending)
+	sent.endHead()
 	if errors.Is(err, errBecameCold) {
 		return q.handleBecameCold(ep)
 	}
@@ -196,7 +198,7 @@
 		if err == nil {
 			meta := e.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
 			q.recordNotice(ep, meta)
-			mayHaveRun = mayHaveRun && !q.saysNotRun(meta)
+			mayHaveRun = mayHaveRun && !(cfvhttp.IsFinalStatus(resp.StatusCode) && q.saysNotRun(meta))
 			_ = resp.Body.Close()
 		}
 		return q.handleObsolete(ep, reason, mayHaveRun)
@@ -207,6 +209,10 @@
 	dog.Stop()
 	e.recordReach(ep.ID, cfvreach.NoResponse, true)
 	defer resp.Body.Close()
+	if !cfvhttp.IsFinalStatus(resp.StatusCode) {
+		cancel() // so that the connection isn't used again
+		return q.handleInvalidStatus(ep, resp.StatusCode)
+	}
 	meta := e.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
 	q.applyResponseMeta(ep, meta)
 	q.recordNotice(ep, meta)
@@ -256,6 +262,18 @@
 	return outcomeFailed
 }
 
+// handleInvalidStatus handles a response whose status is none. Nothing else in it is relied on, not even that the request did not
+// run.
+func (q *request) handleInvalidStatus(ep *cfvfleet.Endpoint, status int) outcome {
+	q.entry.cfg.Metrics.Count("attempts.invalidStatus", 1)
+	q.logAttempt(ep, "the status of a response is invalid", "status", status)
+	q.entry.connPools.closeIdle(ep.ID)
+	q.excluded[ep.ID] = true
+	q.possibleRuns++
+	q.recordFailure(ep)
+	return outcomeFailed
+}
+
 // saysNotRun reports whether a response tells that the endpoint did not run the request.
 func (q *request) saysNotRun(meta cfvcall.ResponseMeta) bool {
 	return meta.RequestID == q.meta.ID && (meta.NotRun || meta.Misdirected)
@@ -304,6 +322,10 @@
 		q.recordFailure(ep)
 		return outcomeExpired
 	}
+	if errors.Is(err, errNoRoom) { // for the head of the response, which is no fault of the endpoint's process
+		q.excluded[ep.ID] = true
+		return outcomeFailed
+	}
 	if !wasSent && sent.reused {
 		go e.suspectRestart(ep.Incarnation())
 		return outcomeNotRun // the connection broke while it was idle, so the endpoint may be available
@@ -364,36 +386,3 @@
 func (q *request) logAttempt(ep *cfvfleet.Endpoint, message string, pairs ...any) {
 	q.entry.cfg.Log.Infow(message, append(q.logFields("endpoint", ep.ID, "leftMillis", q.timeLeft().Milliseconds()), pairs...)...)
 }
-
-// recordFailure records a failed request at an endpoint.
-func (q *request) recordFailure(ep *cfvfleet.Endpoint) { q.recordOutcome(ep, true) }
-
-// recordOutcome records the result of a request at an endpoint. A success also clears the
-// suspicion against the request.
-func (q *request) recordOutcome(ep *cfvfleet.Endpoint, failed bool) {
-	if failed && q.entry.CutOff() {
-		return // the links failed
-	}
-	q.recordSample(ep, failed)
-	e := q.entry
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	baseline := e.baselines[q.route.Name]
-	if baseline == nil {
-		baseline = &cfvdispatch.FailureBaseline{}
-		e.baselines[q.route.Name] = baseline
-	}
-	e.dispatcher.RecordOutcome(e.cfg.Now(), ep, baseline.Add(failed))
-	if !failed {
-		e.dispatcher.RecordResponse(q.times.connectedAt, q.times.sentAt, ep, q.service.ColdFor)
-		e.quarantine.RecordResponse(time.Now(), q.fingerprint)
-	}
-}
-
-// recordCrash records that an endpoint went down while it ran the request.
-func (q *request) recordCrash(ep *cfvfleet.Endpoint) {
-	q.recordPartsCrash(ep)
-	q.entry.mu.Lock()
-	defer q.entry.mu.Unlock()
-	q.entry.quarantine.RecordCrash(time.Now(), q.fingerprint, incarnation(ep))
-}
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -14,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"coltsfootvalve/common/cfvclock"
 	"coltsfootvalve/common/cfverror"
 	"coltsfootvalve/common/cfvhttp"
 	"coltsfootvalve/common/cfvlog"
@@ -28,8 +25,6 @@
 	"coltsfootvalve/core/cfvrollout"
 	"coltsfootvalve/io/cfvreserve"
 	"coltsfootvalve/io/cfvstate"
-
-	"github.com/labstack/echo/v4"
 )
 
 // Codec translates between the platform's headers and the types of this module.
@@ -146,87 +141,17 @@
 	}
 	e.pending, e.speeds = newPendingAttempts(), newSpeeds()
 	e.baseContext, e.endRequests = context.WithCancelCause(context.Background())
-	e.connPools = newConnPools(cfg.Now, func() { cfg.Metrics.Count("endpoints.dials", 1) }, func(id cfvfleet.Incarnation) { go e.suspectRestart(id) }, cfg.Dial)
-	e.reach.reach, e.handovers = cfvreach.New(), newHandovers(cfg.DialPeer, cfg.Now)
+	e.connPools = newConnPools(cfg.Now, func() { cfg.Metrics.Count("endpoints.dials", 1) }, func(id cfvfleet.Incarnation) { go e.suspectRestart(id) }, cfg.Dial, cfg.BodyBudget)
+	e.reach.reach, e.handovers = cfvreach.New(), newHandovers(cfg.DialPeer, cfg.Now, cfg.BodyBudget)
 	e.connPools.onDialEnd = e.recordDial
 	probeDial := cfg.Dial
 	if probeDial == nil {
 		probeDial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext
 	}
-	e.probeClient = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DialContext: probeDial, DisableKeepAlives: true}}
+	e.probeClient = &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DialContext: probeDial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxProbeHeaderBytes}}
 	return e
 }
 
-// Timeouts, limits and intervals of the servers. The limits of routes and workspaces come with
-// the configuration.
-const (
-	readHeaderTimeout    = 10 * time.Second
-	callerIdleTimeout    = 120 * time.Second // longer than any idle time that a configuration allows
-	maxCallerHeaderBytes = 64 << 10
-	maxProbeHeaderBytes  = 16 << 10
-	callerBufferBytes    = 128 << 10 // of the kernel for each direction of a connection; the kernel lets it grow to several MB otherwise
-	cleanupInterval      = 500 * time.Millisecond
-	peerLoadInterval     = 200 * time.Millisecond
-)
-
-// Start listens for callers and for readiness probes, and starts the background work, which
-// ends with ctx.
-func (e *Entry) Start(ctx context.Context) (err error) {
-	router := echo.New()
-	router.HideBanner, router.HidePort = true, true
-	router.Any("/*", func(c echo.Context) error {
-		e.serve(c.Response().Writer, c.Request())
-		return nil
-	})
-	e.callers = cfvhttp.NewConnTracker(e.recordUnanswered)
-	limit := cfvhttp.NewConnLimit(e.cfg.MaxCallers, callerBufferBytes, func() { e.cfg.Metrics.Count("callers.closed", 1) })
-	e.callerServer = &http.Server{
-		Handler: router, BaseContext: func(net.Listener) context.Context { return e.baseContext }, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
-		ConnState: callerConnState(e.callers.ConnState, limit.ConnState),
-	}
-	e.readyServer = &http.Server{Handler: http.HandlerFunc(e.serveReady), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxProbeHeaderBytes}
-	for _, s := range []struct {
-		server *http.Server
-		addr   string
-	}{{e.callerServer, e.cfg.CallerAddr}, {e.readyServer, e.cfg.ReadyAddr}} {
-		l, err := e.cfg.Listen("tcp", s.addr)
-		if err != nil {
-			return fmt.Errorf("listen on %s: %w", s.addr, err)
-		}
-		if s.server == e.callerServer {
-			l = e.callers.Listener(l)
-			e.listener = l
-			if e.cfg.BodyBudget != nil {
-				l = headListener{l, e.cfg.BodyBudget, func() { e.cfg.Metrics.CountRefusal(cfverror.ReasonBodyMemory) }}
-			}
-		}
-		go func() {
-			if err := s.server.Serve(l); !e.stopping.Load() && !errors.Is(err, http.ErrServerClosed) {
-				e.cfg.Log.Warnw("an HTTP server stopped unexpectedly", "addr", s.addr, "error", err.Error())
-			}
-		}()
-	}
-	e.startLoops(ctx)
-	return nil
-}
-
-// recordUnanswered records a request whose connection was closed without a response.
-func (e *Entry) recordUnanswered(r cfvhttp.UnansweredRequest) {
-	e.cfg.Metrics.Count("callers.unanswered", 1)
-	e.cfg.Log.Warnw("a connection was closed without a response to its request", "caller", r.Caller, "bytes", r.Bytes, "state", r.State.String(), "stopping", e.stopping.Load(),
-		"running", e.running.Load(), "reservedBytes", e.cfg.BodyBudget.Used())
-}
-
-// startLoops starts the background work, which ends with ctx.
-func (e *Entry) startLoops(ctx context.Context) {
-	go cfvclock.Every(ctx, cleanupInterval, func(context.Context) { e.cleanUp() })
-	go cfvclock.Every(ctx, peerLoadInterval, func(context.Context) { e.updatePeerLoads() })
-	go cfvclock.Every(ctx, pendingCheckInterval, func(context.Context) {
-		e.cancelObsolete()
-		e.checkLinks()
-	})
-}
-
 // stateFresh returns the age of the state and whether it is recent enough to serve requests
 // that need an API key.
 func (e *Entry) stateFresh() (age time.Duration, ok bool) {
@@ -240,17 +165,6 @@
 // revocationMargin covers clock drift and the time between the check and the send.
 const revocationMargin = 400 * time.Millisecond
 
-// serveReady answers a readiness probe of the load balancer.
-func (e *Entry) serveReady(w http.ResponseWriter, r *http.Request) {
-	status := http.StatusOK
-	if r.URL.Path != e.cfg.Codec.ReadyPath {
-		status = http.StatusNotFound
-	} else if _, ok := e.stateFresh(); !ok || e.stopping.Load() || e.index() == nil {
-		status = http.StatusServiceUnavailable
-	}
-	w.WriteHeader(status)
-}
-
 // index returns the index of the current configuration; nil if none is known yet.
 func (e *Entry) index() (x *cfvfleet.Index) {
 	e.cfg.State.Read(func(v *cfvfleet.View) { x = v.Index() })
--- a/io/cfventry/handover.go
+++ b/io/cfventry/handover.go
@@ -14,6 +14,7 @@
 	"coltsfootvalve/common/cfvhttp"
 	"coltsfootvalve/core/cfvcall"
 	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvlimit"
 	"coltsfootvalve/core/cfvreach"
 )
 
@@ -36,7 +37,7 @@
 }
 
 // newHandovers returns handovers over connections that dial makes; nil: over TCP.
-func newHandovers(dial func(ctx context.Context, network, addr string) (net.Conn, error), now func() time.Duration) *handovers {
+func newHandovers(dial func(ctx context.Context, network, addr string) (net.Conn, error), now func() time.Duration, budget *cfvlimit.ByteBudget) *handovers {
 	if dial == nil {
 		dial = (&net.Dialer{
 			Timeout:         dialTimeout,
@@ -49,10 +50,10 @@
 			if err != nil {
 				return nil, err
 			}
-			return &endpointConn{Conn: conn, now: now, openedAt: now(), onIdleEnd: func(time.Duration) {}}, nil
+			return &endpointConn{Conn: cfvhttp.ReportResets(conn), head: responseHead{budget: budget}, now: now, openedAt: now(), onIdleEnd: func(time.Duration) {}}, nil
 		},
 		MaxIdleConnsPerHost: handoverIdleConns, IdleConnTimeout: handoverIdleTimeout, DisableCompression: true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes, ReadBufferSize: connBufferSize, WriteBufferSize: connBufferSize,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes, ReadBufferSize: readBufferSize, WriteBufferSize: writeBufferSize,
 	}}
 }
 
@@ -131,7 +132,9 @@
 	defer cancel()
 	var sent sendTracker
 	sent.onConn = func(time.Duration) {}
+	defer sent.releaseHead()
 	resp, err := e.handovers.transport.RoundTrip(q.handoverRequest(sent.trace(ctx), peer))
+	sent.endHead()
 	if err != nil {
 		wasSent := sent.mayHaveSent()
 		if wasSent {
@@ -237,7 +240,8 @@
 	if q.stream == nil {
 		q.stream = &streamState{}
 	}
-	events := &eventReader{r: resp.Body}
+	events := &eventReader{r: resp.Body, budget: q.entry.cfg.BodyBudget}
+	defer events.release()
 	dog := cfvhttp.NewWatchdog(func() { _ = resp.Body.Close() })
 	defer dog.Stop()
 	for {
--- a/io/cfventry/silence_test.go
+++ b/io/cfventry/silence_test.go
@@ -47,7 +47,7 @@
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			assert.NilError(t, err)
 			defer l.Close()
-			pools := newConnPools(func() time.Duration { return 0 }, func() {}, func(cfvfleet.Incarnation) {}, nil)
+			pools := newConnPools(func() time.Duration { return 0 }, func() {}, func(cfvfleet.Incarnation) {}, nil, nil)
 			conn, err := pools.dial(context.Background(), "tcp", l.Addr().String())
 			assert.NilError(t, err)
 			defer conn.Close()
--- a/io/cfventry/stop_read_test.go
+++ b/io/cfventry/stop_read_test.go
@@ -12,8 +12,6 @@
 	"testing/synctest"
 	"time"
 
-	"coltsfootvalve/core/cfvdispatch"
-
 	"gotest.tools/v3/assert"
 )
 
@@ -48,17 +46,7 @@
 func startStopTest(ctx context.Context, t *testing.T, endpoint *rawEndpoint) (*Entry, *pipeListener) {
 	e := newRawEntry(endpoint)
 	e.cfg.Limits.ShutdownTimeout = 8 * time.Second
-	callers := newPipeListener()
-	e.cfg.PeerLoads = func() (map[string]cfvdispatch.Load, map[string]cfvdispatch.Demand) { return nil, nil }
-	e.cfg.CallerAddr, e.cfg.ReadyAddr = "callers", "ready"
-	e.cfg.Listen = func(_, addr string) (net.Listener, error) {
-		if addr == "callers" {
-			return callers, nil
-		}
-		return newPipeListener(), nil
-	}
-	assert.NilError(t, e.Start(ctx))
-	return e, callers
+	return e, listenInMemory(ctx, t, e)
 }
 
 // Guards against requests that are read and get no answer, since their connection is closed around the end of the drain delay of a
--- a/io/cfvforward/client.go
+++ b/io/cfvforward/client.go
@@ -115,6 +115,12 @@
 		cancel(nil)
 		return nil, err
 	}
+	if !cfvhttp.IsFinalStatus(resp.StatusCode) {
+		watchdog.Stop()
+		cancel(nil)
+		resp.Body.Close()
+		return nil, cfverror.Unknown(cfverror.ReasonEndpointFailed, "endpoint %s answered with the status %03d", call.Address, resp.StatusCode)
+	}
 	watchdog.Start(call.IdleTimeout)
 	if call.OnHeader != nil {
 		call.OnHeader(readResponseMeta(resp.Header))
@@ -163,7 +169,7 @@
 	}
 	defer r.close()
 	resp = Response{Meta: readResponseMeta(r.resp.Header), Status: r.resp.StatusCode, Header: r.resp.Header}
-	resp.Body, err = io.ReadAll(io.LimitReader(r, maxResponseBytes))
+	resp.Body, err = cfvhttp.ReadBody(r, maxResponseBytes)
 	if err != nil {
 		return resp, readError(r.resp.Request.Context(), call, err)
 	}
