Keep the rejections of brittle endpoints low

Callers would have seen a service whose endpoints fall over again and again: an endpoint may say that it ends if it has to reject more than N requests in a second for want of room (Server-Brittle), and soon lets fewer wait. Nothing read that header.

Cause: what an endpoint says of the rejections that it bears was no input, and each entry sent as long as it found an endpoint. Requests beyond the room were rejected there, repeated at the next endpoint and rejected there.

Change: the header is a notice, heard, told to peers and ended like a limit (core/cfvnotice/brittle.go, "Brittle endpoints" in PLATFORM.md). Entries divide the slots of a brittle endpoint, and send beyond their part with a probability that follows the load, the need and the rejections, which they tell each other with each pull. Peers on earlier releases ignore the new field. Loads of peers are left out of the choice among brittle endpoints: with two sampled endpoints, the one that was idle at the last report got twice its part, and endpoints at a mean load of 1.8 had 7 or 8 requests. A request whose sampled endpoints are blocked now samples the others, also with limits; before, all went to the one with the lowest reported load. Health probes and the placer of long prompts keep to it.

Ruled out: parts alone (at 295 entries and 36 slots most entries could send nothing to idle endpoints), and probabilities or loads alone (old by up to 0.4 s).

Measured with TestBrittleEndpointsAreNotOverrun, in virtual time, at 2, 8, 88 and 295 entries. Of the capacity, at a demand above it, 88 to 93 in 100 are served at 2 entries and 29 to 34 at 295 (6600 requests; N = 3, none may wait), and at N = 1 from 849 requests at 295 entries to 5745 at 2. At 0.8 of the capacity 33 to 43 in 100 are served at 295 entries and 96 to 98 at 2. With room (0.3 of the capacity) at least 99 in 100 are served.

TestBrittleEndpointsAreNotOverrunWhenDemandRises is listed in KNOWN-RED.txt: a demand that triples at once overruns endpoints with little to spare before the news reach the other entries.

--- a/core/cfvdispatch/dispatcher.go
+++ b/core/cfvdispatch/dispatcher.go
@@ -138,6 +138,9 @@
 		sampled = d.sample(now, q, rank)
 	}
 	c.CachedOn = d.cachedEndpoint(now, q, sampled)
+	if q.Grants == nil && len(q.Blocked) > 0 {
+		sampled = d.sample(now, q.unblocked(), rank) // otherwise all entries would choose the one endpoint with the lowest load
+	}
 	for _, e := range q.Endpoints {
 		if q.Exclude[e.ID] {
 			continue
--- a/core/cfvdispatch/query.go
+++ b/core/cfvdispatch/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,6 +28,7 @@
 	Domain                string
 	Exclude               map[string]bool // endpoints that rejected the request
 	Blocked               map[string]bool // endpoints that want no request from this entry now
+	IgnoreLoads           bool            // the sample is one endpoint: by late loads, the one that was idle would get twice its part
 	MaxPerEntry           int             // limit of this entry's requests at one endpoint; 0: no limit
 	Fetch                 FetchEstimator  // of the stored parts; nil: fetching takes no time
 	ShortPoolSize         int             // endpoints in the short-prompt pool; 0: no pools
@@ -55,6 +57,12 @@
 	q.Endpoints = endpoints
 }
 
+// unblocked returns the query without the blocked endpoints.
+func (q Query) unblocked() Query {
+	q.Endpoints = slices.DeleteFunc(slices.Clone(q.Endpoints), func(e *cfvfleet.Endpoint) bool { return q.Blocked[e.ID] })
+	return q
+}
+
 // cacheKey identifies the shared parts as prefilled on the desired weights.
 func (q *Query) cacheKey() string {
 	return strconv.FormatInt(q.DesiredWeights, 10) + "\x00" + q.Affinity
--- a/core/cfvdispatch/sample.go
+++ b/core/cfvdispatch/sample.go
@@ -26,16 +26,19 @@
 func (d *Dispatcher) sample(now time.Duration, q Query, rank uint64) []*cfvfleet.Endpoint {
 	var sampled [sampleSize]*cfvfleet.Endpoint
 	var ranks [sampleSize]uint64
-	n := 0
+	n, size := 0, sampleSize
+	if q.IgnoreLoads {
+		size = 1
+	}
 	for _, e := range q.Endpoints {
 		r := mix(rank, d.stateOf(e).hash)
 		if q.Factors != nil && q.Affinity == "" {
 			r = weightedRank(r, q.factor(e))
 		}
-		if n == sampleSize && r <= ranks[n-1] || q.Exclude[e.ID] || q.inWrongPool(e) || !d.healthy(now, e, q) {
+		if n == size && r <= ranks[n-1] || q.Exclude[e.ID] || q.inWrongPool(e) || !d.healthy(now, e, q) {
 			continue
 		}
-		n = min(n+1, sampleSize)
+		n = min(n+1, size)
 		i := n - 1
 		for ; i > 0 && r > ranks[i-1]; i-- {
 			sampled[i], ranks[i] = sampled[i-1], ranks[i-1]
--- a/core/cfvnotice/board.go
+++ b/core/cfvnotice/board.go
@@ -21,14 +21,49 @@
 	maxUpdates     = 64          // notices in one update for a peer
 )
 
-// limitState is the limit of one endpoint as this entry knows it.
-type limitState struct {
-	limit      float64       // 0: ended
+// announced is a number that an endpoint names in its responses for as long as it holds.
+type announced struct {
+	value      float64       // 0: ended
 	observedAt time.Duration // when the response that told arrived, here or at a peer
 	stamp      Stamp         // of that observation
-	endsAt     time.Duration // first response without a limit; 0: none since the last with one
-	credit     float64       // requests that this entry may send now
-	creditAt   time.Duration
+	endsAt     time.Duration // first response without a number; 0: none since the last with one
+}
+
+// observe records the number in a response, or 0. It ends with responses without one to requests that were sent after
+// the last response with one, if none of the latter arrives for a while: responses may overtake each other.
+func (a *announced) observe(now, sentAt time.Duration, value float64, stamp func() Stamp) (changed bool) {
+	switch {
+	case value > 0:
+		changed = a.value != value
+	case a.value == 0 || sentAt < a.observedAt:
+		return false
+	case a.endsAt == 0:
+		a.endsAt = now
+		return false
+	case now-a.endsAt < changeInterval:
+		return false
+	default:
+		changed = true
+	}
+	*a = announced{value: value, observedAt: now, stamp: stamp()}
+	return changed
+}
+
+// merge records a number that a peer told, unless it is older than the known one or the echo of an own one.
+func (a *announced) merge(self string, at time.Duration, u Update) (changed bool) {
+	if at <= a.observedAt || u.Stamp.Entry == a.stamp.Entry && u.Stamp.Sequence <= a.stamp.Sequence || u.Stamp.Entry == self {
+		return false
+	}
+	changed = a.value != u.Limit
+	*a = announced{value: u.Limit, observedAt: at, stamp: u.Stamp}
+	return changed
+}
+
+// limitState is the limit of one endpoint as this entry knows it.
+type limitState struct {
+	announced
+	credit   float64 // requests that this entry may send now
+	creditAt time.Duration
 }
 
 // Stamp identifies an observation of one entry. Times of the entries' observations can be compared only roughly, so they
@@ -45,9 +80,12 @@
 	self    string
 	last    int64 // sequence number of the last own observation
 	entries []string
+	known   bool // the entries are known
+	listing int  // changes of entries
 	limits  map[cfvfleet.Incarnation]*limitState
 	leaving map[cfvfleet.Incarnation]time.Duration // when it was observed
 	pauses  map[cfvfleet.Incarnation]time.Duration // until when
+	brittle map[cfvfleet.Incarnation]*brittleState
 }
 
 // NewBoard returns the board of the entry named self. Its observations are numbered from first on, which must be higher for each
@@ -56,14 +94,19 @@
 	return &Board{
 		self: self, last: first, entries: []string{self}, limits: make(map[cfvfleet.Incarnation]*limitState),
 		leaving: make(map[cfvfleet.Incarnation]time.Duration), pauses: make(map[cfvfleet.Incarnation]time.Duration),
+		brittle: make(map[cfvfleet.Incarnation]*brittleState),
 	}
 }
 
 // SetEntries sets the names of all entries that share the endpoints. An empty list is ignored.
 func (b *Board) SetEntries(names []string) {
-	if len(names) > 0 {
-		b.entries = names
+	if len(names) == 0 {
+		return
+	}
+	if !slices.Equal(names, b.entries) {
+		b.listing++
 	}
+	b.entries, b.known = names, true
 }
 
 // Observe records a notice of an endpoint. sentAt is when the request was sent to which it responded. It reports whether the
@@ -75,34 +118,26 @@
 	if n.RetryAfter > 0 {
 		b.pauses[id] = max(b.pauses[id], now+min(n.RetryAfter, MaxRetryAfter))
 	}
-	if n.LimitInvalid {
-		return changed
+	if !n.BrittleInvalid && b.observeBrittle(now, sentAt, id, n.Brittle) {
+		changed = true
+	}
+	if !n.LimitInvalid && b.observeLimit(now, sentAt, id, n.Limit) {
+		changed = true
 	}
-	return b.observeLimit(now, sentAt, id, n.Limit) || changed
+	return changed
 }
 
-// observeLimit records the limit in a response. It ends with responses without one to requests that were sent after
-// the last response with one, if none of the latter arrives for a while: responses may overtake each other.
+// observeLimit records the limit in a response, or 0.
 func (b *Board) observeLimit(now, sentAt time.Duration, id cfvfleet.Incarnation, limit float64) (changed bool) {
 	s := b.limits[id]
-	switch {
-	case limit > 0 && s == nil:
-		b.limits[id] = &limitState{limit: limit, observedAt: now, stamp: b.nextStamp(), creditAt: now}
-		return true
-	case limit > 0:
-		changed = s.limit != limit
-		s.limit, s.observedAt, s.stamp, s.endsAt = limit, now, b.nextStamp(), 0
-		return changed
-	case s == nil || s.limit == 0 || sentAt < s.observedAt:
-		return false
-	case s.endsAt == 0:
-		s.endsAt = now
-		return false
-	case now-s.endsAt < changeInterval:
-		return false
+	if s == nil {
+		if limit == 0 {
+			return false
+		}
+		s = &limitState{creditAt: now}
+		b.limits[id] = s
 	}
-	s.limit, s.observedAt, s.stamp, s.endsAt = 0, now, b.nextStamp(), 0
-	return true
+	return s.observe(now, sentAt, limit, b.nextStamp)
 }
 
 func (b *Board) nextStamp() Stamp {
@@ -120,7 +155,7 @@
 	if !b.Allows(now, id) {
 		return false
 	}
-	if s := b.limits[id]; s != nil && s.limit > 0 {
+	if s := b.limits[id]; s != nil && s.value > 0 {
 		s.credit--
 	}
 	return true
@@ -136,10 +171,10 @@
 	}
 	wait := max(b.pauses[id]-now, 0)
 	s := b.limits[id]
-	if s == nil || s.limit == 0 {
+	if s == nil || s.value == 0 {
 		return wait
 	}
-	rate := b.rate(id, s.limit)
+	rate := b.rate(id, s.value)
 	if rate == 0 {
 		return never
 	}
@@ -158,61 +193,85 @@
 	}
 }
 
-// ShortestWait returns the shortest wait for one of several endpoints; false if this entry may send to none of them.
-func (b *Board) ShortestWait(now time.Duration, endpoints []*cfvfleet.Endpoint) (wait time.Duration, ok bool) {
+// ShortestWait returns the shortest wait for one of several endpoints; false if this entry may send to none of them. The argument
+// brittleWait returns the wait for an endpoint with the loads that are known, by BrittleWait.
+func (b *Board) ShortestWait(now time.Duration, endpoints []*cfvfleet.Endpoint, brittleWait func(*cfvfleet.Endpoint) time.Duration) (wait time.Duration, ok bool) {
 	wait = never
 	for _, e := range endpoints {
-		wait = min(wait, b.Wait(now, e.Incarnation()))
+		wait = min(wait, max(b.Wait(now, e.Incarnation()), brittleWait(e)))
 	}
 	return wait, wait < never
 }
 
-// Limited reports whether an endpoint has a limit, is leaving or has asked this entry to pause.
+// Limited reports whether an endpoint has a limit, is brittle, is leaving or has asked this entry to pause.
 func (b *Board) Limited(now time.Duration, id cfvfleet.Incarnation) bool {
 	s := b.limits[id]
-	return b.leaving[id] != 0 || now < b.pauses[id] || s != nil && s.limit > 0
+	return b.leaving[id] != 0 || now < b.pauses[id] || s != nil && s.value > 0 || b.brittleOf(id) != nil
 }
 
 // rate returns how many requests per second this entry may send to an endpoint with a limit. A low limit is used by a few
 // entries only, the ones whose names rank first for the endpoint: a request of each would be too many.
 func (b *Board) rate(id cfvfleet.Incarnation, limit float64) float64 {
 	holders := min(max(int(limitPart*limit/minHolderRate), 1), len(b.entries))
-	mine := rank(b.self, id.ID)
-	above := 0
-	for _, name := range b.entries {
-		if name != b.self && rank(name, id.ID) > mine {
-			above++
-		}
-	}
-	if above >= holders {
+	if b.above(id.ID) >= holders {
 		return 0
 	}
 	return limitPart * limit / float64(holders)
 }
 
+// above returns how many entries rank higher than this one for an endpoint.
+func (b *Board) above(endpoint string) (n int) {
+	mine := rank(b.self, endpoint)
+	for _, name := range b.entries {
+		if name != b.self && rank(name, endpoint) > mine {
+			n++
+		}
+	}
+	return n
+}
+
 func rank(entry, endpoint string) uint64 { return xxhash.Sum64String(entry + "\x00" + endpoint) }
 
 // Update is a notice that one entry tells another. Its age is the time since the response arrived.
 type Update struct {
 	Endpoint cfvfleet.Incarnation
-	Limit    float64 // 0: it has ended, unless Leaving is set
-	Leaving  bool
+	Kind     Kind
+	Limit    float64 // of a limit: requests per second; of a brittle endpoint: rejections per second; 0: it has ended
 	Age      time.Duration
-	Stamp    Stamp // of a limit
+	Stamp    Stamp // of a limit, of what a brittle endpoint said, or of a rejection
+
+	// How much of a brittle endpoint the peer uses, for an entry that has just started.
+	Factor, Borrowing float64
 }
 
+// Kind is the kind of an update.
+type Kind int
+
+// Values of Kind.
+const (
+	Limit     Kind = iota
+	Leaving        // the endpoint's process is about to end
+	Brittle        // the endpoint bears few rejections
+	Rejection      // a brittle endpoint rejected a request for want of room
+)
+
 // Updates returns what other entries should know, the newest first.
 func (b *Board) Updates(now time.Duration) (out []Update) {
 	for id, s := range b.limits {
-		out = append(out, Update{Endpoint: id, Limit: s.limit, Age: now - s.observedAt, Stamp: s.stamp})
+		out = append(out, Update{Endpoint: id, Limit: s.value, Age: now - s.observedAt, Stamp: s.stamp})
 	}
 	for id, at := range b.leaving {
-		out = append(out, Update{Endpoint: id, Leaving: true, Age: now - at})
+		out = append(out, Update{Endpoint: id, Kind: Leaving, Age: now - at})
 	}
-	slices.SortFunc(out, func(x, y Update) int {
+	return append(newest(out, maxUpdates), b.brittleUpdates(now)...)
+}
+
+// newest returns the newest n updates, the newest first.
+func newest(updates []Update, n int) []Update {
+	slices.SortFunc(updates, func(x, y Update) int {
 		return cmp.Or(cmp.Compare(x.Age, y.Age), cmp.Compare(x.Endpoint.ID, y.Endpoint.ID))
 	})
-	return out[:min(len(out), maxUpdates)]
+	return updates[:min(len(updates), n)]
 }
 
 // Merge records an update of a peer that was received at some time. The newer of two limits holds.
@@ -221,7 +280,12 @@
 	if !(u.Limit >= 0 && u.Limit <= MaxLimit) {
 		return false
 	}
-	if u.Leaving {
+	switch u.Kind {
+	case Brittle:
+		return b.mergeBrittle(at, u)
+	case Rejection:
+		return b.mergeRejection(receivedAt, at, u)
+	case Leaving:
 		changed = b.leaving[u.Endpoint] == 0
 		if changed {
 			b.leaving[u.Endpoint] = at
@@ -229,18 +293,14 @@
 		return changed
 	}
 	s := b.limits[u.Endpoint]
-	switch {
-	case s == nil && u.Limit == 0:
-		return false
-	case s == nil:
-		b.limits[u.Endpoint] = &limitState{limit: u.Limit, observedAt: at, stamp: u.Stamp, creditAt: receivedAt}
-		return true
-	case at <= s.observedAt, u.Stamp.Entry == s.stamp.Entry && u.Stamp.Sequence <= s.stamp.Sequence, u.Stamp.Entry == b.self:
-		return false
+	if s == nil {
+		if u.Limit == 0 {
+			return false
+		}
+		s = &limitState{creditAt: receivedAt}
+		b.limits[u.Endpoint] = s
 	}
-	changed = s.limit != u.Limit
-	s.limit, s.observedAt, s.stamp, s.endsAt = u.Limit, at, u.Stamp, 0
-	return changed
+	return s.merge(b.self, at, u)
 }
 
 // Retain forgets endpoints that are not in the list, pauses that are over and limits that ended long ago.
@@ -250,10 +310,15 @@
 		known[e.Incarnation()] = true
 	}
 	for id, s := range b.limits {
-		if now-s.observedAt > forgetAfter && (s.limit == 0 || !known[id]) {
+		if now-s.observedAt > forgetAfter && (s.value == 0 || !known[id]) {
 			delete(b.limits, id)
 		}
 	}
+	for id, s := range b.brittle {
+		if now-s.observedAt > forgetAfter && (s.value == 0 || !known[id]) {
+			delete(b.brittle, id)
+		}
+	}
 	for id, at := range b.leaving {
 		if now-at > forgetAfter && !known[id] {
 			delete(b.leaving, id)
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -185,7 +185,7 @@
 		mayHaveRun := sent.mayHaveSent()
 		if err == nil {
 			meta := e.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
-			q.recordNotice(ep, meta)
+			q.recordNotice(ep, meta, resp.StatusCode)
 			mayHaveRun = mayHaveRun && !q.saysNotRun(meta)
 			_ = resp.Body.Close()
 		}
@@ -198,7 +198,7 @@
 	defer resp.Body.Close()
 	meta := e.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
 	q.applyResponseMeta(ep, meta)
-	q.recordNotice(ep, meta)
+	q.recordNotice(ep, meta, resp.StatusCode)
 	switch {
 	case meta.RequestID != q.meta.ID:
 		cancel()
@@ -367,6 +367,7 @@
 	if !failed {
 		e.dispatcher.RecordResponse(q.times.connectedAt, q.times.sentAt, ep, q.service.ColdFor)
 		e.quarantine.RecordResponse(time.Now(), q.fingerprint)
+		e.notices.RecordRun(ep.Incarnation(), e.cfg.Now()-q.times.sentAt)
 	}
 }
 
--- a/io/cfventry/choose.go
+++ b/io/cfventry/choose.go
@@ -39,8 +39,9 @@
 	if refusal := q.partRefusalLocked(); refusal != nil { // a part may have been blocked while the request was held
 		return choice, opts, refusal
 	}
-	query.Blocked = e.blocked(now, query.Endpoints)
-	restricted.Blocked = query.Blocked
+	query.Blocked = e.blocked(now, query.Endpoints, q.excluded)
+	query.IgnoreLoads = e.notices.AnyBrittle(query.Endpoints)
+	restricted.Blocked, restricted.IgnoreLoads = query.Blocked, query.IgnoreLoads
 	choice, reason := e.dispatcher.Choose(now, restricted, e.cfg.Random())
 	if reason != cfvdispatch.Chosen && q.grant != nil {
 		choice, reason = e.dispatcher.Choose(now, query, e.cfg.Random())
--- a/io/cfventry/cold_test.go
+++ b/io/cfventry/cold_test.go
@@ -42,6 +42,7 @@
 	mu       sync.Mutex
 	server   *http.Server
 	work     time.Duration // of each request
+	handler  http.Handler  // of its requests; nil: the endpoint itself
 	coldTill time.Time
 	arrivals []time.Time // of requests while it was cold
 	runs     int
@@ -73,6 +74,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.coldTill, p.server = time.Now().Add(cold), &http.Server{Handler: p}
+	if p.handler != nil {
+		p.server.Handler = p.handler
+	}
 	go func(s *http.Server) { _ = s.Serve(l) }(p.server)
 }
 
@@ -115,6 +119,10 @@
 	network   *cfvfakenet.Network
 	began     time.Time
 	path      string // of all requests; empty: each has its own
+	slots     int    // of an endpoint
+	service   cfvfleet.Service
+	codec     Codec
+	loads     func(entry int) map[string]cfvdispatch.Load // of the peers; nil: not told
 	endpoints []*coldEndpoint
 	entries   []*Entry
 	states    []*cfvstate.State
@@ -125,20 +133,50 @@
 	revision int64
 }
 
-func newColdFleet(ctx context.Context, t *testing.T, entries, endpoints int) *coldFleet {
-	f := &coldFleet{t: t, ctx: ctx, network: cfvfakenet.New(500 * time.Microsecond), began: time.Now(), changes: make(map[string]cfvfleet.Change)}
+func newIdleFleet(ctx context.Context, t *testing.T, entries, endpoints int) *coldFleet {
+	f := &coldFleet{t: t, ctx: ctx, network: cfvfakenet.New(500 * time.Microsecond), began: time.Now(), changes: make(map[string]cfvfleet.Change), slots: 16, codec: coldTestCodec()}
+	f.service = cfvfleet.Service{Name: "s", HealthPath: "/healthz", MaxConns: 400, ColdFor: coldTestTime, ColdRequestsPerSecond: coldTestRate}
 	for i := range entries {
 		f.names = append(f.names, fmt.Sprintf("entry-%02d", i))
 	}
 	for i := range endpoints {
-		p := &coldEndpoint{addr: fmt.Sprintf("10.0.0.%d:80", i+1), work: 5 * time.Millisecond}
-		p.start(t, f.network, 0)
-		f.endpoints = append(f.endpoints, p)
+		f.endpoints = append(f.endpoints, &coldEndpoint{addr: fmt.Sprintf("10.0.0.%d:80", i+1), work: 5 * time.Millisecond})
 	}
-	for range entries {
+	return f
+}
+
+// newColdFleet returns a fleet whose endpoints and entries have started.
+func newColdFleet(ctx context.Context, t *testing.T, entries, endpoints int) *coldFleet {
+	f := newIdleFleet(ctx, t, entries, endpoints)
+	f.start()
+	return f
+}
+
+// start starts the endpoints and the entries.
+func (f *coldFleet) start() {
+	for _, p := range f.endpoints {
+		p.start(f.t, f.network, 0)
+	}
+	for range f.names {
 		f.addEntry()
 	}
-	return f
+}
+
+func coldTestCodec() Codec {
+	return Codec{
+		ReadRequestMeta: func(h http.Header) (cfvcall.RequestMeta, error) {
+			return cfvcall.RequestMeta{ID: h.Get(testRequestID), Timeout: time.Second}, nil
+		},
+		RequestHeader: func(h http.Header, _ cfvcall.ForwardOptions) http.Header { return h },
+		ReadResponseMeta: func(_ int, h http.Header) cfvcall.ResponseMeta {
+			return cfvcall.ResponseMeta{RequestID: h.Get(testRequestID), FromEndpoint: h.Get(testStamp) != ""}
+		},
+		ReadHealth: func(status int, h http.Header) (string, bool, time.Duration) {
+			left, _ := strconv.Atoi(h.Get(coldTestAlive))
+			return "", status == http.StatusOK, time.Duration(left) * time.Millisecond
+		},
+		PassesResponseHeader: func(string) bool { return true },
+	}
 }
 
 // close ends the entries and the endpoints.
@@ -148,6 +186,7 @@
 		p.stop()
 	}
 	for _, e := range f.entries {
+		e.stopping.Store(true) // ends the health probes
 		e.connPools.retain(nil)
 	}
 	time.Sleep(time.Minute) // lets connections end
@@ -167,7 +206,7 @@
 	i := len(f.states) - 1
 	f.apply(i, cfvfleet.Change{Config: &cfvfleet.Config{
 		Version:  1,
-		Services: []cfvfleet.Service{{Name: "s", HealthPath: "/healthz", MaxConns: 400, ColdFor: coldTestTime, ColdRequestsPerSecond: coldTestRate}},
+		Services: []cfvfleet.Service{f.service},
 		Routes:   []cfvfleet.Route{{Name: "look", Host: "h", PathPrefix: "/look/", Kind: cfvfleet.Safe, Service: "s", MaxAttempts: 2, Timeout: time.Second, LatencyObjective: 100 * time.Millisecond}},
 	}})
 	for _, n := range f.names {
@@ -178,22 +217,14 @@
 	}
 	e := New(Config{
 		Name: name, State: state, Now: f.now, Random: seededRandom(uint64(i)), Log: cfvlog.Discard(), Metrics: cfvmetric.New(), Dial: f.network.DialContext,
-		PeerLoads: func() (map[string]cfvdispatch.Load, map[string]cfvdispatch.Demand) { return nil, nil },
-		Limits:    Limits{RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second},
-		Codec: Codec{
-			ReadRequestMeta: func(h http.Header) (cfvcall.RequestMeta, error) {
-				return cfvcall.RequestMeta{ID: h.Get(testRequestID), Timeout: time.Second}, nil
-			},
-			RequestHeader: func(h http.Header, _ cfvcall.ForwardOptions) http.Header { return h },
-			ReadResponseMeta: func(_ int, h http.Header) cfvcall.ResponseMeta {
-				return cfvcall.ResponseMeta{RequestID: h.Get(testRequestID), FromEndpoint: h.Get(testStamp) != ""}
-			},
-			ReadHealth: func(status int, h http.Header) (string, bool, time.Duration) {
-				left, _ := strconv.Atoi(h.Get(coldTestAlive))
-				return "", status == http.StatusOK, time.Duration(left) * time.Millisecond
-			},
-			PassesResponseHeader: func(string) bool { return true },
+		PeerLoads: func() (map[string]cfvdispatch.Load, map[string]cfvdispatch.Demand) {
+			if f.loads == nil {
+				return nil, nil
+			}
+			return f.loads(i), nil
 		},
+		Limits: Limits{RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second},
+		Codec:  f.codec,
 	})
 	f.entries = append(f.entries, e)
 	e.startLoops(f.ctx)
@@ -215,7 +246,7 @@
 func (f *coldFleet) announce(entry, endpoint int, born int64, cold time.Duration) {
 	id := fmt.Sprintf("i-%d", endpoint)
 	f.apply(entry, cfvfleet.Change{Endpoint: &cfvfleet.EndpointChange{ID: id, Endpoint: &cfvfleet.Endpoint{
-		ID: id, StartMillis: born, Service: "s", Addr: f.endpoints[endpoint].addr, Slots: 16, ColdFor: cold,
+		ID: id, StartMillis: born, Service: "s", Addr: f.endpoints[endpoint].addr, Slots: f.slots, ColdFor: cold,
 	}}})
 }
 
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -269,9 +269,14 @@
 func (e *Entry) updatePeerLoads() {
 	loads, demands := e.cfg.PeerLoads()
 	e.updateSpeeds(loads)
+	var all []*cfvfleet.Endpoint
+	e.cfg.State.Read(func(v *cfvfleet.View) { all = v.All() })
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.dispatcher.SetPeerLoads(loads)
+	for _, ep := range all {
+		e.notices.Balance(e.cfg.Now(), ep, e.dispatcher.TotalLoad(ep.ID).Running)
+	}
 	for service, d := range demands {
 		e.poolSizer(service).SetPeerDemand(d)
 	}
--- a/io/cfventry/health.go
+++ b/io/cfventry/health.go
@@ -99,7 +99,7 @@
 func (e *Entry) probeOnce(ep *cfvfleet.Endpoint, service *cfvfleet.Service) {
 	sentAt := e.cfg.Now()
 	e.mu.Lock()
-	mayProbe := e.notices.Take(sentAt, ep.Incarnation())
+	mayProbe := e.brittleWait(sentAt, ep, e.cfg.Random) == 0 && e.notices.Take(sentAt, ep.Incarnation())
 	unavailable := e.dispatcher.Failing(ep.ID)
 	e.mu.Unlock()
 	if !mayProbe {
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -223,7 +223,7 @@
 		}
 	})
 	x.mergeSuspicions(msg)
-	x.mergeNotices(sentAt, msg.GetNotices()) // an echo of an own notice must not look newer than that
+	x.mergeNotices(sentAt, msg.GetNotices(), msg.GetBrittle()) // an echo of an own notice must not look newer than that
 	return conditionsFromWire(msg.GetConditions()), nil
 }
 
@@ -244,10 +244,11 @@
 	peer := fmt.Sprintf("%s/%d", addr, x.started[addr]) // a restarted one has to be told all again
 	x.mu.Unlock()
 	u := x.cfg.PartUpdate(peer)
+	notices, brittle := noticesToWire(x.cfg.Notices())
 	return &cfvwireentry.PullRequest{
 		Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(),
 		Parts: partsToWire(u.Suspicions), Served: servedToWire(u.Served), Suspicions: suspicionsToWire(time.Now(), x.cfg.Suspicions()),
-		Notices: noticesToWire(x.cfg.Notices()),
+		Notices: notices, Brittle: brittle,
 	}
 }
 
@@ -261,7 +262,7 @@
 	x.heardAt[req.Msg.GetEntry()] = x.cfg.Now()
 	x.mu.Unlock()
 	x.mergeSuspicions(req.Msg)
-	x.mergeNotices(x.cfg.Now(), req.Msg.GetNotices())
+	x.mergeNotices(x.cfg.Now(), req.Msg.GetNotices(), req.Msg.GetBrittle())
 	d := x.cfg.State.Delta(req.Msg.GetAsOf())
 	out := &cfvwireentry.PullResponse{AsOf: d.AsOf, AgeMillis: -1, Full: d.Full, Records: recordsToWire(d.Records)}
 	if d.Known {
@@ -277,7 +278,7 @@
 	u := x.cfg.PartUpdate(fmt.Sprintf("%s/%d", req.Msg.GetEntry(), req.Msg.GetLoad().GetStarted()))
 	out.Parts, out.Served = partsToWire(u.Suspicions), servedToWire(u.Served)
 	out.Suspicions = suspicionsToWire(time.Now(), x.cfg.Suspicions())
-	out.Notices = noticesToWire(x.cfg.Notices())
+	out.Notices, out.Brittle = noticesToWire(x.cfg.Notices())
 	out.Conditions = x.conditionsToWire()
 	return connect.NewResponse(out), nil
 }
--- a/standins/cfvfakereplica/replica.go
+++ b/standins/cfvfakereplica/replica.go
@@ -24,6 +24,7 @@
 	StreamEvents  int           // number of events in a stream; 0: responses are not streams
 	EventInterval time.Duration // time between two events
 	Model         string        // model whose weights it runs; empty: none
+	Room          Room          // for requests; without slots there is always room
 }
 
 // Run is a request that the replica began to run.
@@ -52,11 +53,12 @@
 	fencingToken int64
 	version      int64
 	leaders      []string
+	queue        *queue
 }
 
 // New returns a replica that runs version 1 of its weights.
 func New(cfg Config) *Replica {
-	return &Replica{cfg: cfg, cancelled: make(map[string]bool), version: 1, header: make(http.Header)}
+	return &Replica{cfg: cfg, cancelled: make(map[string]bool), version: 1, header: make(http.Header), queue: newQueue(cfg.Room)}
 }
 
 // SetFault injects a fault. Refuse rejects requests without running them, Fail responds with
@@ -124,6 +126,12 @@
 }
 
 func (r *Replica) health(w http.ResponseWriter, _ *http.Request) {
+	leave, ok := r.queue.enter()
+	if !ok {
+		reject(w, http.StatusServiceUnavailable)
+		return
+	}
+	leave()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.Header().Set("X-Coltsfootvalve-Replica-Id", r.cfg.ID)
@@ -180,6 +188,7 @@
 	r.arrivals = append(r.arrivals, time.Now())
 	maps.Copy(w.Header(), r.header)
 	r.mu.Unlock()
+	r.queue.announce(w.Header())
 	if expected := req.Header.Get("X-Coltsfootvalve-Expect-Replica"); expected != "" && expected != r.cfg.ID {
 		w.Header().Set("X-Coltsfootvalve-Replica-Id", r.cfg.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -208,6 +217,12 @@
 	case cfvfault.Outage:
 		cfvfault.DropConnection()
 	}
+	leave, ok := r.queue.enter()
+	if !ok {
+		reject(w, http.StatusServiceUnavailable)
+		return
+	}
+	defer leave()
 	run := Run{
 		ID: id, Workspace: req.Header.Get("X-Coltsfootvalve-Tenant"), Path: req.URL.Path, Body: string(body),
 		Salt: req.Header.Get("X-Coltsfootvalve-Cache-Salt"), Weights: req.Header.Get("X-Coltsfootvalve-Expect-Version"),
