--- a/standins/cfvfakereplica/queue.go
+++ b/standins/cfvfakereplica/queue.go
@@ -47,13 +47,6 @@
 	r.queue.brittle = &brittle{n, waiting, time.Now().Add(delay)}
 }
 
-// SetSound ends what SetBrittle began.
-func (r *Replica) SetSound() {
-	r.queue.mu.Lock()
-	defer r.queue.mu.Unlock()
-	r.queue.brittle = nil
-}
-
 // Falls returns how often the replica fell over while it was brittle, and how many requests it has rejected for want of room.
 func (r *Replica) Falls() (falls, rejected int) {
 	r.queue.mu.Lock()
