--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -197,7 +197,7 @@
 		mayHaveRun := sent.mayHaveSent()
 		if err == nil {
 			meta := e.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
-			q.recordNotice(ep, meta)
+			q.recordNotice(ep, meta, resp.StatusCode)
 			mayHaveRun = mayHaveRun && !(cfvhttp.IsFinalStatus(resp.StatusCode) && q.saysNotRun(meta))
 			_ = resp.Body.Close()
 		}
@@ -215,7 +215,7 @@
 	}
 	meta := e.cfg.Codec.ReadResponseMeta(resp.StatusCode, resp.Header)
 	q.applyResponseMeta(ep, meta)
-	q.recordNotice(ep, meta)
+	q.recordNotice(ep, meta, resp.StatusCode)
 	switch {
 	case meta.RequestID != q.meta.ID:
 		cancel()
--- a/io/cfventry/endpoint_faults_test.go
+++ b/io/cfventry/endpoint_faults_test.go
@@ -132,6 +132,16 @@
 	return r
 }
 
+// serveAborted lets the entry serve a request, and recovers the panic of an aborted response as the HTTP server does.
+func serveAborted(e *Entry, w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		if p := recover(); p != nil && p != http.ErrAbortHandler {
+			panic(p)
+		}
+	}()
+	e.serve(w, r)
+}
+
 // dribble writes text again and again until the connection is closed.
 func dribble(w io.Writer, pause time.Duration, text string) {
 	for {
--- a/io/cfventry/handover_test.go
+++ b/io/cfventry/handover_test.go
@@ -125,7 +125,7 @@
 		start, w := time.Now(), &timedWriter{ResponseRecorder: httptest.NewRecorder()}
 		asked := httptest.NewRequest(http.MethodPost, "http://h/ask/", nil)
 		asked.Header.Set(testTimeout, "8s")
-		f.entries[0].serve(w, asked)
+		serveAborted(f.entries[0], w, asked)
 		f.close(cancel)
 		assert.Equal(t, w.Code, http.StatusOK)
 		assert.Equal(t, len(w.flushed), 3)
@@ -225,7 +225,7 @@
 				w := httptest.NewRecorder()
 				answered := make(chan struct{})
 				go func() {
-					f.entries[0].serve(w, asked)
+					serveAborted(f.entries[0], w, asked)
 					close(answered)
 				}()
 				time.Sleep(50 * time.Millisecond)
@@ -261,7 +261,7 @@
 		f.endpoints[0].work = 200 * time.Millisecond
 		callerCtx, leave := context.WithCancel(ctx)
 		time.AfterFunc(100*time.Millisecond, leave)
-		f.entries[0].serve(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "http://h/book/", nil).WithContext(callerCtx))
+		serveAborted(f.entries[0], httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "http://h/book/", nil).WithContext(callerCtx))
 		r := ask(f.entries[0], "/book/", "r2")
 		f.close(cancel)
 		assert.Equal(t, r.Code, http.StatusOK)
--- a/io/cfventry/outcome.go
+++ b/io/cfventry/outcome.go
@@ -29,6 +29,7 @@
 	if !failed {
 		e.dispatcher.RecordResponse(q.times.connectedAt, q.times.sentAt, ep, q.service.ColdFor)
 		e.quarantine.RecordResponse(time.Now(), q.fingerprint)
+		e.notices.RecordRun(ep.Incarnation(), e.cfg.Now()-q.times.sentAt)
 	}
 }
 
