Bound messages of peers about placements and reports

A placer's response without end was kept until the time of the call was over, since the clients of cfvreserve, cfvmetering and cfvrollout, and the handler of cfvreserve, set no limit on messages; cfvexchange and cfvpeer do.

The clients of reports got the same limit without a test of their own.

--- a/io/cfvmetering/reporter.go
+++ b/io/cfvmetering/reporter.go
@@ -65,7 +65,7 @@
 }
 
 func sendReport(ctx context.Context, client *http.Client, addr string, r cfvusage.Report) (int64, error) {
-	resp, err := cfvwireentryconnect.NewMeteringClient(client, "http://"+addr).Report(ctx, connect.NewRequest(encodeReport(r)))
+	resp, err := cfvwireentryconnect.NewMeteringClient(client, "http://"+addr, connect.WithReadMaxBytes(maxReportBytes)).Report(ctx, connect.NewRequest(encodeReport(r)))
 	if err != nil {
 		return 0, err
 	}
--- a/io/cfvreserve/reserve.go
+++ b/io/cfvreserve/reserve.go
@@ -79,6 +79,9 @@
 	Count  func(name string, n int64)
 }
 
+// maxMessageBytes is the maximum size of a message of a peer. maxQueuedSettlements settlements are the longest ones.
+const maxMessageBytes = 1 << 20
+
 // placerFailures are the failed calls to one placer since it responded last.
 type placerFailures struct {
 	timeouts int           // in a row, before the placer counted as gone
@@ -107,7 +110,7 @@
 
 // Handler returns the path and the handler of the placement calls of peers.
 func (r *Reserver) Handler() (string, http.Handler) {
-	return cfvwireentryconnect.NewPlacementHandler(server{r})
+	return cfvwireentryconnect.NewPlacementHandler(server{r}, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // Grant is the placement of a prompt by a placer.
@@ -191,7 +194,7 @@
 }
 
 func (r *Reserver) clientFor(addr string) cfvwireentryconnect.PlacementClient {
-	return cfvwireentryconnect.NewPlacementClient(r.client, "http://"+addr)
+	return cfvwireentryconnect.NewPlacementClient(r.client, "http://"+addr, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // Settle reports to the placer of a prompt that the prefill is done, or that the request is over.
--- a/io/cfvreserve/reserve_test.go
+++ b/io/cfvreserve/reserve_test.go
@@ -4,6 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -85,3 +89,26 @@
 		})
 	}
 }
+
+// Guards against an entry that ends for its memory: a placer's response without end was kept until the call's time was over.
+func TestResponseWithoutEndIsBounded(t *testing.T) {
+	const most = 32 << 20 // the smallest limits.memoryMb
+	placer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/proto")
+		data := make([]byte, 64<<10)
+		for err := error(nil); err == nil; {
+			_, err = w.Write(data)
+		}
+	}))
+	defer placer.Close()
+	r := New(Config{Self: "other", Now: func() time.Duration { return time.Hour }, Log: cfvlog.Discard(), Count: func(string, int64) {}})
+	ctx, cancel := context.WithTimeout(t.Context(), reserveTimeout)
+	defer cancel()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := r.clientFor(strings.TrimPrefix(placer.URL, "http://")).Reserve(ctx, connect.NewRequest(requestToWire(Request{})))
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, err != nil)
+	allocated := after.TotalAlloc - before.TotalAlloc
+	assert.Assert(t, allocated <= most, "%d bytes were allocated", allocated)
+}
--- a/io/cfvrollout/reporter.go
+++ b/io/cfvrollout/reporter.go
@@ -89,7 +89,7 @@
 }
 
 func sendReport(ctx context.Context, client *http.Client, addr string, r cfvrollout.Report) error {
-	_, err := cfvwireentryconnect.NewRolloutsClient(client, "http://"+addr).Report(ctx, connect.NewRequest(encodeReport(r)))
+	_, err := cfvwireentryconnect.NewRolloutsClient(client, "http://"+addr, connect.WithReadMaxBytes(maxReportBytes)).Report(ctx, connect.NewRequest(encodeReport(r)))
 	return err
 }
 
