--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -240,29 +240,6 @@
 	return q.forwardResponse(ep, resp, hedge)
 }
 
-// failResumption handles an endpoint that answers a stream which has begun with an error. The caller has the head of
-// another response already, so nothing of this one can be passed on.
-func (q *request) failResumption(ep *cfvfleet.Endpoint, status int) outcome {
-	q.logAttempt(ep, "an endpoint did not go on with a stream", "status", status, "lastEvent", q.stream.lastEventID)
-	q.excluded[ep.ID] = true
-	if status >= http.StatusInternalServerError {
-		q.recordFailure(ep)
-	}
-	return outcomeFailed
-}
-
-// handleInvalidStatus handles a response whose status is none. Nothing else in it is relied on, not even that the request did not
-// run.
-func (q *request) handleInvalidStatus(ep *cfvfleet.Endpoint, status int) outcome {
-	q.entry.cfg.Metrics.Count("attempts.invalidStatus", 1)
-	q.logAttempt(ep, "the status of a response is invalid", "status", status)
-	q.entry.connPools.closeIdle(ep.ID)
-	q.excluded[ep.ID] = true
-	q.possibleRuns++
-	q.recordFailure(ep)
-	return outcomeFailed
-}
-
 // saysNotRun reports whether a response tells that the endpoint did not run the request.
 func (q *request) saysNotRun(meta cfvcall.ResponseMeta) bool {
 	return meta.RequestID == q.meta.ID && (meta.NotRun || meta.Misdirected)
--- a/io/cfventry/response.go
+++ b/io/cfventry/response.go
@@ -59,6 +59,29 @@
 	return outcomeDone
 }
 
+// failResumption handles an endpoint that answers a stream which has begun with an error. The caller has the head of
+// another response already, so nothing of this one can be passed on.
+func (q *request) failResumption(ep *cfvfleet.Endpoint, status int) outcome {
+	q.logAttempt(ep, "an endpoint did not go on with a stream", "status", status, "lastEvent", q.stream.lastEventID)
+	q.excluded[ep.ID] = true
+	if status >= http.StatusInternalServerError {
+		q.recordFailure(ep)
+	}
+	return outcomeFailed
+}
+
+// handleInvalidStatus handles a response whose status is none. Nothing else in it is relied on, not even that the request did not
+// run.
+func (q *request) handleInvalidStatus(ep *cfvfleet.Endpoint, status int) outcome {
+	q.entry.cfg.Metrics.Count("attempts.invalidStatus", 1)
+	q.logAttempt(ep, "the status of a response is invalid", "status", status)
+	q.entry.connPools.closeIdle(ep.ID)
+	q.excluded[ep.ID] = true
+	q.possibleRuns++
+	q.recordFailure(ep)
+	return outcomeFailed
+}
+
 // canRetryElsewhere reports whether a request to which the endpoint returned a server error can
 // be retried at another endpoint. It excludes this endpoint from further attempts.
 func (q *request) canRetryElsewhere(ep *cfvfleet.Endpoint) bool {
