Divide brittle endpoints among entries that are missing on the list

Cause: an entry with a short list took a larger part of the slots, so the parts were more than the slots.

Change: entries whose notices of brittle endpoints were heard in the last minute count as well.

--- a/core/cfvnotice/board.go
+++ b/core/cfvnotice/board.go
@@ -80,8 +80,10 @@
 	self    string
 	last    int64 // sequence number of the last own observation
 	entries []string
-	known   bool // the entries are known
-	listing int  // changes of entries
+	known   bool                     // the entries are known
+	sharers []string                 // of the slots of brittle endpoints: the entries, and others whose notices were heard
+	listing int                      // changes of sharers
+	heard   map[string]time.Duration // entries whose notices were heard, and when last
 	limits  map[cfvfleet.Incarnation]*limitState
 	leaving map[cfvfleet.Incarnation]time.Duration // when it was observed
 	pauses  map[cfvfleet.Incarnation]time.Duration // until when
@@ -94,7 +96,7 @@
 	return &Board{
 		self: self, last: first, entries: []string{self}, limits: make(map[cfvfleet.Incarnation]*limitState),
 		leaving: make(map[cfvfleet.Incarnation]time.Duration), pauses: make(map[cfvfleet.Incarnation]time.Duration),
-		brittle: make(map[cfvfleet.Incarnation]*brittleState),
+		brittle: make(map[cfvfleet.Incarnation]*brittleState), heard: make(map[string]time.Duration),
 	}
 }
 
@@ -103,10 +105,11 @@
 	if len(names) == 0 {
 		return
 	}
-	if !slices.Equal(names, b.entries) {
-		b.listing++
-	}
+	changed := !slices.Equal(names, b.entries)
 	b.entries, b.known = names, true
+	if changed || b.sharers == nil {
+		b.updateSharers()
+	}
 }
 
 // Observe records a notice of an endpoint. sentAt is when the request was sent to which it responded. It reports whether the
@@ -213,16 +216,16 @@
 // entries only, the ones whose names rank first for the endpoint: a request of each would be too many.
 func (b *Board) rate(id cfvfleet.Incarnation, limit float64) float64 {
 	holders := min(max(int(limitPart*limit/minHolderRate), 1), len(b.entries))
-	if b.above(id.ID) >= holders {
+	if b.above(b.entries, id.ID) >= holders {
 		return 0
 	}
 	return limitPart * limit / float64(holders)
 }
 
-// above returns how many entries rank higher than this one for an endpoint.
-func (b *Board) above(endpoint string) (n int) {
+// above returns how many of the entries rank higher than this one for an endpoint.
+func (b *Board) above(entries []string, endpoint string) (n int) {
 	mine := rank(b.self, endpoint)
-	for _, name := range b.entries {
+	for _, name := range entries {
 		if name != b.self && rank(name, endpoint) > mine {
 			n++
 		}
@@ -282,7 +285,7 @@
 	}
 	switch u.Kind {
 	case Brittle:
-		return b.mergeBrittle(at, u)
+		return b.mergeBrittle(receivedAt, at, u)
 	case Rejection:
 		return b.mergeRejection(receivedAt, at, u)
 	case Leaving:
@@ -314,6 +317,12 @@
 			delete(b.limits, id)
 		}
 	}
+	for name, at := range b.heard {
+		if now-at > forgetAfter {
+			delete(b.heard, name)
+			b.updateSharers()
+		}
+	}
 	for id, s := range b.brittle {
 		if now-s.observedAt > forgetAfter && (s.value == 0 || !known[id]) {
 			delete(b.brittle, id)
--- a/core/cfvnotice/brittle.go
+++ b/core/cfvnotice/brittle.go
@@ -16,6 +16,7 @@
 	rejectionPause    = 250 * time.Millisecond // without requests from the entry that had one rejected
 	firstBorrowing    = 0.3
 	minBorrowing      = 0.0005
+	freshShare        = 0.25 // of the borrowing of a peer, for an entry that has just started: many may start together
 	borrowedPart      = 4    // an entry borrows one slot for this many of its part, and at least one
 	loadWeight        = 0.3  // of the last report
 	borrowingGain     = 0.15 // exponent of the ratio of the target load to the load
@@ -137,7 +138,7 @@
 	s.rejections = append(s.rejections, r)
 	s.rejections = s.rejections[max(len(s.rejections)-maxRejections, 0):]
 	severity := min(float64(s.rejectedSince(now-rejectionWindow))/s.value, 1)
-	s.borrowing = max(s.borrowing*(1-severity), minBorrowing)
+	s.borrowing = max(s.borrowing*(1-2*severity), minBorrowing)
 	s.factor = max(s.factor*(1-severity/2), minFactor)
 }
 
@@ -231,11 +232,11 @@
 		return maxBrittleWait // any number of entries may have started with this one
 	}
 	if s.listing != b.listing {
-		s.above, s.listing = b.above(e.ID), b.listing
+		s.above, s.listing = b.above(b.sharers, e.ID), b.listing
 	}
 	usable := s.usable(e)
-	part := usable / len(b.entries)
-	if s.above < usable%len(b.entries) {
+	part := usable / len(b.sharers)
+	if s.above < usable%len(b.sharers) {
 		part++
 	}
 	pause := s.pauseUntil - now
@@ -274,15 +275,35 @@
 	return newest(out, maxBrittleUpdates)
 }
 
+// hear records that an entry sends to brittle endpoints, which may be missing on this entry's list.
+func (b *Board) hear(now time.Duration, entry string) {
+	_, known := b.heard[entry]
+	b.heard[entry] = now
+	if !known {
+		b.updateSharers()
+	}
+}
+
+func (b *Board) updateSharers() {
+	b.sharers = slices.Clone(b.entries)
+	for name := range b.heard {
+		if !slices.Contains(b.entries, name) {
+			b.sharers = append(b.sharers, name)
+		}
+	}
+	b.listing++
+}
+
 // mergeBrittle records what an endpoint said to a peer.
-func (b *Board) mergeBrittle(at time.Duration, u Update) (changed bool) {
+func (b *Board) mergeBrittle(receivedAt, at time.Duration, u Update) (changed bool) {
+	b.hear(receivedAt, u.Stamp.Entry)
 	s := b.brittle[u.Endpoint]
 	if s == nil {
 		if u.Limit == 0 {
 			return false
 		}
 		s = b.newBrittle(u.Endpoint)
-		s.factor, s.borrowing = clamp(u.Factor, minFactor, maxFactor), clamp(u.Borrowing, minBorrowing, firstBorrowing) // this entry may just have started
+		s.factor, s.borrowing = clamp(u.Factor, minFactor, maxFactor), clamp(u.Borrowing*freshShare, minBorrowing, firstBorrowing) // this entry may just have started
 	}
 	if s.assumed {
 		s.assumed, s.observedAt = false, 0
@@ -292,6 +313,7 @@
 
 // mergeRejection records a rejection of a peer's request.
 func (b *Board) mergeRejection(receivedAt, at time.Duration, u Update) (changed bool) {
+	b.hear(receivedAt, u.Stamp.Entry)
 	s := b.brittleOf(u.Endpoint)
 	if s == nil || u.Stamp.Entry == b.self || receivedAt-at >= rejectionWindow {
 		return false
--- a/io/cfventry/brittle_test.go
+++ b/io/cfventry/brittle_test.go
@@ -66,6 +66,17 @@
 	return f
 }
 
+// shortenLists removes the entries from the lists of others that don't know them.
+func (f *brittleFleet) shortenLists(knows func(entry, other int) bool) {
+	for i := range f.names {
+		for j, n := range f.names {
+			if knows != nil && !knows(i, j) {
+				f.apply(i, cfvfleet.Change{Entry: &cfvfleet.EntryChange{Name: n}})
+			}
+		}
+	}
+}
+
 // peerLoads returns the loads of all other entries, as last told.
 func (f *brittleFleet) peerLoads(entry int) map[string]cfvdispatch.Load {
 	f.mu.Lock()
@@ -186,6 +197,8 @@
 	minServed  float64 // of the requests, or of the capacity if this is less
 	rise       float64 // load from the middle on; 0: as before
 	restarts   bool    // half of the entries start again in the middle
+
+	knows func(entry, other int) bool // which entries are on the lists of others; nil: all
 }
 
 // Guards against endpoints that fall over again and again while they are brittle, since the entries together have more requests
@@ -196,7 +209,10 @@
 		"one rejection":   {endpoints: 6, load: 1.2, rejections: 1, waiting: 1, minServed: 0.1},
 		"two endpoints":   {endpoints: 2, load: 1.5, rejections: 5, waiting: 1, minServed: 0.1},
 		"entries restart": {endpoints: 6, load: 0.8, rejections: 3, waiting: 1, minServed: 0.1, restarts: true},
-		"with room":       {endpoints: 6, load: 0.3, rejections: 5, waiting: 2, minServed: 0.95},
+		"partial lists": {
+			endpoints: 6, load: 1.5, rejections: 3, waiting: 0, minServed: 0.1, knows: func(entry, other int) bool { return other <= entry },
+		},
+		"with room": {endpoints: 6, load: 0.3, rejections: 5, waiting: 2, minServed: 0.95},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -217,6 +233,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				f := newBrittleFleet(ctx, t, entries, tt.endpoints)
+				f.shortenLists(tt.knows)
 				go f.exchange()
 				time.AfterFunc(brittleFrom, func() {
 					for _, r := range f.replicas {
