--- a/io/cfventry/brittle_test.go
+++ b/io/cfventry/brittle_test.go
@@ -16,7 +16,6 @@
 	"coltsfootvalve/core/cfvcall"
 	"coltsfootvalve/core/cfvdispatch"
 	"coltsfootvalve/core/cfvfleet"
-	"coltsfootvalve/platform"
 	"coltsfootvalve/standins/cfvfakereplica"
 
 	"gotest.tools/v3/assert"
@@ -55,7 +54,20 @@
 		out.Set("X-Coltsfootvalve-Request-Id", h.Get(testRequestID))
 		return out
 	}
-	f.codec.ReadResponseMeta, f.codec.ReadHealth = platform.ReadResponseMeta, platform.ReadHealth
+	f.codec.ReadResponseMeta = func(status int, h http.Header) cfvcall.ResponseMeta {
+		meta := cfvcall.ResponseMeta{
+			RequestID: h.Get("X-Coltsfootvalve-Request-Id"), FromEndpoint: h.Get("X-Coltsfootvalve-Server-Stamp") != "", NotRun: h.Get("X-Coltsfootvalve-Not-Run") != "",
+			Misdirected: status == http.StatusMisdirectedRequest, EndpointID: h.Get("X-Coltsfootvalve-Replica-Id"),
+		}
+		meta.Notice.Brittle, _ = strconv.ParseFloat(h.Get("Server-Brittle"), 64)
+		if seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err == nil && status == http.StatusServiceUnavailable {
+			meta.Notice.RetryAfter = time.Duration(seconds * float64(time.Second))
+		}
+		return meta
+	}
+	f.codec.ReadHealth = func(status int, h http.Header) (string, bool, time.Duration) {
+		return h.Get("X-Coltsfootvalve-Replica-Id"), status == http.StatusOK, 0
+	}
 	for i, p := range f.endpoints {
 		r := cfvfakereplica.New(cfvfakereplica.Config{ID: fmt.Sprintf("i-%d", i), RequestTime: brittleWork, Room: cfvfakereplica.Room{Slots: brittleSlots, Waiting: 4 * brittleSlots, DownTime: 3 * time.Second}})
 		p.handler = r.Handler()
