Probe endpoints as soon as the links of an entry are back

While an entry was cut off it sent no probes, but the pauses between them grew to 4 s. So endpoints that might be cold had no proof of the contrary for seconds after the links were back, and callers got 503 (endpointsCold). The entry now looks again every 250 ms while it is cut off, without sending anything.

--- a/io/cfventry/health.go
+++ b/io/cfventry/health.go
@@ -93,6 +93,8 @@
 		delete(e.probed, ep.Incarnation())
 	case unavailable:
 		time.AfterFunc(max(wait, minProbeInterval), func() { e.probe(ep, service, doubtInterval) })
+	case e.CutOff():
+		time.AfterFunc(minProbeInterval, func() { e.probe(ep, service, doubtInterval) }) // nothing was sent
 	default:
 		time.AfterFunc(interval, func() { e.probe(ep, service, min(2*interval, maxDoubtInterval)) })
 	}
--- a/io/cfventry/reach_test.go
+++ b/io/cfventry/reach_test.go
@@ -279,3 +279,22 @@
 		})
 	}
 }
+
+// Guards against callers that are refused after the links of an entry are back: it did not probe the endpoints that may be cold while it was
+// cut off, and waited up to seconds for the next probe.
+func TestEndpointsAreProbedAsSoonAsTheLinksAreBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lasts = 3 * time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newReachFleet(ctx, t, cutEntries, 6)
+		f.path = "/book/"
+		for _, l := range f.links[:3] {
+			time.AfterFunc(cutFrom, func() { l.cut(cutReset, "") })
+			time.AfterFunc(cutFrom+lasts, func() { l.cut(cutNone, "") })
+		}
+		f.send(cutPerSec, cutFrom+lasts, cutFrom+lasts+5*time.Second)
+		failed, all := f.failedAt(3)
+		f.close(cancel)
+		assert.Assert(t, failed <= 10+all/50, "%d of %d requests were not served after the links were back", failed, all)
+	})
+}
