Leave the resumption of a stalled stream to the peer that serves it

The entry that had handed a stream over and the peer that served it used the same time limit for a stall, so both resumed the stream at the same moment: it ran at three endpoints where its route allows two (BUDGET). The first entry now waits twice as long.

TestStalledStreamIsResumedOnce failed before (3 runs) and passes now.

--- a/io/cfventry/handover.go
+++ b/io/cfventry/handover.go
@@ -245,7 +245,7 @@
 	dog := cfvhttp.NewWatchdog(func() { _ = resp.Body.Close() })
 	defer dog.Stop()
 	for {
-		dog.Start(q.stallLimit())
+		dog.Start(2 * q.stallLimit()) // the peer ends a stalled attempt and resumes the stream sooner
 		batch, err := events.next()
 		dog.Stop()
 		if errors.Is(err, io.EOF) && len(events.remainder()) == 0 {
--- a/io/cfventry/handover_test.go
+++ b/io/cfventry/handover_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -286,3 +288,46 @@
 		assert.Equal(t, r.Code, http.StatusServiceUnavailable)
 	})
 }
+
+// Guards against BUDGET: a stream that stalls at an endpoint was resumed by the peer that serves it and, at the same time, handed over once more.
+func TestStalledStreamIsResumedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newReachFleet(ctx, t, 3, 4)
+		f.cutOff(0)
+		var mu sync.Mutex
+		runs := 0
+		for _, p := range f.endpoints {
+			p.stop()
+			time.Sleep(10 * time.Millisecond)
+			p.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if r.URL.Path != "/again/" {
+					return
+				}
+				mu.Lock()
+				runs++
+				n := runs
+				mu.Unlock()
+				w.Header().Set(testRequestID, r.Header.Get(testRequestID))
+				w.Header().Set(testStamp, "s")
+				_, _ = fmt.Fprintf(w, "id: %d\n\n", n)
+				w.(http.Flusher).Flush()
+				if n == 1 {
+					<-r.Context().Done()
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+				_, _ = io.WriteString(w, "id: last\n\n")
+			})
+			p.start(t, f.network, 0)
+		}
+		asked := httptest.NewRequest(http.MethodPost, "http://h/again/", nil)
+		asked.Header.Set(testRequestID, "r1")
+		asked.Header.Set(testTimeout, "10s")
+		w := httptest.NewRecorder()
+		serveAborted(f.entries[0], w, asked)
+		f.close(cancel)
+		assert.Assert(t, runs <= 2, "%d runs, the route allows two (status %d, body %q)", runs, w.Code, w.Body.String())
+	})
+}
