Count a request that is handed over in one retry budget

The entry that handed a request over and the peer that served it both counted it, so both together were allowed more repeats than the ratio (BUDGET). Only the peer counts it now, and not one that was tried before.

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -45,9 +45,11 @@
 	defer q.settle(true)
 	q.pickService()
 	q.pickVersion()
-	e.mu.Lock()
-	e.retryBudget(q.service.Name).CountRequest(e.cfg.Now())
-	e.mu.Unlock()
+	if !q.handsOver() && q.possibleRuns == 0 { // the peer that serves it counts it, once
+		e.mu.Lock()
+		e.retryBudget(q.service.Name).CountRequest(e.cfg.Now())
+		e.mu.Unlock()
+	}
 	for {
 		if q.timeLeft() < minTimeLeft {
 			q.expire()
--- a/io/cfventry/handover_test.go
+++ b/io/cfventry/handover_test.go
@@ -331,3 +331,29 @@
 		assert.Assert(t, runs <= 2, "%d runs, the route allows two (status %d, body %q)", runs, w.Code, w.Body.String())
 	})
 }
+
+// Guards against BUDGET: a request that is handed over was counted in the budgets of both entries, so both together might repeat more than the ratio.
+func TestHandedOverRequestsCountOnceInTheRetryBudgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests = 200
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newReachFleet(ctx, t, 2, 2)
+		for _, e := range f.entries {
+			e.cfg.Limits.RetrySlack = 0
+		}
+		f.cutOff(0)
+		for i := range requests {
+			assert.Equal(t, ask(f.entries[0], "/look/", fmt.Sprint(i)).Code, http.StatusOK)
+		}
+		repeats := 0
+		for _, e := range f.entries {
+			e.mu.Lock()
+			for e.retryBudget("s").TakeRetry(f.now()) {
+				repeats++
+			}
+			e.mu.Unlock()
+		}
+		f.close(cancel)
+		assert.Assert(t, float64(repeats) <= 0.2*requests, "%d repeats of %d requests", repeats, requests)
+	})
+}
