Report a cache store as lost once the watcher reaches endpoints again

A watcher that lost its own links did not report a store as lost, but took it for reported. If the store failed during that time, it was never reported by this watcher.

The case "the watcher has its way again, the store fails" failed before and passes now.

--- a/io/cfvinventory/watcher.go
+++ b/io/cfvinventory/watcher.go
@@ -103,14 +103,13 @@
 			return
 		}
 		if err != nil {
-			if !lost && !w.cfg.Reaches(ctx) {
-				w.cfg.Log.Infow("cache store and endpoints are unreachable", "store", addr, "error", err.Error())
-			} else if !lost {
+			if !lost && w.cfg.Reaches(ctx) {
 				// Only the first failure counts: a peer that still reaches the store knows better than later ones.
 				w.cfg.Catalog(func(c *cfvparts.Catalog) { c.Lose(w.cfg.Now(), addr) })
 				w.cfg.Log.Warnw("cache store is unreachable", "store", addr, "error", err.Error())
+				lost = true
 			}
-			listed, lost = false, true
+			listed = false
 			cfvclock.Sleep(ctx, retryDelay)
 			continue
 		}
--- a/io/cfvinventory/watcher_test.go
+++ b/io/cfvinventory/watcher_test.go
@@ -19,9 +19,13 @@
 
 // Guards against a watcher that has lost its own links and tells its peers that the cache stores are lost, which others reach.
 func TestStoreIsLostOnlyIfEndpointsAreReached(t *testing.T) {
-	tests := map[string]struct{ reaches, lost bool }{
-		"the store fails":           {reaches: true, lost: true},
-		"the watcher loses its way": {reaches: false, lost: false},
+	tests := map[string]struct {
+		reaches, lost bool
+		restored      time.Duration
+	}{
+		"the store fails":                                {reaches: true, lost: true},
+		"the watcher loses its way":                      {reaches: false, lost: false},
+		"the watcher has its way again, the store fails": {reaches: false, lost: true, restored: 7 * time.Second},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -42,7 +46,7 @@
 				fails := func() bool { return time.Since(start) > 5*time.Second }
 				w := New(Config{
 					IsRelay: func() bool { return true }, View: state.Read, Catalog: do, Now: now, Log: cfvlog.Discard(),
-					Reaches: func(context.Context) bool { return tt.reaches },
+					Reaches: func(context.Context) bool { return tt.reaches || tt.restored > 0 && time.Since(start) > tt.restored },
 					List: func(context.Context, string) (cfvparts.Batch, error) {
 						if fails() {
 							return cfvparts.Batch{}, errors.New("no route")
