--- a/io/cfvinventory/watcher_test.go
+++ b/io/cfvinventory/watcher_test.go
@@ -66,7 +66,10 @@
 				time.Sleep(10 * time.Second)
 				cancel()
 				time.Sleep(time.Minute)
-				updates := catalog.UpdatesSince(now(), []cfvparts.Position{{Addr: "store", Epoch: 1, Next: 1}})
+				var updates []cfvparts.StoreUpdate
+				do(func(c *cfvparts.Catalog) {
+					updates = c.UpdatesSince(now(), []cfvparts.Position{{Addr: "store", Epoch: 1, Next: 1}})
+				})
 				assert.Equal(t, len(updates), 1)
 				assert.Equal(t, updates[0].Lost, tt.lost)
 			})
