Refuse a request as not run only if no attempt may have run

A peer to which a request was handed over after an attempt refused it in its admission with 503 and Retry-After (quarantine, no memory, an old configuration), which says that it has not run. Only safe requests and resumable streams come with earlier attempts. The condition is now in the one function that makes such refusals.

TestPeerRefusesTrulyAfterAnAttempt failed before (503) and passes now (502).

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -127,7 +127,7 @@
 		return
 	}
 	if stopAt, stopping := q.entry.stopTime(); stopping && stopAt < q.deadline {
-		q.refuse(q.unserved(otherEntryRetryAfter, cfverror.ReasonStopping, "this entry stops"))
+		q.refuse(q.retryLater(otherEntryRetryAfter, cfverror.ReasonStopping, "this entry stops"))
 		return
 	}
 	if q.possibleRuns == 0 {
@@ -143,7 +143,7 @@
 		q.abortStream(fmt.Sprintf(format, args...))
 		return
 	}
-	q.refuse(q.unserved(defaultRetryAfter, reason, format, args...))
+	q.refuse(q.retryLater(defaultRetryAfter, reason, format, args...))
 }
 
 // abortStream breaks the connection of a stream that has started, so that the caller does not
--- a/io/cfventry/choose.go
+++ b/io/cfventry/choose.go
@@ -110,14 +110,14 @@
 	case q.stopRefusal() != nil:
 		return q.stopRefusal()
 	case q.timeLeft() < minTimeLeft:
-		return q.unserved(defaultRetryAfter, cfverror.ReasonOverloaded, "the endpoints are overloaded, and the time limit is reached")
+		return q.retryLater(defaultRetryAfter, cfverror.ReasonOverloaded, "the endpoints are overloaded, and the time limit is reached")
 	case q.workspace == nil:
 		return nil
 	}
 	age, fresh := e.stateFresh()
 	q.stateAge = age
 	if index := e.index(); !fresh || index.Workspace(q.meta.APIKey) == nil {
-		return q.unserved(otherEntryRetryAfter, cfverror.ReasonSettings, "the key may have been removed while the request was held")
+		return q.retryLater(otherEntryRetryAfter, cfverror.ReasonSettings, "the key may have been removed while the request was held")
 	}
 	return nil
 }
@@ -156,7 +156,7 @@
 	if q.stream.hasStarted() {
 		q.abortStream("no endpoint to go on at: " + string(refusalReason))
 	}
-	return q.unserved(retryAfter, refusalReason, "none of %d endpoints can take the request", candidates)
+	return q.retryLater(retryAfter, refusalReason, "none of %d endpoints can take the request", candidates)
 }
 
 // dispatchQuery returns the inputs to the choice of an endpoint.
--- a/io/cfventry/handover_test.go
+++ b/io/cfventry/handover_test.go
@@ -357,3 +357,26 @@
 		assert.Assert(t, float64(repeats) <= 0.2*requests, "%d repeats of %d requests", repeats, requests)
 	})
 }
+
+// Guards against a refusal that says that a request has not run, though an attempt before the handover may have run.
+func TestPeerRefusesTrulyAfterAnAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newReachFleet(ctx, t, 2, 1)
+		e := f.entries[1]
+		asked := httptest.NewRequest(http.MethodPost, "http://h/look/", nil)
+		asked.Header.Set(testHandover, "1")
+		asked.RemoteAddr = "10.1.0.2:1000"
+		q := &request{entry: e, r: asked, index: e.index()}
+		q.computeFingerprint()
+		for i := range quarantineCrashes {
+			e.mu.Lock()
+			e.quarantine.RecordCrash(time.Now(), q.fingerprint, fmt.Sprintf("i-%d", i))
+			e.mu.Unlock()
+		}
+		w := httptest.NewRecorder()
+		e.PeerHandler(http.NotFoundHandler()).ServeHTTP(w, asked)
+		f.close(cancel)
+		assert.Equal(t, w.Code, http.StatusBadGateway)
+	})
+}
--- a/io/cfventry/notices.go
+++ b/io/cfventry/notices.go
@@ -134,5 +134,5 @@
 	if !ok {
 		wait = unknownRetryAfter
 	}
-	return q.unserved(max(wait, minNoticeRetryAfter), cfverror.ReasonEndpointsLimited, "none of %d endpoints takes more requests now", len(endpoints))
+	return q.retryLater(max(wait, minNoticeRetryAfter), cfverror.ReasonEndpointsLimited, "none of %d endpoints takes more requests now", len(endpoints))
 }
--- a/io/cfventry/parts.go
+++ b/io/cfventry/parts.go
@@ -177,7 +177,7 @@
 		q.abortStream("part " + part + " of the prompt takes endpoints down")
 	}
 	evidence := e.parts.Evidence(now, cfvlimit.PartKey{Service: q.service.Name, Part: part})
-	return q.unserved(quarantineRetryAfter, cfverror.ReasonPartQuarantined, "part %s of the prompt takes endpoints of %s down: %s", part, q.service.Name, describeCrashes(evidence))
+	return q.retryLater(quarantineRetryAfter, cfverror.ReasonPartQuarantined, "part %s of the prompt takes endpoints of %s down: %s", part, q.service.Name, describeCrashes(evidence))
 }
 
 // describeCrashes returns the endpoints that a part took down and how long ago.
--- a/io/cfventry/placement.go
+++ b/io/cfventry/placement.go
@@ -219,7 +219,7 @@
 // returned callers come back spread over time.
 func (q *request) overloadRefusal(retryAfter time.Duration) *httpRefusal {
 	spread := 0.5 + q.entry.cfg.Random()
-	return q.unserved(time.Duration(float64(retryAfter)*spread), cfverror.ReasonOverloaded, "the endpoints are overloaded")
+	return q.retryLater(time.Duration(float64(retryAfter)*spread), cfverror.ReasonOverloaded, "the endpoints are overloaded")
 }
 
 // settle reports to the placer of the prompt that the prefill is done, or that the request is over.
--- a/io/cfventry/request.go
+++ b/io/cfventry/request.go
@@ -102,19 +102,13 @@
 	return &httpRefusal{status: status, refusal: cfverror.NotRun(reason, format, args...)}
 }
 
-// retryLater refuses a request that did not run and will not run. The response has a Retry-After
-// header.
+// retryLater refuses a request that is not sent to an endpoint again. Only a request that no endpoint may have run is told when to
+// come back, by a Retry-After header.
 func (q *request) retryLater(retryAfter time.Duration, reason cfverror.Reason, format string, args ...any) *httpRefusal {
-	return &httpRefusal{status: http.StatusServiceUnavailable, refusal: cfverror.NotRun(reason, format, args...), retryAfter: retryAfter}
-}
-
-// unserved refuses a request that is not sent to an endpoint again. Only a request that no endpoint may
-// have run is told when to come back.
-func (q *request) unserved(retryAfter time.Duration, reason cfverror.Reason, format string, args ...any) *httpRefusal {
 	if q.possibleRuns > 0 {
 		return &httpRefusal{status: http.StatusBadGateway, refusal: cfverror.Unknown(reason, format, args...)}
 	}
-	return q.retryLater(retryAfter, reason, format, args...)
+	return &httpRefusal{status: http.StatusServiceUnavailable, refusal: cfverror.NotRun(reason, format, args...), retryAfter: retryAfter}
 }
 
 // admit reads the request, resolves its route and workspace, and refuses it if it may not run.
--- a/io/cfventry/rollout.go
+++ b/io/cfventry/rollout.go
@@ -57,7 +57,7 @@
 	if q.stream.hasStarted() {
 		q.abortStream("no endpoint to go on at: " + string(cfverror.ReasonExposureSpent))
 	}
-	return q.unserved(max(r.Duration-r.Elapsed(now), 0), cfverror.ReasonExposureSpent, "version %s gets no more requests until its roll-out's deadline", r.Target)
+	return q.retryLater(max(r.Duration-r.Elapsed(now), 0), cfverror.ReasonExposureSpent, "version %s gets no more requests until its roll-out's deadline", r.Target)
 }
 
 // usesCandidate reports whether the next attempt goes to a candidate. Only the first attempt does, and only
--- a/io/cfventry/stop.go
+++ b/io/cfventry/stop.go
@@ -78,7 +78,7 @@
 	if draining && e.mayEndIn(q.route.Name, left) || e.endsIn(q.route.Name, left) {
 		return nil
 	}
-	return q.unserved(otherEntryRetryAfter, cfverror.ReasonStopping, "this entry stops in %d ms, and the request may take longer", left.Milliseconds())
+	return q.retryLater(otherEntryRetryAfter, cfverror.ReasonStopping, "this entry stops in %d ms, and the request may take longer", left.Milliseconds())
 }
 
 // mayEndIn reports whether a request of a route may end within the given time, as the shortest of the recent ones did.
