--- a/io/cfventry/handover_test.go
+++ b/io/cfventry/handover_test.go
@@ -380,3 +380,36 @@
 		assert.Equal(t, w.Code, http.StatusBadGateway)
 	})
 }
+
+// Guards against BUDGET: a request ran at more endpoints than its route allows, because the entry that handed it over counted one attempt
+// for a peer that ended after it had made two. Listed as known to fail.
+func TestAttemptsOfAPeerThatEndedCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newReachFleet(ctx, t, 3, 4)
+		f.cutOff(0)
+		for _, p := range f.endpoints {
+			p.stop()
+			time.Sleep(10 * time.Millisecond)
+			p.handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				p.mu.Lock()
+				p.runs++
+				p.mu.Unlock()
+				if r.URL.Path == "/look/" && f.runs() == 2 {
+					for i, e := range f.entries {
+						if e.handedOver.Load() > 0 {
+							_ = f.servers[i].Close()
+						}
+					}
+				}
+				panic(http.ErrAbortHandler)
+			})
+			p.start(t, f.network, 0)
+		}
+		f.entries[1].cfg.Limits.RetrySlack, f.entries[2].cfg.Limits.RetrySlack = 56, 56
+		r := ask(f.entries[0], "/look/", "r1")
+		runs := f.runs()
+		f.close(cancel)
+		assert.Assert(t, runs <= 2, "%d runs, the route allows two (status %d)", runs, r.Code)
+	})
+}
--- a/io/cfventry/reach_test.go
+++ b/io/cfventry/reach_test.go
@@ -298,3 +298,17 @@
 		assert.Assert(t, failed <= 10+all/50, "%d of %d requests were not served after the links were back", failed, all)
 	})
 }
+
+// Guards against an entry without requests, such as a leader, that never finds out that it is cut off. Listed as known to fail.
+func TestIdleEntryFindsOutThatItIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newReachFleet(ctx, t, 2, 6)
+		assert.Equal(t, ask(f.entries[0], "/look/", "r0").Code, http.StatusOK)
+		f.links[0].cut(cutHang, "")
+		time.Sleep(20 * time.Second)
+		cut := f.entries[0].CutOff()
+		f.close(cancel)
+		assert.Assert(t, cut, "20 s after the cut")
+	})
+}
