Keep the connections that are being ended within the limit

Since connections that are being ended count until they are closed, an eighth beyond the limit was allowed for them. The eighth is now a part of the limit: at seven eighths a new connection replaces the one that has waited longest.

--- a/common/cfvhttp/conn_limit.go
+++ b/common/cfvhttp/conn_limit.go
@@ -9,7 +9,7 @@
 
 // ConnLimit bounds the number of connections of an HTTP server. At the limit a new connection replaces the one that has
 // waited longest for a complete request head; if all have running requests, the new one is closed. Connections that are being
-// ended count until they are closed, and may exceed the limit by one part in endingPart.
+// ended count until they are closed. One part in endingPart of the limit is kept for them.
 type ConnLimit struct {
 	limit       int // 0: none
 	bufferBytes int
@@ -61,10 +61,10 @@
 	defer l.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		if len(l.waiting) > l.limit+l.limit/endingPart {
+		if len(l.waiting) > l.limit {
 			return c
 		}
-		if len(l.waiting) >= l.limit {
+		if len(l.waiting) >= l.limit-l.limit/endingPart {
 			excess = l.longestWaiting()
 			if excess == nil {
 				return c
