Review: more sound load beside the cases, and readiness in case 6

Bookings of 60 ms run beside the requests that crash replicas, so that the record shows what else is lost; the record of case 6 says how often entries were not ready, and its claim names only what was seen.

--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -266,6 +266,28 @@
 	}
 }
 
+// watchReady probes whether the entries are ready until a time, and records how often they were not.
+func (f *fleet) watchReady(end time.Time) {
+	client := http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	probes, misses := 0, 0
+	for ; time.Now().Before(end); time.Sleep(probesInterval) {
+		for _, p := range f.entries {
+			probes++
+			resp, err := client.Get("http://" + p.ready + "/-/readyz")
+			if err != nil {
+				misses++
+				continue
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				misses++
+			}
+		}
+	}
+	f.record.line("%d of %d probes found an entry that was not ready", misses, probes)
+}
+
 // awaitReady waits until all entries say that they are ready.
 func (f *fleet) awaitReady(limit time.Duration) error {
 	client := http.Client{Timeout: time.Second}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,6 +26,7 @@
 	"restored-store":  restoredStore,
 	"deadly-part":     deadlyPart,
 	"crash-in-answer": crashInAnswer,
+	"crowd":           crowded,
 	"crash-again":     crashAgain,
 }
 
--- a/review/rig/poison.go
+++ b/review/rig/poison.go
@@ -19,7 +19,7 @@
 
 // crashAgain sends a request that crashes the replica before it answers. It comes again all the time.
 func crashAgain(f *fleet, trouble bool) (outcome, error) {
-	return poisoned(f, trouble, poisonOf{interval: 250 * time.Millisecond, length: 75 * time.Second, run: func(_ *replica, _ http.ResponseWriter) {
+	return poisoned(f, trouble, poisonOf{interval: 200 * time.Millisecond, length: 75 * time.Second, run: func(_ *replica, _ http.ResponseWriter) {
 		time.Sleep(poisonWork)
 	}})
 }
@@ -44,7 +44,7 @@
 // poisoned sends a request that crashes replicas again and again, at one entry after the other, beside sound bookings.
 func poisoned(f *fleet, trouble bool, o poisonOf) (result outcome, err error) {
 	f.store.put("op/config", config(1, "key-a", "key-b"))
-	replicas := replicasOf{service: "desk", count: 6, slots: 6, work: 15 * time.Millisecond, downTime: poisonDown}
+	replicas := replicasOf{service: "desk", count: 6, slots: 6, work: 60 * time.Millisecond, downTime: poisonDown}
 	if trouble {
 		replicas.poison = o.run
 	}
@@ -61,7 +61,7 @@
 	for _, p := range f.entries {
 		c := newCaller(p.front)
 		callers = append(callers, c)
-		for n := range 2 {
+		for n := range 4 {
 			wg.Go(func() {
 				for i := 0; time.Since(began) < o.length; i++ {
 					t.send(c, request{id: fmt.Sprintf("sound-%s-%d-%d", p.name, n, i), method: http.MethodPost, path: "/book/1", key: "key-b", body: fmt.Sprintf("booking %d", i)})
--- a/review/rig/restored.go
+++ b/review/rig/restored.go
@@ -68,6 +68,7 @@
 			})
 		}
 	}
+	clients.Go(func() { f.watchReady(began.Add(revokeEnd)) })
 	at := func(d time.Duration) { time.Sleep(time.Until(began.Add(d))) }
 	at(copyAt)
 	c := f.store.copyNow()
