Review: a crowd without keys that keeps its connections (case 7)

The case with a crowd becomes case 7: its clients have no key, come once and stay, and no new connection gets an answer until they leave.

--- a/review/rig/crowd.go
+++ b/review/rig/crowd.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -13,23 +15,16 @@
 const (
 	crowdSize      = 1700 // connections
 	crowdLength    = 40 * time.Second
-	crowdReturn    = time.Second // until a client whose connection was closed comes again
-	crowdChunks    = 10          // of four bytes; the body does not end
+	crowdChunks    = 10 // of four bytes; the body does not end
 	ordinaryFrom   = 3 * time.Second
 	ordinaryCount  = 10 // clients
 	ordinaryPause  = 250 * time.Millisecond
 	probesInterval = 500 * time.Millisecond
 )
 
-// crowded sends a crowd of small chunked bodies that stop short to an entry, beside ordinary bookings on new connections.
+// crowded sends a crowd of small chunked bodies that stop short to an entry, once, beside ordinary bookings on new connections.
 func crowded(f *fleet, trouble bool) (o outcome, err error) {
-	c := config(1, "key-a", "key-b")
-	slow := map[string]any{
-		"name": "review", "host": hostName, "pathPrefix": "/review/", "kind": "unsafe", "timeoutMs": 8000, "sloMs": 800, "priority": 1, "service": "desk", "attempts": 1,
-		"public": false, "sticky": false, "resumable": false,
-	}
-	c["routes"] = append(c["routes"].([]any), slow)
-	f.store.put("op/config", c)
+	f.store.put("op/config", config(1, "key-a", "key-b"))
 	if err = f.addReplicas(replicasOf{service: "desk", count: 4, slots: 6, work: 15 * time.Millisecond}); err != nil {
 		return o, err
 	}
@@ -40,18 +35,16 @@
 	p, end := f.entries[0], time.Now().Add(crowdLength)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	opened := 0
+	connected, closed, answers := 0, 0, 0
 	if trouble {
 		for range crowdSize {
 			wg.Go(func() {
-				for time.Now().Before(end) {
-					if p.stopShort(end) {
-						mu.Lock()
-						opened++
-						mu.Unlock()
-					}
-					time.Sleep(crowdReturn)
-				}
+				ok, ended, got := p.stopShort(end)
+				mu.Lock()
+				defer mu.Unlock()
+				connected += count(ok)
+				closed += count(ended)
+				answers += count(got)
 			})
 		}
 	}
@@ -85,7 +78,7 @@
 		}
 	}
 	t.report(f.record, func(time.Time) bool { return false }, "")
-	f.record.line("connections of the crowd: %d at a time, %d in all; the entry's process is alive: %t", crowdSize, opened, p.alive())
+	f.record.line("connections of the crowd: %d, of which the entry closed %d and answered %d; its process is alive: %t", connected, closed, answers, p.alive())
 	f.record.line("the longest time without an answer on a new connection begins at %.3f s", from.Sub(f.record.began).Seconds())
 	text := fmt.Sprintf("no new connection of %d clients that try got an answer for %.1f s; %d of their requests in all were answered", ordinaryCount, longest.Seconds(), len(answered)-2)
 	if longest > contactTime {
@@ -94,19 +87,27 @@
 	return outcome{false, "RECOVER held: " + text}, nil
 }
 
-// stopShort sends a chunked body without its end, and keeps the connection until the entry closes it. It returns false if there
-// was no connection.
-func (p *entryProcess) stopShort(end time.Time) bool {
+// count returns 1 if ok.
+func count(ok bool) int {
+	if ok {
+		return 1
+	}
+	return 0
+}
+
+// stopShort sends a chunked body without its end, with a key that no configuration holds, and keeps the connection until the end or
+// until the entry closes it. It reports whether there was a connection, whether the entry closed it, and whether it answered before.
+func (p *entryProcess) stopShort(end time.Time) (connected, closed, answered bool) {
 	conn, err := net.DialTimeout("tcp", p.front, time.Second)
 	if err != nil {
-		return false
+		return false, false, false
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(end) // fails only if the connection is closed
-	_, err = fmt.Fprintf(conn, "POST /review/1 HTTP/1.1\r\nHost: %s\r\nAuthorization: Token key-a\r\n%sRequest-Id: crowd-%s\r\nTransfer-Encoding: chunked\r\n\r\n", hostName, headerPrefix, conn.LocalAddr())
+	_, err = fmt.Fprintf(conn, "POST /book/1 HTTP/1.1\r\nHost: %s\r\nAuthorization: Token none\r\n%sRequest-Id: crowd-%s\r\nTransfer-Encoding: chunked\r\n\r\n", hostName, headerPrefix, conn.LocalAddr())
 	for i := 0; i < crowdChunks && err == nil; i++ {
 		_, err = io.WriteString(conn, "4\r\nabcd\r\n")
 	}
-	_, _ = io.Copy(io.Discard, conn) // until the entry closes the connection
-	return true
+	n, err := io.Copy(io.Discard, conn)
+	return true, !errors.Is(err, os.ErrDeadlineExceeded), n > 0
 }
