Review: each request in the record

The record of a case lists each request of its clients with its answer and where it ran; the case with a crowd cannot run if its connections fail.

--- a/review/rig/crowd.go
+++ b/review/rig/crowd.go
@@ -70,6 +70,9 @@
 	}
 	wg.Go(func() { f.watchReady(end) })
 	wg.Wait()
+	if trouble && connected < crowdSize*9/10 {
+		return o, fmt.Errorf("only %d of the crowd's %d connections were made", connected, crowdSize)
+	}
 	answered = append(answered, end)
 	longest, from := time.Duration(0), began
 	for i := 1; i < len(answered); i++ {
@@ -77,6 +80,7 @@
 			longest, from = d, answered[i-1]
 		}
 	}
+	f.writeRequests(t)
 	t.report(f.record, func(time.Time) bool { return false }, "")
 	f.record.line("connections of the crowd: %d, of which the entry closed %d and answered %d; its process is alive: %t", connected, closed, answers, p.alive())
 	f.record.line("the longest time without an answer on a new connection begins at %.3f s", from.Sub(f.record.began).Seconds())
--- a/review/rig/poison.go
+++ b/review/rig/poison.go
@@ -102,6 +102,7 @@
 		}
 		f.record.line("request %s reached %s at %.3f s, answered %d%s", r.ID, r.Replica, r.At.Sub(f.record.began).Seconds(), t.status(r.ID), mark)
 	}
+	f.writeRequests(t)
 	t.report(f.record, tooLate, ordinal)
 	text := fmt.Sprintf("%d such requests reached replicas, sent later than %s, of %d crashes in all", late, ordinal, len(crashes))
 	if late > allowedRetries {
--- a/review/rig/restored.go
+++ b/review/rig/restored.go
@@ -84,6 +84,7 @@
 	acked := time.Now()
 	f.record.line("the store has acknowledged configuration 2, without key-b, at revision %d", rev)
 	clients.Wait()
+	f.writeRequests(t)
 	tooLate := func(sent time.Time) bool { return sent.Sub(acked) > revokeLimit }
 	f.record.line("requests whose names begin with a have key-a, the others key-b")
 	t.report(f.record, tooLate, "revokeMs after the acknowledgement")
--- a/review/rig/traffic.go
+++ b/review/rig/traffic.go
@@ -110,6 +110,24 @@
 	}
 }
 
+// writeRequests writes each request, its answer and where it ran, in the order in which they were sent.
+func (f *fleet) writeRequests(t *traffic) {
+	ran := make(map[string][]string)
+	for _, r := range f.log.all() {
+		ran[r.ID] = append(ran[r.ID], fmt.Sprintf("%s at %.3f s", r.Replica, r.At.Sub(f.record.began).Seconds()))
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ids := slices.SortedFunc(maps.Keys(t.sentAt), func(a, b string) int { return t.sentAt[a].Compare(t.sentAt[b]) })
+	for _, id := range ids {
+		where := "did not run"
+		if len(ran[id]) > 0 {
+			where = "ran at " + strings.Join(ran[id], ", ")
+		}
+		f.record.line("request %s, sent at %.3f s, status %d, %s", id, t.sentAt[id].Sub(f.record.began).Seconds(), t.statuses[id], where)
+	}
+}
+
 // record is the record of a case.
 type record struct {
 	mu    sync.Mutex
