Stand-in of the platform: drills and Store-Era

The stand-in for the key-value store could neither go back nor tell an era, so that no test could play a store that is restored from an older copy. The changes of the operator and the endpoints that a restore lost can be written again.

--- a/standins/cfvfakeplatform/server.go
+++ b/standins/cfvfakeplatform/server.go
@@ -45,6 +45,14 @@
 			mux.ServeHTTP(w, r)
 			return
 		}
+		era, tellsEra, away := s.status()
+		if tellsEra {
+			w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+		}
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		f := s.faults.FaultFor(r.URL.Path)
 		switch f.Mode {
 		case cfvfault.Outage:
@@ -113,12 +121,16 @@
 	}
 	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timeout.Stop()
+	started, _, _ := s.status()
 	for waiting := true; ; {
 		s.mu.Lock()
 		s.expire()
 		events, ok := s.eventsSince(q.Get("pathPrefix"), after)
-		asOf, changed := s.rev, s.changed
+		asOf, changed, cut := s.rev, s.changed, s.away || s.era != started
 		s.mu.Unlock()
+		if cut {
+			cfvfault.DropConnection()
+		}
 		if !ok {
 			w.WriteHeader(http.StatusGone)
 			return
--- a/standins/cfvfakeplatform/store.go
+++ b/standins/cfvfakeplatform/store.go
@@ -36,11 +36,16 @@
 	nextID    int64
 	changed   chan struct{}
 	now       func() time.Time
+
+	era      int64 // rises when the store is restored from a copy
+	hidesEra bool
+	away     bool
+	put      map[string]Change // by the operator and the endpoints, since the last copy was made
 }
 
 // NewKeyValueStore returns an empty store. Its revisions start above 0.
 func NewKeyValueStore() *KeyValueStore {
-	return &KeyValueStore{rev: 100, items: make(map[string]Item), leases: make(map[int64]*lease), changed: make(chan struct{}), now: time.Now}
+	return &KeyValueStore{rev: 100, items: make(map[string]Item), leases: make(map[int64]*lease), changed: make(chan struct{}), now: time.Now, era: 1}
 }
 
 // Put writes an item as the operator or an endpoint would, and returns its revision.
@@ -50,6 +55,7 @@
 	s.expire()
 	s.rev++
 	s.write(Item{Key: key, Value: value})
+	s.recordChange(Change{Key: key, Value: value})
 	s.notifyWatchers()
 	return s.rev
 }
@@ -60,9 +66,18 @@
 	defer s.mu.Unlock()
 	s.rev++
 	s.remove(key)
+	s.recordChange(Change{Key: key, Removed: true})
 	s.notifyWatchers()
 }
 
+// recordChange records a change by the operator or an endpoint; the caller holds the lock.
+func (s *KeyValueStore) recordChange(c Change) {
+	if s.put == nil {
+		s.put = make(map[string]Change)
+	}
+	s.put[c.Key] = c
+}
+
 // Compact removes all history, so that watches from older revisions fail.
 func (s *KeyValueStore) Compact() {
 	s.mu.Lock()
@@ -155,9 +170,9 @@
 }
 
 // eventsSince returns the events after a revision. It returns false if some of them have been
-// compacted.
+// compacted, or there is no such revision.
 func (s *KeyValueStore) eventsSince(prefix string, after int64) (events []Item, ok bool) {
-	if after < s.compacted {
+	if after < s.compacted || after > s.rev {
 		return nil, false
 	}
 	for _, i := range s.history {
