--- a/commands/hosted_entry.go
+++ b/commands/hosted_entry.go
@@ -213,7 +213,7 @@
 	if age, ok := h.state.Age(); ok {
 		h.metrics.Gauge("belief.ageMillis", age.Milliseconds())
 	}
-	h.metrics.Gauge("belief.asOf", h.state.AsOf())
+	h.metrics.Gauge("belief.asOf", int64(h.state.AsOf()))
 	w.Header().Set("Content-Type", cfvmetric.ContentType)
 	if err := h.metrics.WriteText(w); err != nil {
 		h.log.Warnw("could not write the metrics", "error", err.Error())
--- a/commands/hosted_loops.go
+++ b/commands/hosted_loops.go
@@ -54,7 +54,7 @@
 	}
 	for _, e := range h.roster().Entries() {
 		if e.Name == name {
-			return cfvrollout.Leader{Name: name, Addr: e.Addr, Term: record.Revision}, true
+			return cfvrollout.Leader{Name: name, Addr: e.Addr, Term: int64(record.Revision)}, true
 		}
 	}
 	return leader, false
@@ -86,7 +86,7 @@
 		h.log.Warnw("could not encode the announcement of the entry", "error", err.Error())
 		return
 	}
-	written := int64(0) // revision of the item
+	written := cfvmirror.Revision(0) // of the item
 	for ok := true; ok; ok = cfvclock.Sleep(ctx, announceInterval) {
 		if have, listed := h.state.Record(w.Key); listed && string(have.Value) == string(w.Value) {
 			continue
@@ -108,7 +108,7 @@
 	if !ok {
 		return nil
 	}
-	_, err := h.keyValueStore.Commit(ctx, []platform.Precondition{{Key: platform.KeyLeader, Revision: fencingToken}, {Key: item.Key, Revision: item.Revision}},
+	_, err := h.keyValueStore.Commit(ctx, []platform.Precondition{platform.LeaderPrecondition(fencingToken), {Key: item.Key, Revision: item.Revision}},
 		[]platform.Write{{Key: item.Key, Remove: true}})
 	return err
 }
@@ -136,11 +136,12 @@
 		Store: cfvleader.Store{
 			Grant: h.keyValueStore.GrantLease, Renew: h.keyValueStore.RenewLease, Revoke: h.keyValueStore.RevokeLease, LeaseNotFound: platform.ErrLeaseNotFound, Conflict: platform.ErrConflict,
 			Acquire: func(ctx context.Context, lease int64, leader []byte) (int64, error) {
-				return h.keyValueStore.Commit(ctx, []platform.Precondition{{Key: platform.KeyLeader}}, []platform.Write{{Key: platform.KeyLeader, Value: leader, Lease: lease}})
+				revision, err := h.keyValueStore.Commit(ctx, []platform.Precondition{{Key: platform.KeyLeader}}, []platform.Write{{Key: platform.KeyLeader, Value: leader, Lease: lease}})
+				return int64(revision), err
 			},
 			RemoveEntry: h.removeEntry,
 			RecordOrders: func(ctx context.Context, fencingToken int64, record []byte) error {
-				_, err := h.keyValueStore.Commit(ctx, []platform.Precondition{{Key: platform.KeyLeader, Revision: fencingToken}}, []platform.Write{{Key: platform.KeyLastLeader, Value: record}})
+				_, err := h.keyValueStore.Commit(ctx, []platform.Precondition{platform.LeaderPrecondition(fencingToken)}, []platform.Write{{Key: platform.KeyLastLeader, Value: record}})
 				return err
 			},
 		},
@@ -154,7 +155,7 @@
 		View: h.state.Read, Conflict: platform.ErrConflict, Now: cfvclock.SinceBoot, Log: h.log.Component("rollout"), Count: h.metrics.Count,
 		Millis: func() int64 { return time.Now().UnixMilli() },
 		Limits: exposureLimits(b),
-		Record: func(ctx context.Context, w cfvrollout.Write) (int64, error) {
+		Record: func(ctx context.Context, w cfvrollout.Write) (cfvmirror.Revision, error) {
 			writes, err := platform.RolloutWrites(w.Progress)
 			if err != nil {
 				return 0, err
--- a/commands/hosted_metering.go
+++ b/commands/hosted_metering.go
@@ -41,7 +41,8 @@
 				if err != nil {
 					return 0, err
 				}
-				return h.keyValueStore.Commit(ctx, platform.UsagePreconditions(fencingToken, replaces), writes)
+				revision, err := h.keyValueStore.Commit(ctx, platform.UsagePreconditions(fencingToken, replaces), writes)
+				return int64(revision), err
 			},
 		}),
 	}
@@ -73,15 +74,15 @@
 // can't be read counts as that of no window, so that it is replaced.
 func (h *hostedEntry) recordedUsage(after int64) (w cfvusage.Window, revision int64, ok bool) {
 	record, ok := h.state.Record(platform.KeyUsage)
-	if !ok || record.Revision <= after {
+	if !ok || int64(record.Revision) <= after {
 		return w, 0, false
 	}
 	w, err := platform.DecodeUsage(record)
 	if err != nil {
 		h.metrics.Count("usage.recordUnreadable", 1)
-		return cfvusage.Window{}, record.Revision, true
+		return cfvusage.Window{}, int64(record.Revision), true
 	}
-	return w, record.Revision, true
+	return w, int64(record.Revision), true
 }
 
 // callInterval returns the minimum time between two duty calls; 0 if their rate is not limited.
--- a/commands/hosted_serving_test.go
+++ b/commands/hosted_serving_test.go
@@ -223,7 +223,7 @@
 			makers := make(map[string][]string) // keys by salt of the parts
 			for _, isolated := range steps {
 				f.configureIsolated(isolated, keys...)
-				f.eventually("the configuration is applied", func() bool { return f.entries[0].state.AsOf() >= f.keyValueStore.Revision() })
+				f.eventually("the configuration is applied", func() bool { return f.entries[0].state.AsOf().Number() >= f.keyValueStore.Revision() })
 				for _, key := range keys {
 					runs := f.runs(f.sendPrompt(0, "/ask/1", key).id)
 					assert.Equal(t, len(runs), 1)
--- a/commands/hosted_state_test.go
+++ b/commands/hosted_state_test.go
@@ -105,7 +105,7 @@
 			leave(f)
 			revision := f.keyValueStore.Revision()
 			for i := range f.entries {
-				f.eventually("the entry has applied the change", func() bool { return f.entries[i].state.AsOf() >= revision })
+				f.eventually("the entry has applied the change", func() bool { return f.entries[i].state.AsOf().Number() >= revision })
 			}
 			before := len(f.endpoints["desk-0"].Runs())
 			for i := range 12 {
@@ -232,11 +232,11 @@
 	})
 	leader, ok := f.entries[0].state.Record(platform.KeyLeader)
 	assert.Assert(t, ok)
-	assert.ErrorIs(t, f.entries[0].removeEntry(t.Context(), leader.Revision-1, "entry-1"), platform.ErrConflict, "a former leader")
-	assert.NilError(t, f.entries[0].removeEntry(t.Context(), leader.Revision, "entry-1"))
+	assert.ErrorIs(t, f.entries[0].removeEntry(t.Context(), int64(leader.Revision)-1, "entry-1"), platform.ErrConflict, "a former leader")
+	assert.NilError(t, f.entries[0].removeEntry(t.Context(), int64(leader.Revision), "entry-1"))
 	f.eventually("the entry is listed again", func() bool {
 		item, listed := f.entries[0].state.Record(key)
 		return listed && item.Revision > before.Revision && lists(0, "entry-1") && lists(1, "entry-1")
 	})
-	assert.NilError(t, f.entries[0].removeEntry(t.Context(), leader.Revision, "unknown"))
+	assert.NilError(t, f.entries[0].removeEntry(t.Context(), int64(leader.Revision), "unknown"))
 }
--- a/core/cfvfleet/rollout.go
+++ b/core/cfvfleet/rollout.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"coltsfootvalve/core/cfvmirror"
 )
 
 // RolloutOrder is an operator's order to move the traffic of a service to a software version. An order without
@@ -48,7 +50,7 @@
 // Rollout is the roll-out of a service's software version as an entry knows it.
 type Rollout struct {
 	RolloutOrder
-	Revision  int64         // of the order
+	Revision  int64         // number of the order's revision
 	LearnedAt time.Duration // when this process learned of the order
 	NotBefore time.Duration // the order was not given before this time; 0: not known
 	// Progress is that of this order. Until the leader has recorded any, it is running with a share of 0.
@@ -58,7 +60,7 @@
 	// or the leader knows.
 	Established bool
 	// RecordRevision is the revision of the service's record of progress, of whichever order; 0: there is none.
-	RecordRevision int64
+	RecordRevision cfvmirror.Revision
 }
 
 // maxOwnLag is how late a process may have learned of an order whose time it tells better than the record of progress.
@@ -144,15 +146,15 @@
 // rolloutState is the order and the recorded progress of one service. Either may arrive first.
 type rolloutState struct {
 	order          RolloutOrder
-	revision       int64
+	revision       cfvmirror.Revision
 	learnedAt      time.Duration
 	notBefore      time.Duration
 	progress       *RolloutProgress // nil: not recorded, or removed
 	progressAt     time.Duration
-	recordRevision int64
+	recordRevision cfvmirror.Revision
 }
 
-func (v *View) applyRolloutOrder(now time.Duration, revision int64, o RolloutOrder) bool {
+func (v *View) applyRolloutOrder(now time.Duration, revision cfvmirror.Revision, o RolloutOrder) bool {
 	s := v.rollouts[o.Service]
 	if revision <= s.revision {
 		return false
@@ -174,7 +176,7 @@
 }
 
 // applyRolloutProgress applies a record of progress. One without a target was removed.
-func (v *View) applyRolloutProgress(now time.Duration, revision int64, p RolloutProgress) bool {
+func (v *View) applyRolloutProgress(now time.Duration, revision cfvmirror.Revision, p RolloutProgress) bool {
 	s := v.rollouts[p.Service]
 	s.progress, s.progressAt, s.recordRevision = &p, now, revision
 	if p.Target == "" {
@@ -193,8 +195,8 @@
 	if s.order.Target == "" {
 		return s.ended()
 	}
-	r := &Rollout{RolloutOrder: s.order, Revision: s.revision, LearnedAt: s.learnedAt, NotBefore: s.notBefore, RecordRevision: s.recordRevision}
-	if s.progress != nil && s.progress.OrderRevision == s.revision {
+	r := &Rollout{RolloutOrder: s.order, Revision: s.revision.Number(), LearnedAt: s.learnedAt, NotBefore: s.notBefore, RecordRevision: s.recordRevision}
+	if s.progress != nil && s.progress.OrderRevision == s.revision.Number() {
 		r.Progress, r.ProgressAt = *s.progress, s.progressAt
 	}
 	r.Established = r.Progress.Phase == RolloutRunning && (r.Progress.Established || v.updateEstablished(service).names[r.Target])
--- a/core/cfvfleet/rollout_test.go
+++ b/core/cfvfleet/rollout_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"coltsfootvalve/core/cfvmirror"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -61,22 +63,22 @@
 
 func TestRolloutsOfAView(t *testing.T) {
 	v := NewView()
-	order := func(revision int64, target string) {
+	order := func(revision cfvmirror.Revision, target string) {
 		v.Apply(time.Duration(revision), Change{Revision: revision, RolloutOrder: &RolloutOrder{Service: "s", Target: target, Duration: time.Minute}})
 	}
-	record := func(revision, of int64, target string) {
+	record := func(revision cfvmirror.Revision, of int64, target string) {
 		v.Apply(time.Duration(revision), Change{Revision: revision, RolloutProgress: &RolloutProgress{Service: "s", OrderRevision: of, Target: target, Share: 0.5}})
 	}
 	record(3, 2, "v2") // it may arrive before its order
 	assert.Equal(t, len(v.Rollouts()), 0)
 	order(2, "v2")
 	assert.Equal(t, v.Rollout("s").Progress.Share, 0.5)
-	assert.Equal(t, v.Rollout("s").RecordRevision, int64(3))
+	assert.Equal(t, v.Rollout("s").RecordRevision, cfvmirror.Revision(3))
 
 	order(4, "v2")
 	assert.Equal(t, v.Rollout("s").Progress.Share, 0.0, "the same target was ordered again")
 	assert.Equal(t, v.Rollout("s").ProgressAt, time.Duration(0))
-	assert.Equal(t, v.Rollout("s").RecordRevision, int64(3))
+	assert.Equal(t, v.Rollout("s").RecordRevision, cfvmirror.Revision(3))
 
 	order(1, "v1")
 	assert.Equal(t, v.Rollout("s").Target, "v2", "an older order changes nothing")
@@ -84,7 +86,7 @@
 	assert.Equal(t, v.Rollout("s").ProgressAt, time.Duration(5))
 
 	record(6, 0, "")
-	assert.Equal(t, v.Rollout("s").RecordRevision, int64(0), "the record was removed")
+	assert.Equal(t, v.Rollout("s").RecordRevision, cfvmirror.Revision(0), "the record was removed")
 	assert.Equal(t, v.Rollout("s").ProgressAt, time.Duration(0))
 
 	order(7, "")
--- a/core/cfvfleet/versions_test.go
+++ b/core/cfvfleet/versions_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"coltsfootvalve/core/cfvmirror"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -16,11 +18,11 @@
 		return Change{Endpoint: &EndpointChange{ID: id, Endpoint: &Endpoint{ID: id, Service: "s", SoftwareVersion: version}}}
 	}
 	remove := func(id string) Change { return Change{Endpoint: &EndpointChange{ID: id}} }
-	ordered := func(revision int64, target string) Change {
+	ordered := func(revision cfvmirror.Revision, target string) Change {
 		return Change{Revision: revision, RolloutOrder: &RolloutOrder{Service: "s", Target: target, Duration: time.Minute}}
 	}
 	recorded := func(of int64, target string, phase RolloutPhase) Change {
-		return Change{Revision: of + 1, RolloutProgress: &RolloutProgress{Service: "s", OrderRevision: of, Target: target, Phase: phase, Share: 0.05}}
+		return Change{Revision: cfvmirror.Revision(of + 1), RolloutProgress: &RolloutProgress{Service: "s", OrderRevision: of, Target: target, Phase: phase, Share: 0.05}}
 	}
 	old, target := announce("a", "v1"), announce("b", "v2")
 	tests := map[string]struct {
--- a/core/cfvfleet/view.go
+++ b/core/cfvfleet/view.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"coltsfootvalve/core/cfvmirror"
 )
 
 // Endpoint is one incarnation of an endpoint, as announced by its process.
@@ -31,7 +33,7 @@
 
 // Change is one update of the key-value store. Exactly one field other than Revision is set.
 type Change struct {
-	Revision int64
+	Revision cfvmirror.Revision
 	Config   *Config
 	Endpoint *EndpointChange
 	Weights  *DesiredWeights
--- a/core/cfvmirror/mirror.go
+++ b/core/cfvmirror/mirror.go
@@ -3,6 +3,7 @@
 package cfvmirror
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"time"
@@ -12,7 +13,7 @@
 type Record struct {
 	Key      string
 	Value    []byte
-	Revision int64
+	Revision Revision
 	Deleted  bool // a tombstone
 }
 
@@ -20,19 +21,31 @@
 // running while the VM is suspended. It is not safe for concurrent use.
 type Mirror struct {
 	records       map[string]Record
-	revision      int64         // complete up to this revision
+	revision      Revision      // complete up to this revision
 	confirmedAt   time.Duration // the store had no newer revision at this time
 	everConfirmed bool
-	droppedUpTo   int64 // tombstones up to this revision may have been dropped
+	droppedUpTo   Revision // tombstones up to this revision may have been dropped
+	restored      bool
+	lost          map[string]Record // see Lost
 }
 
 // New returns an empty mirror.
 func New() *Mirror {
-	return &Mirror{records: make(map[string]Record)}
+	return &Mirror{records: make(map[string]Record), lost: make(map[string]Record)}
 }
 
 // Revision returns the revision up to which the mirror is complete, or 0 if it is empty.
-func (m *Mirror) Revision() int64 { return m.revision }
+func (m *Mirror) Revision() Revision { return m.revision }
+
+// Restored reports whether the mirror has followed the store from one era to a later one.
+func (m *Mirror) Restored() bool { return m.restored }
+
+// Lost returns the last record of a key that the store lost when it was restored from an older copy, and false if it lost
+// none or the key has been written again.
+func (m *Mirror) Lost(key string) (r Record, ok bool) {
+	r, ok = m.lost[key]
+	return r, ok
+}
 
 // Age returns the time since the mirror was last known to be up to date, and false if it
 // never was.
@@ -40,9 +53,10 @@
 	return now - m.confirmedAt, m.everConfirmed
 }
 
-// Confirm records that the store had no revision newer than the given one at time t.
-func (m *Mirror) Confirm(revision int64, t time.Duration) {
-	if revision > m.revision || revision == 0 {
+// Confirm records that the store had no revision newer than the given one at time t. One of an earlier era confirms nothing:
+// the store has been restored since.
+func (m *Mirror) Confirm(revision Revision, t time.Duration) {
+	if revision > m.revision || revision.Era() < m.revision.Era() || revision == 0 {
 		return
 	}
 	if !m.everConfirmed || t > m.confirmedAt {
@@ -52,14 +66,19 @@
 
 // Merge applies records that make the mirror complete up to a revision, and returns those
 // that changed it. Records up to the mirror's own revision are skipped: it already has
-// them, or they have been replaced or removed since.
-func (m *Mirror) Merge(records []Record, revision int64) []Record {
+// them, or they have been replaced or removed since. Records of another era are not applied:
+// only a listing tells what the store lost between two eras.
+func (m *Mirror) Merge(records []Record, revision Revision) []Record {
+	if revision.Era() != m.revision.Era() && m.revision > 0 {
+		return nil
+	}
 	var changed []Record
 	for _, r := range records {
 		if have, ok := m.records[r.Key]; r.Revision <= m.revision || ok && have.Revision >= r.Revision {
 			continue
 		}
 		m.records[r.Key] = r
+		delete(m.lost, r.Key)
 		changed = append(changed, r)
 	}
 	m.revision = max(m.revision, revision)
@@ -69,23 +88,64 @@
 
 // Replace applies a full listing that was started at a revision, and returns the records
 // that changed the mirror. Keys that are missing in the listing have been removed.
-func (m *Mirror) Replace(listing []Record, revision int64) []Record {
-	listed := make(map[string]bool, len(listing))
-	for _, r := range listing {
-		listed[r.Key] = true
-	}
+func (m *Mirror) Replace(listing []Record, revision Revision) []Record {
 	if revision <= m.revision {
 		return m.Merge(listing, revision)
 	}
+	if revision.Era() > m.revision.Era() && m.revision > 0 {
+		return m.restore(listing, revision)
+	}
 	m.droppedUpTo = revision // a listing has no tombstones; only peers know the earlier removals
 	changed := m.Merge(listing, revision)
+	return append(changed, m.removeUnlisted(listing, revision)...)
+}
+
+// removeUnlisted replaces the records up to a revision that are missing in a listing by tombstones, and returns these.
+func (m *Mirror) removeUnlisted(listing []Record, revision Revision) (tombstones []Record) {
+	listed := make(map[string]bool, len(listing))
+	for _, r := range listing {
+		listed[r.Key] = true
+	}
 	for key, have := range m.records {
 		if !listed[key] && !have.Deleted && have.Revision <= revision {
 			tombstone := Record{Key: key, Revision: revision, Deleted: true}
 			m.records[key] = tombstone
-			changed = append(changed, tombstone)
+			tombstones = append(tombstones, tombstone)
 		}
 	}
+	return tombstones
+}
+
+// restore applies the first listing of a later era. Whatever the mirror held is replaced, and what the listing lacks or has
+// only in an older version is lost. A record that the copy holds with its old number and value did not change.
+func (m *Mirror) restore(listing []Record, revision Revision) (changed []Record) {
+	before, lostBefore := m.records, m.lost
+	m.restored = m.restored || m.revision.Era() > 0
+	m.records, m.lost, m.revision, m.droppedUpTo = make(map[string]Record, len(listing)), make(map[string]Record), revision, revision
+	for _, r := range listing {
+		m.records[r.Key] = r
+		have, ok := before[r.Key]
+		if ok && have.Revision.Number() == r.Revision.Number() && bytes.Equal(have.Value, r.Value) && !have.Deleted {
+			m.keepLost(r.Key, lostBefore)
+			continue
+		}
+		if ok && have.Revision.Number() > r.Revision.Number() {
+			m.lost[r.Key] = have
+		}
+		changed = append(changed, r)
+	}
+	for key, have := range before {
+		if _, listed := m.records[key]; listed {
+			continue
+		}
+		if have.Deleted {
+			m.keepLost(key, lostBefore)
+			continue
+		}
+		tombstone := Record{Key: key, Revision: revision, Deleted: true}
+		m.records[key], m.lost[key] = tombstone, have
+		changed = append(changed, tombstone)
+	}
 	return changed
 }
 
@@ -95,10 +155,25 @@
 	return r, ok && !r.Deleted
 }
 
+// keepLost keeps what an earlier restore lost of a key that has not been written since.
+func (m *Mirror) keepLost(key string, before map[string]Record) {
+	if r, ok := before[key]; ok {
+		m.lost[key] = r
+	}
+}
+
+// Current returns the record of a key, which may be a tombstone. Without one it returns a tombstone at the mirror's revision.
+func (m *Mirror) Current(key string) Record {
+	if r, ok := m.records[key]; ok {
+		return r
+	}
+	return Record{Key: key, Revision: m.revision, Deleted: true}
+}
+
 // Delta returns the records that a peer at the given revision lacks. If tombstones after
-// that revision have been dropped, it returns a complete listing, and full is true.
-func (m *Mirror) Delta(since int64) (records []Record, full bool) {
-	full = since < m.droppedUpTo
+// that revision have been dropped, or the peer is at an earlier era, it returns a complete listing, and full is true.
+func (m *Mirror) Delta(since Revision) (records []Record, full bool) {
+	full = since < m.droppedUpTo || since.Era() < m.revision.Era()
 	for _, r := range m.records {
 		if full && !r.Deleted || !full && r.Revision > since {
 			records = append(records, r)
--- a/core/cfvmirror/mirror_test.go
+++ b/core/cfvmirror/mirror_test.go
@@ -21,7 +21,7 @@
 func drawHistory(t *rapid.T) (all []Record) {
 	n := rapid.IntRange(1, 60).Draw(t, "changes")
 	for i := range n {
-		r := Record{Key: fmt.Sprint("k", rapid.IntRange(0, 6).Draw(t, "key")), Revision: int64(i + 1)}
+		r := Record{Key: fmt.Sprint("k", rapid.IntRange(0, 6).Draw(t, "key")), Revision: Revision(i + 1)}
 		if r.Deleted = rapid.Bool().Draw(t, "deleted"); !r.Deleted {
 			r.Value = []byte(fmt.Sprint("v", i))
 		}
@@ -46,7 +46,7 @@
 func TestMirrorsConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		all := drawHistory(t)
-		storeAt := func(revision int64) map[string]string {
+		storeAt := func(revision Revision) map[string]string {
 			out := make(map[string]string)
 			for _, r := range all {
 				if r.Revision > revision {
@@ -64,10 +64,10 @@
 			before := m.Revision()
 			switch rapid.SampledFrom([]string{"watch", "list", "pull"}).Draw(t, "by") {
 			case "watch":
-				to := rapid.Int64Range(before, int64(len(all))).Draw(t, "to")
+				to := Revision(rapid.Int64Range(int64(before), int64(len(all))).Draw(t, "to"))
 				m.Merge(all[before:to], to)
 			case "list":
-				revision := rapid.Int64Range(0, int64(len(all))).Draw(t, "asOf")
+				revision := Revision(rapid.Int64Range(0, int64(len(all))).Draw(t, "asOf"))
 				var listing []Record
 				for k, v := range storeAt(revision) {
 					for _, r := range all[:revision] {
@@ -111,7 +111,7 @@
 // keeps a key that was removed before the listing.
 func TestPeerOlderThanAListingReceivesAListing(t *testing.T) {
 	m := New()
-	rev := int64(0)
+	rev := Revision(0)
 	remove := func(n int) {
 		var removed []Record
 		for range n {
@@ -131,7 +131,7 @@
 
 func TestPeerThatLagsBehindDroppedTombstonesReceivesAListing(t *testing.T) {
 	m := New()
-	rev := int64(0)
+	rev := Revision(0)
 	for i := range maxTombstones + 10 {
 		key := fmt.Sprint("k", i)
 		m.Merge([]Record{{Key: key, Revision: rev + 1}, {Key: key, Revision: rev + 2, Deleted: true}}, rev+2)
--- a/io/cfventry/cold_test.go
+++ b/io/cfventry/cold_test.go
@@ -284,7 +284,7 @@
 func (f *coldFleet) apply(entry int, c cfvfleet.Change) {
 	f.mu.Lock()
 	f.revision++
-	key, revision := strconv.FormatInt(f.revision, 10), f.revision
+	key, revision := strconv.FormatInt(f.revision, 10), cfvmirror.Revision(f.revision)
 	f.changes[key] = c
 	f.mu.Unlock()
 	f.states[entry].Apply("test", []cfvmirror.Record{{Key: key, Revision: revision}}, revision, false)
--- a/io/cfventry/parts_test.go
+++ b/io/cfventry/parts_test.go
@@ -124,13 +124,13 @@
 		if r.Key == "config" {
 			return config, nil
 		}
-		ep := &cfvfleet.Endpoint{ID: r.Key, Service: "s", Addr: r.Key, Slots: 4, StartMillis: r.Revision}
+		ep := &cfvfleet.Endpoint{ID: r.Key, Service: "s", Addr: r.Key, Slots: 4, StartMillis: int64(r.Revision)}
 		return cfvfleet.Change{Endpoint: &cfvfleet.EndpointChange{ID: r.Key, Endpoint: ep}}, nil
 	}
 	state := cfvstate.New(cfvstate.Config{Now: now, Log: cfvlog.Discard(), Decode: decode})
 	records := []cfvmirror.Record{{Key: "config", Revision: 1}}
 	for i := range partEndpoints {
-		records = append(records, cfvmirror.Record{Key: fmt.Sprintf("e%d:1", i), Revision: int64(i + 2)})
+		records = append(records, cfvmirror.Record{Key: fmt.Sprintf("e%d:1", i), Revision: cfvmirror.Revision(i + 2)})
 	}
 	state.Apply("test", records, partEndpoints+1, true)
 	state.Confirm(partEndpoints+1, now())
--- a/io/cfventry/rollout_test.go
+++ b/io/cfventry/rollout_test.go
@@ -31,7 +31,7 @@
 	endpoints map[string]*rawEndpoint // by address
 	changes   map[string]cfvfleet.Change
 	state     *cfvstate.State
-	revision  int64
+	revision  cfvmirror.Revision
 	asked     int
 	prompt    cfvcall.Prompt // of the requests
 }
@@ -105,7 +105,7 @@
 // order orders the roll-out of v2 and returns the revision of the order.
 func (tv *twoVersions) order() int64 {
 	tv.apply("order", cfvfleet.Change{RolloutOrder: &cfvfleet.RolloutOrder{Service: "s", Target: "v2", Duration: time.Minute}})
-	return tv.revision
+	return tv.revision.Number()
 }
 
 func (tv *twoVersions) progress(order int64, phase cfvfleet.RolloutPhase, share float64) {
--- a/io/cfventry/weights_test.go
+++ b/io/cfventry/weights_test.go
@@ -44,7 +44,7 @@
 
 	mu       sync.Mutex
 	changes  map[string]cfvfleet.Change
-	revision int64
+	revision cfvmirror.Revision
 	conns    []net.Conn
 	seen     map[string][]string // IDs of the requests received by endpoint
 }
@@ -99,7 +99,7 @@
 func (f *weightsFleet) apply(c cfvfleet.Change) {
 	f.mu.Lock()
 	f.revision++
-	key, revision := strconv.FormatInt(f.revision, 10), f.revision
+	key, revision := strconv.FormatInt(int64(f.revision), 10), f.revision
 	f.changes[key] = c
 	f.mu.Unlock()
 	f.state.Apply("test", []cfvmirror.Record{{Key: key, Revision: revision}}, revision, false)
--- a/io/cfvexchange/codec.go
+++ b/io/cfvexchange/codec.go
@@ -14,15 +14,15 @@
 func recordsToWire(records []cfvmirror.Record) []*cfvwireentry.Record {
 	out := make([]*cfvwireentry.Record, 0, len(records))
 	for _, r := range records {
-		out = append(out, &cfvwireentry.Record{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted})
+		out = append(out, &cfvwireentry.Record{Key: r.Key, Value: r.Value, Revision: r.Revision.Number(), Deleted: r.Deleted})
 	}
 	return out
 }
 
-func recordsFromWire(records []*cfvwireentry.Record) []cfvmirror.Record {
+func recordsFromWire(era int64, records []*cfvwireentry.Record) []cfvmirror.Record {
 	out := make([]cfvmirror.Record, 0, len(records))
 	for _, r := range records {
-		out = append(out, cfvmirror.Record{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted()})
+		out = append(out, cfvmirror.Record{Key: r.GetKey(), Value: r.GetValue(), Revision: cfvmirror.NewRevision(era, r.GetRevision()), Deleted: r.GetDeleted()})
 	}
 	return out
 }
--- a/io/cfvexchange/exchange.go
+++ b/io/cfvexchange/exchange.go
@@ -16,6 +16,7 @@
 	"coltsfootvalve/core/cfvdispatch"
 	"coltsfootvalve/core/cfvfleet"
 	"coltsfootvalve/core/cfvlimit"
+	"coltsfootvalve/core/cfvmirror"
 	"coltsfootvalve/core/cfvnotice"
 	"coltsfootvalve/core/cfvparts"
 	"coltsfootvalve/io/cfvstate"
@@ -23,6 +24,7 @@
 	"coltsfootvalve/io/cfvwire/cfvwireentry/cfvwireentryconnect"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 )
 
 // Intervals, timeouts and limits of the exchange.
@@ -200,12 +202,7 @@
 		x.started[addr] = loads[0].GetStarted()
 		x.mu.Unlock()
 	}
-	if msg.GetAsOf() > x.cfg.State.AsOf() {
-		x.cfg.State.Apply(addr, recordsFromWire(msg.GetRecords()), msg.GetAsOf(), msg.GetFull())
-	}
-	if msg.GetAgeMillis() >= 0 {
-		x.cfg.State.Confirm(msg.GetAsOf(), sentAt-time.Duration(msg.GetAgeMillis())*time.Millisecond)
-	}
+	x.applyState(addr, sentAt, msg)
 	receivedAt := x.cfg.Now() // an age must not grow by the time of each pull
 	for _, w := range msg.GetWeights() {
 		age := time.Duration(w.GetAgeMillis()) * time.Millisecond // rounded down
@@ -227,6 +224,31 @@
 	return conditionsFromWire(msg.GetConditions()), nil
 }
 
+// applyState applies the records of the key-value store in a response to a pull that was sent at a time, and its age.
+func (x *Exchange) applyState(addr string, sentAt time.Duration, msg *cfvwireentry.PullResponse) {
+	era, known := x.peerEra(msg.Era)
+	if !known {
+		x.cfg.Count("exchange.eraUnknown", 1)
+		return
+	}
+	asOf := cfvmirror.NewRevision(era, msg.GetAsOf())
+	if asOf > x.cfg.State.AsOf() {
+		x.cfg.State.Apply(addr, recordsFromWire(era, msg.GetRecords()), asOf, msg.GetFull())
+	}
+	if msg.GetAgeMillis() >= 0 {
+		x.cfg.State.Confirm(asOf, sentAt-time.Duration(msg.GetAgeMillis())*time.Millisecond)
+	}
+}
+
+// peerEra returns the era of a peer's state. A peer of an earlier release tells none. Its state may be from before a restore,
+// or mix what was before and after, so it is known only as long as this process has seen no restore.
+func (x *Exchange) peerEra(sent *int64) (era int64, known bool) {
+	if sent != nil {
+		return *sent, true
+	}
+	return x.cfg.State.AsOf().Era(), !x.cfg.State.Restored()
+}
+
 // sendPull sends a pull to the peer at addr.
 func (x *Exchange) sendPull(ctx context.Context, addr string, req *cfvwireentry.PullRequest) (*cfvwireentry.PullResponse, error) {
 	client := cfvwireentryconnect.NewExchangeClient(x.client, "http://"+addr, connect.WithReadMaxBytes(maxMessageBytes))
@@ -245,8 +267,9 @@
 	x.mu.Unlock()
 	u := x.cfg.PartUpdate(peer)
 	notices, brittle := noticesToWire(x.cfg.Notices())
+	asOf := x.cfg.State.AsOf()
 	return &cfvwireentry.PullRequest{
-		Entry: x.cfg.Self, AsOf: x.cfg.State.AsOf(), Load: x.ownLoad(), Stores: x.storePositions(),
+		Entry: x.cfg.Self, AsOf: asOf.Number(), Era: proto.Int64(asOf.Era()), Load: x.ownLoad(), Stores: x.storePositions(),
 		Parts: partsToWire(u.Suspicions), Served: servedToWire(u.Served), Suspicions: suspicionsToWire(time.Now(), x.cfg.Suspicions()),
 		Notices: notices, Brittle: brittle,
 	}
@@ -263,9 +286,10 @@
 	x.mu.Unlock()
 	x.mergeSuspicions(req.Msg)
 	x.mergeNotices(x.cfg.Now(), req.Msg.GetNotices(), req.Msg.GetBrittle())
-	d := x.cfg.State.Delta(req.Msg.GetAsOf())
-	out := &cfvwireentry.PullResponse{AsOf: d.AsOf, AgeMillis: -1, Full: d.Full, Records: recordsToWire(d.Records)}
-	if d.Known {
+	era, eraKnown := x.peerEra(req.Msg.Era)
+	d := x.cfg.State.Delta(cfvmirror.NewRevision(era, req.Msg.GetAsOf()))
+	out := &cfvwireentry.PullResponse{AsOf: d.AsOf.Number(), Era: proto.Int64(d.AsOf.Era()), AgeMillis: -1, Full: d.Full, Records: recordsToWire(d.Records)}
+	if d.Known && eraKnown { // a peer of an earlier release would take it for the age of its state from before a restore
 		out.AgeMillis = d.Age.Milliseconds() + 1 // rounded up, since an age must never be understated
 	}
 	x.cfg.State.Read(func(v *cfvfleet.View) { out.Weights, out.HeardWeights = weightsToWire(x.cfg.Now(), v) })
--- a/io/cfvexchange/fleet_test.go
+++ b/io/cfvexchange/fleet_test.go
@@ -30,7 +30,10 @@
 	simRefused      = 5 * time.Millisecond
 )
 
-var errNoResponse = errors.New("no response")
+var (
+	errNoResponse = errors.New("no response")
+	errNoHistory  = errors.New("no history")
+)
 
 // simFault is how an entry fails.
 type simFault int
@@ -52,6 +55,7 @@
 	watcher  *cfvwatch.Watcher
 	fault    simFault
 	faultyAt time.Duration // time of its last fault or start
+	release  simRelease
 	cancel   context.CancelFunc
 }
 
@@ -60,6 +64,8 @@
 	start   time.Time
 	mu      sync.Mutex
 	entries map[string]*simEntry // by peer address
+	era     int64                // of the store
+	away    bool                 // the store does not respond
 	records []cfvmirror.Record
 	changed chan struct{} // closed at the next change
 	calls   int           // of the store
@@ -74,7 +80,7 @@
 }
 
 func newSimFleet() *simFleet {
-	return &simFleet{start: time.Now(), entries: make(map[string]*simEntry), changed: make(chan struct{})}
+	return &simFleet{era: 1, start: time.Now(), entries: make(map[string]*simEntry), changed: make(chan struct{})}
 }
 
 // beginPull counts the begin of a pull and returns how long its response takes.
@@ -97,10 +103,10 @@
 func (f *simFleet) now() time.Duration { return time.Since(f.start) + time.Hour }
 
 // write writes a record to the store and returns its revision.
-func (f *simFleet) write(key, value string, deleted bool) int64 {
+func (f *simFleet) write(key, value string, deleted bool) cfvmirror.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	revision := int64(len(f.records) + 1)
+	revision := cfvmirror.NewRevision(f.era, int64(len(f.records)+1))
 	f.records = append(f.records, cfvmirror.Record{Key: key, Value: []byte(value), Revision: revision, Deleted: deleted})
 	close(f.changed)
 	f.changed = make(chan struct{})
@@ -112,6 +118,9 @@
 	f.mu.Lock()
 	f.calls++
 	fault := e.fault
+	if f.away && fault == simSound {
+		fault = simRefusedByStore
+	}
 	f.mu.Unlock()
 	switch fault {
 	case simSound:
@@ -125,7 +134,7 @@
 	return errNoResponse
 }
 
-func (f *simFleet) list(ctx context.Context, e *simEntry) ([]cfvmirror.Record, int64, error) {
+func (f *simFleet) list(ctx context.Context, e *simEntry) ([]cfvmirror.Record, cfvmirror.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, simStoreTimeout)
 	defer cancel()
 	if err := f.call(ctx, e); err != nil {
@@ -135,13 +144,13 @@
 	defer f.mu.Unlock()
 	newest := make(map[string]cfvmirror.Record)
 	for _, r := range f.records {
-		newest[r.Key] = r
+		newest[r.Key] = f.told(r)
 	}
 	maps.DeleteFunc(newest, func(_ string, r cfvmirror.Record) bool { return r.Deleted })
-	return slices.Collect(maps.Values(newest)), int64(len(f.records)), nil
+	return slices.Collect(maps.Values(newest)), cfvmirror.NewRevision(f.era, int64(len(f.records))), nil
 }
 
-func (f *simFleet) watch(ctx context.Context, e *simEntry, after int64, wait time.Duration) ([]cfvmirror.Record, int64, error) {
+func (f *simFleet) watch(ctx context.Context, e *simEntry, after cfvmirror.Revision, wait time.Duration) ([]cfvmirror.Record, cfvmirror.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+simStoreTimeout)
 	defer cancel()
 	if err := f.call(ctx, e); err != nil {
@@ -151,10 +160,19 @@
 	defer timer.Stop()
 	for waiting := true; ; {
 		f.mu.Lock()
-		asOf, changed := int64(len(f.records)), f.changed
-		events := slices.Clone(f.records[min(after, asOf):])
-		fault := e.fault
+		asOf, changed := cfvmirror.NewRevision(f.era, int64(len(f.records))), f.changed
+		var events []cfvmirror.Record
+		for _, r := range f.records[min(after.Number(), asOf.Number()):] {
+			events = append(events, f.told(r))
+		}
+		fault, away := e.fault, f.away
 		f.mu.Unlock()
+		if away {
+			return nil, 0, errNoResponse
+		}
+		if asOf.Era() > after.Era() { // as platform.KeyValueStore does
+			return nil, 0, errNoHistory
+		}
 		if fault != simSound { // the connection hangs
 			<-ctx.Done()
 			return nil, 0, errNoResponse
@@ -192,7 +210,7 @@
 	delay := f.beginPull()
 	defer f.endPull()
 	time.Sleep(delay) // a busy entry does the work also after its peer has given up
-	resp, err := to.exchange.Pull(ctx, connect.NewRequest(req))
+	resp, err := to.exchange.Pull(ctx, connect.NewRequest(from.release.sent(req)))
 	if err != nil {
 		return nil, err
 	}
@@ -204,7 +222,7 @@
 		return nil, errNoResponse
 	}
 	time.Sleep(simLatency)
-	return resp.Msg, nil
+	return to.release.answered(resp.Msg), nil
 }
 
 // add starts an entry.
@@ -234,11 +252,11 @@
 		return f.carry(ctx, e, addr, req)
 	}
 	e.watcher = cfvwatch.New(cfvwatch.Config{
-		List: func(ctx context.Context) ([]cfvmirror.Record, int64, error) { return f.list(ctx, e) },
-		Watch: func(ctx context.Context, after int64, wait time.Duration) ([]cfvmirror.Record, int64, error) {
+		List: func(ctx context.Context) ([]cfvmirror.Record, cfvmirror.Revision, error) { return f.list(ctx, e) },
+		Watch: func(ctx context.Context, after cfvmirror.Revision, wait time.Duration) ([]cfvmirror.Record, cfvmirror.Revision, error) {
 			return f.watch(ctx, e, after, wait)
 		},
-		State: e.state, Compacted: errors.New("compacted"), Now: f.now, Log: cfvlog.Discard(),
+		State: e.state, Compacted: errNoHistory, Now: f.now, Log: cfvlog.Discard(),
 		IsWatcher: func() bool { return e.exchange.CurrentRoster().IsWatcher(name) },
 		IsStandby: func() bool { return e.exchange.CurrentRoster().IsStandby(name) }, NoContact: e.exchange.NoContact,
 		Rank: func() (int, int) {
@@ -319,7 +337,7 @@
 func (f *simFleet) checkChanges(duration time.Duration) (slowest time.Duration, entry string) {
 	const interval, contactTime, limit = 300 * time.Millisecond, 3 * time.Second, 3 * time.Second
 	type change struct {
-		revision int64
+		revision cfvmirror.Revision
 		at       time.Duration
 	}
 	var changes []change
--- a/io/cfvexchange/weights_test.go
+++ b/io/cfvexchange/weights_test.go
@@ -30,12 +30,12 @@
 // newWeightsState returns a state whose records each name a version of the weights of model m: their revision.
 func newWeightsState(clock func() time.Duration) *cfvstate.State {
 	return cfvstate.New(cfvstate.Config{Now: clock, Log: cfvlog.Discard(), Decode: func(r cfvmirror.Record) (cfvfleet.Change, error) {
-		return cfvfleet.Change{Weights: &cfvfleet.DesiredWeights{Model: "m", Version: r.Revision}}, nil
+		return cfvfleet.Change{Weights: &cfvfleet.DesiredWeights{Model: "m", Version: int64(r.Revision)}}, nil
 	}})
 }
 
 // applyWeights applies the record that names a version to a state.
-func applyWeights(s *cfvstate.State, version int64) {
+func applyWeights(s *cfvstate.State, version cfvmirror.Revision) {
 	s.Apply("test", []cfvmirror.Record{{Key: "weights", Revision: version}}, version, false)
 }
 
@@ -161,7 +161,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for i := range int64(30_000) { // each revision is confirmed at its own time
+		for i := range cfvmirror.Revision(30_000) { // each revision is confirmed at its own time
 			applyWeights(state, i+1)
 			state.Confirm(i+1, time.Duration(i+1)*time.Millisecond)
 		}
--- a/io/cfvleader/free_test.go
+++ b/io/cfvleader/free_test.go
@@ -75,7 +75,7 @@
 			})
 			for i, c := range tt.configs {
 				current = c
-				state.Apply("test", []cfvmirror.Record{{Key: "config", Revision: int64(i + 1)}}, int64(i+1), false)
+				state.Apply("test", []cfvmirror.Record{{Key: "config", Revision: cfvmirror.Revision(i + 1)}}, cfvmirror.Revision(i+1), false)
 				for end := now + tt.wait; now < end; now += freeInterval {
 					state.Confirm(state.AsOf(), now-tt.stateAge)
 					l.freeParts(t.Context())
--- a/io/cfvleader/leader_test.go
+++ b/io/cfvleader/leader_test.go
@@ -35,7 +35,8 @@
 // time.
 type cluster struct {
 	mu              sync.Mutex
-	rev             int64
+	rev             cfvmirror.Revision
+	items           map[string]cfvmirror.Record
 	leader          string
 	fencingToken    int64
 	lease           int64
@@ -74,6 +75,7 @@
 // apply updates the state of all entries at once, also of disconnected ones, which receive it
 // from peers.
 func (c *cluster) apply(r cfvmirror.Record) {
+	c.items[r.Key] = r
 	for _, s := range c.states {
 		s.Apply("test", []cfvmirror.Record{r}, r.Revision, false)
 	}
@@ -93,7 +95,7 @@
 	return Store{
 		LeaseNotFound: errLeaseNotFound, Conflict: errConflict,
 		Grant: func(_ context.Context, ttl time.Duration) (lease int64, granted time.Duration, err error) {
-			err = c.call(node, func() error { c.rev++; lease = c.rev; return nil })
+			err = c.call(node, func() error { c.rev++; lease = int64(c.rev); return nil })
 			return lease, ttl, err
 		},
 		Renew: func(_ context.Context, lease int64) error {
@@ -119,8 +121,8 @@
 					return errConflict
 				}
 				c.rev++
-				c.leader, c.lease, c.fencingToken, c.leaseExpires = node, lease, c.rev, time.Now().Add(leaseTTL)
-				rev = c.rev
+				c.leader, c.lease, c.fencingToken, c.leaseExpires = node, lease, int64(c.rev), time.Now().Add(leaseTTL)
+				rev = int64(c.rev)
 				c.apply(cfvmirror.Record{Key: leaderKey, Value: []byte(node), Revision: c.rev})
 				return nil
 			})
@@ -144,9 +146,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.rev++
-	for _, s := range c.states {
-		s.Apply("test", []cfvmirror.Record{{Key: fmt.Sprint("weights/", version), Revision: c.rev}}, c.rev, false)
-	}
+	c.apply(cfvmirror.Record{Key: fmt.Sprint("weights/", version), Revision: c.rev})
 }
 
 func decode(r cfvmirror.Record) (c cfvfleet.Change, err error) {
@@ -168,7 +168,9 @@
 	c.states[node] = s
 	for i := range 6 {
 		c.rev++
-		s.Apply("test", []cfvmirror.Record{{Key: fmt.Sprint("endpoint/", i), Revision: c.rev}}, c.rev, false)
+		endpoint := cfvmirror.Record{Key: fmt.Sprint("endpoint/", i), Revision: c.rev}
+		c.items[endpoint.Key] = endpoint
+		s.Apply("test", []cfvmirror.Record{endpoint}, c.rev, false)
 	}
 	loadedVersions := make(map[string]int64)
 	var mu sync.Mutex
@@ -208,6 +210,9 @@
 		LoadWeights: func(_ context.Context, _, id string, o cfvweights.Order) (cfvweights.Result, error) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
+			if n := len(c.orders); c.handoverPause == 0 && n > 0 && o.FencingToken < c.orders[n-1].fencingToken {
+				return cfvweights.Fenced, nil
+			}
 			c.orders = append(c.orders, sentOrder{node, o.FencingToken, time.Now()})
 			c.loaded[id] = o.Version
 			return cfvweights.Started, nil
@@ -246,6 +251,11 @@
 	defer c.mu.Unlock()
 	assert.Assert(t, len(c.rollouts) > 0, "no entry carried out roll-outs")
 	assert.Equal(t, c.staleRollouts, 0, "entries that are not the leader carried out roll-outs")
+	c.checkOrderSequence(t)
+}
+
+// checkOrderSequence checks the orders alone. The caller must hold the lock.
+func (c *cluster) checkOrderSequence(t *testing.T) {
 	for i := 1; i < len(c.orders); i++ {
 		before, after := c.orders[i-1], c.orders[i]
 		if before.leader == after.leader {
@@ -269,7 +279,7 @@
 
 // newCluster returns a cluster without entries.
 func newCluster(pause time.Duration) *cluster {
-	return &cluster{disconnected: make(map[string]bool), cutOff: make(map[string]bool), loaded: make(map[string]int64), states: make(map[string]*cfvstate.State), rollouts: make(map[string]int), handoverPause: pause}
+	return &cluster{items: make(map[string]cfvmirror.Record), disconnected: make(map[string]bool), cutOff: make(map[string]bool), loaded: make(map[string]int64), states: make(map[string]*cfvstate.State), rollouts: make(map[string]int), handoverPause: pause}
 }
 
 // Failure: after weights were set, the leader froze, and 4.3 s passed until the next one sent its first order:
--- a/io/cfvrollout/controller.go
+++ b/io/cfvrollout/controller.go
@@ -10,6 +10,7 @@
 
 	"coltsfootvalve/common/cfvlog"
 	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvmirror"
 	"coltsfootvalve/core/cfvrollout"
 	"coltsfootvalve/io/cfvwire/cfvwireentry"
 	"coltsfootvalve/io/cfvwire/cfvwireentry/cfvwireentryconnect"
@@ -30,15 +31,15 @@
 // Write is a progress and the conditions under which it is recorded.
 type Write struct {
 	Progress     cfvfleet.RolloutProgress
-	FencingToken int64 // the writer is still the leader
-	Order        int64 // revision of the order, which is still the newest
-	Record       int64 // revision of the record of progress, which is still the last; 0: there is none
+	FencingToken int64              // the writer is still the leader
+	Order        int64              // number of the order's revision, which is still the newest
+	Record       cfvmirror.Revision // of the record of progress, which is still the last; 0: there is none
 }
 
 // ControllerConfig configures a Controller.
 type ControllerConfig struct {
 	View     func(func(*cfvfleet.View))
-	Record   func(ctx context.Context, w Write) (revision int64, err error)
+	Record   func(ctx context.Context, w Write) (revision cfvmirror.Revision, err error)
 	Conflict error // returned by Record if a condition doesn't hold
 	Limits   Limits
 	Now      func() time.Duration
@@ -67,7 +68,7 @@
 type run struct {
 	policy  *cfvrollout.Policy
 	written cfvfleet.RolloutProgress      // the last progress that this entry has recorded
-	record  int64                         // its revision; 0: none
+	record  cfvmirror.Revision            // its revision; 0: none
 	at      time.Duration                 // when it was recorded
 	writing map[cfvfleet.RolloutPhase]int // writes in progress
 	retryAt time.Duration                 // after a failed write
--- a/io/cfvrollout/controller_test.go
+++ b/io/cfvrollout/controller_test.go
@@ -10,6 +10,7 @@
 
 	"coltsfootvalve/common/cfvlog"
 	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvmirror"
 	"coltsfootvalve/core/cfvrollout"
 
 	"gotest.tools/v3/assert"
@@ -40,10 +41,11 @@
 // store simulates the key-value store with the orders and the progress of roll-outs.
 type store struct {
 	mu      sync.Mutex
-	rev     int64
+	rev     cfvmirror.Revision
 	fence   int64
 	orders  map[string]orderRecord
 	records map[string][]progressRecord // all records of a service, in order
+	removed cfvmirror.Revision          // of a record that a restore removed; 0: none
 	answers func() answer
 	hang    bool // writes of the running phase get no answer
 	pending sync.WaitGroup
@@ -51,13 +53,13 @@
 
 type orderRecord struct {
 	cfvfleet.RolloutOrder
-	revision int64
+	revision cfvmirror.Revision
 	at       time.Time
 }
 
 type progressRecord struct {
 	cfvfleet.RolloutProgress
-	revision int64
+	revision cfvmirror.Revision
 	fence    int64
 	at       time.Time
 }
@@ -71,7 +73,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rev++
-	s.fence = s.rev
+	s.fence = int64(s.rev)
 	return s.fence
 }
 
@@ -83,7 +85,7 @@
 }
 
 // record is the Record function of a controller.
-func (s *store) record(ctx context.Context, w Write) (int64, error) {
+func (s *store) record(ctx context.Context, w Write) (cfvmirror.Revision, error) {
 	s.mu.Lock()
 	a := s.answers()
 	if s.hang && w.Progress.Phase == cfvfleet.RolloutRunning {
@@ -114,11 +116,11 @@
 	return revision, ctx.Err()
 }
 
-func (s *store) commit(w Write) (revision int64, ok bool) {
+func (s *store) commit(w Write) (revision cfvmirror.Revision, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	service := w.Progress.Service
-	if w.FencingToken != s.fence || w.Order != s.orders[service].revision || w.Record != s.last(service).revision {
+	if w.FencingToken != s.fence || w.Order != s.orders[service].revision.Number() || w.Record != s.last(service).revision {
 		return 0, false
 	}
 	s.rev++
@@ -141,7 +143,7 @@
 	view       *cfvfleet.View
 	mu         sync.Mutex
 	start      time.Time
-	seen       int64 // revision up to which the view is complete
+	seen       cfvmirror.Revision // the view is complete up to it
 	clock      time.Duration
 	fence      int64
 	counts     map[string]int64
@@ -192,6 +194,10 @@
 		}
 	}
 	seen := l.seen
+	if l.store.removed > l.seen {
+		l.view.Apply(l.now(), cfvfleet.Change{Revision: l.store.removed, RolloutProgress: &cfvfleet.RolloutProgress{Service: testOrder.Service}})
+		seen = l.store.removed
+	}
 	for _, records := range l.store.records {
 		for _, p := range records {
 			if p.revision > l.seen && p.at.Before(until) {
@@ -271,7 +277,7 @@
 func (s *store) orderRevision() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.orders["assistant"].revision
+	return s.orders["assistant"].revision.Number()
 }
 
 var testOrder = cfvfleet.RolloutOrder{Service: "assistant", Target: "v2", Duration: 15 * time.Second}
--- a/io/cfvstate/state.go
+++ b/io/cfvstate/state.go
@@ -39,11 +39,11 @@
 
 // Apply applies records that are complete up to revision asOf. If full is set, they replace
 // all records. The parameter from is their source, for the log.
-func (s *State) Apply(from string, records []cfvmirror.Record, asOf int64, full bool) {
-	var applied []cfvfleet.Change
+func (s *State) Apply(from string, records []cfvmirror.Record, asOf cfvmirror.Revision, full bool) {
 	s.mu.Lock()
 	now := s.cfg.Now()
 	age, known := s.mirror.Age(now)
+	before := s.mirror.Revision()
 	var updated []cfvmirror.Record
 	if full {
 		updated = s.mirror.Replace(records, asOf)
@@ -51,19 +51,11 @@
 		updated = s.mirror.Merge(records, asOf)
 	}
 	s.view.Expire(now)
-	for _, r := range updated {
-		c, err := s.cfg.Decode(r)
-		if err != nil {
-			s.cfg.Log.Warnw("could not decode a record, ignoring it", "key", r.Key, "revision", r.Revision, "error", err.Error())
-		}
-		if err != nil && c.Endpoint == nil {
-			continue
-		}
-		if s.view.Apply(now, c) {
-			applied = append(applied, c)
-			s.logChange(from, c, age, known)
-		}
+	if after := s.mirror.Revision(); before > 0 && after.Era() > before.Era() {
+		s.view.KeyValueStoreRecovered(now)
+		s.cfg.Log.Warnw("the key-value store was restored from an older copy", "from", from, "before", int64(before), "after", int64(after), "changed", len(updated))
 	}
+	applied := s.applyToView(now, from, updated)
 	if known {
 		s.view.SetRolloutsNotBefore(now, now-age)
 	}
@@ -78,6 +70,25 @@
 	}
 }
 
+// applyToView applies records to the view and returns the changes that changed it. The caller must hold the lock.
+func (s *State) applyToView(now time.Duration, from string, records []cfvmirror.Record) (applied []cfvfleet.Change) {
+	age, known := s.mirror.Age(now)
+	for _, r := range records {
+		c, err := s.cfg.Decode(r)
+		if err != nil {
+			s.cfg.Log.Warnw("could not decode a record, ignoring it", "key", r.Key, "revision", int64(r.Revision), "error", err.Error())
+		}
+		if err != nil && c.Endpoint == nil {
+			continue
+		}
+		if s.view.Apply(now, c) {
+			applied = append(applied, c)
+			s.logChange(from, c, age, known)
+		}
+	}
+	return applied
+}
+
 // logChange logs a change of the state. The state had the given age before, if it was known.
 func (s *State) logChange(from string, c cfvfleet.Change, age time.Duration, known bool) {
 	l := s.cfg.Log
@@ -106,7 +117,7 @@
 }
 
 // Confirm records that no revision newer than asOf existed at time t.
-func (s *State) Confirm(asOf int64, t time.Duration) {
+func (s *State) Confirm(asOf cfvmirror.Revision, t time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mirror.Confirm(asOf, t)
@@ -120,7 +131,7 @@
 }
 
 // AsOf returns the revision up to which the state is complete.
-func (s *State) AsOf() int64 {
+func (s *State) AsOf() cfvmirror.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.mirror.Revision()
@@ -136,14 +147,14 @@
 // Delta is what a peer lacks of a state.
 type Delta struct {
 	Records []cfvmirror.Record
-	AsOf    int64         // revision up to which the records are complete
-	Full    bool          // they are all records
-	Age     time.Duration // how long ago the state was known to be complete up to AsOf
-	Known   bool          // it was at some time
+	AsOf    cfvmirror.Revision // up to which the records are complete
+	Full    bool               // they are all records
+	Age     time.Duration      // how long ago the state was known to be complete up to AsOf
+	Known   bool               // it was at some time
 }
 
 // Delta returns what a peer lacks whose state is complete up to revision since.
-func (s *State) Delta(since int64) (d Delta) {
+func (s *State) Delta(since cfvmirror.Revision) (d Delta) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d.AsOf = s.mirror.Revision()
@@ -192,3 +203,18 @@
 	defer s.mu.Unlock()
 	return s.mirror.Get(key)
 }
+
+// Lost returns the last record of a key that a restored key-value store has lost, and false if it lost none or the key has
+// been written again.
+func (s *State) Lost(key string) (r cfvmirror.Record, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mirror.Lost(key)
+}
+
+// Restored reports whether this process knows that the key-value store was restored from an older copy.
+func (s *State) Restored() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mirror.Restored()
+}
--- a/io/cfvwatch/watcher.go
+++ b/io/cfvwatch/watcher.go
@@ -30,13 +30,14 @@
 	minLoss          = 300 * time.Millisecond // a watcher that fails for less time keeps its place
 	lossPeriod       = 3 * time.Second        // after a failure, another entry watches for this long
 	maxResponseTime  = 400 * time.Millisecond // of the store, beyond the wait time of a watch
+	listSpread       = 1 * time.Second        // within which entries that are no watchers list a store without the history that they need
 )
 
 // Config configures a Watcher.
 type Config struct {
-	List      func(context.Context) (records []cfvmirror.Record, asOf int64, err error)
-	Watch     func(ctx context.Context, after int64, wait time.Duration) (records []cfvmirror.Record, asOf int64, err error)
-	Compacted error // the error of Watch if the history after the revision has been compacted
+	List      func(context.Context) (records []cfvmirror.Record, asOf cfvmirror.Revision, err error)
+	Watch     func(ctx context.Context, after cfvmirror.Revision, wait time.Duration) (records []cfvmirror.Record, asOf cfvmirror.Revision, err error)
+	Compacted error // the error of Watch if there is no history after the revision: it has been compacted, or the store was restored
 	State     *cfvstate.State
 	IsWatcher func() bool                 // reports whether this entry watches the store on behalf of its peers
 	IsStandby func() bool                 // reports whether this entry does so next; nil: it does not
@@ -53,7 +54,7 @@
 type Watcher struct {
 	cfg          Config
 	startedAt    time.Duration
-	relist       bool          // the history after the state's revision has been compacted
+	relist       bool          // there is no history after the state's revision
 	changed      bool          // the last watch reported changes, to all watchers at the same time
 	failingSince time.Duration // start of the current series of failed calls; 0 if the last call succeeded
 
@@ -120,6 +121,10 @@
 			cfvclock.Sleep(ctx, ageCheckInterval)
 			continue
 		}
+		if w.relist && !w.cfg.IsWatcher() && w.updatedByPeers(ctx) {
+			w.relist = false
+			continue
+		}
 		w.startCall()
 		err := w.update(ctx)
 		w.endCall(err == nil)
@@ -137,6 +142,14 @@
 	}
 }
 
+// updatedByPeers waits for a random part of listSpread and reports whether peers have updated the state meanwhile. After an
+// outage all entries watch the store, and all would list it at the same moment.
+func (w *Watcher) updatedByPeers(ctx context.Context) bool {
+	before := w.cfg.State.AsOf()
+	cfvclock.Sleep(ctx, time.Duration(rand.Int64N(int64(listSpread))))
+	return w.cfg.State.AsOf() > before
+}
+
 // shouldWatch reports whether this entry watches the store itself: it is a watcher, or relays have
 // not confirmed its state for too long.
 func (w *Watcher) shouldWatch() bool {
@@ -147,7 +160,7 @@
 	return w.cfg.IsWatcher() || age > maxStateAge || (age > standbyStateAge || w.cfg.NoContact()) && w.cfg.IsStandby()
 }
 
-// update lists the store if there is no state yet or the history has been compacted, and otherwise
+// update lists the store if there is no state yet or no history after it, and otherwise
 // watches it once.
 func (w *Watcher) update(ctx context.Context) error {
 	if w.cfg.State.AsOf() == 0 || w.relist {
@@ -164,7 +177,7 @@
 	sent := w.cfg.Now()
 	records, asOf, err := w.cfg.Watch(ctx, w.cfg.State.AsOf(), w.nextWait())
 	if errors.Is(err, w.cfg.Compacted) {
-		w.cfg.Log.Infow("key-value store history has been compacted, listing all records", "asOf", w.cfg.State.AsOf())
+		w.cfg.Log.Infow("key-value store has no history after the state, listing all records", "asOf", int64(w.cfg.State.AsOf()))
 		w.relist = true
 		return nil
 	}
@@ -193,7 +206,7 @@
 func (w *Watcher) recordFailure(err error) {
 	if w.failingSince == 0 {
 		w.failingSince = w.cfg.Now()
-		w.cfg.Log.Warnw("key-value store is unreachable", "error", err.Error(), "asOf", w.cfg.State.AsOf())
+		w.cfg.Log.Warnw("key-value store is unreachable", "error", err.Error(), "asOf", int64(w.cfg.State.AsOf()))
 	}
 	if now := w.cfg.Now(); now-w.failingSince >= minLoss {
 		w.mu.Lock()
@@ -208,7 +221,7 @@
 	}
 	outage := w.cfg.Now() - w.failingSince
 	w.failingSince = 0
-	w.cfg.Log.Infow("key-value store is reachable again", "awayMillis", outage.Milliseconds(), "asOf", w.cfg.State.AsOf())
+	w.cfg.Log.Infow("key-value store is reachable again", "awayMillis", outage.Milliseconds(), "asOf", int64(w.cfg.State.AsOf()))
 	if outage > minOutage {
 		w.cfg.State.StoreRecovered()
 	}
--- a/io/cfvwatch/watcher_test.go
+++ b/io/cfvwatch/watcher_test.go
@@ -24,7 +24,7 @@
 type store struct {
 	mu      sync.Mutex
 	records []cfvmirror.Record
-	oldest  int64
+	oldest  cfvmirror.Revision
 	down    bool
 	hung    bool
 	calls   int
@@ -33,13 +33,13 @@
 func (s *store) write(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.records = append(s.records, cfvmirror.Record{Key: key, Value: []byte("v"), Revision: int64(len(s.records) + 1)})
+	s.records = append(s.records, cfvmirror.Record{Key: key, Value: []byte("v"), Revision: cfvmirror.Revision(len(s.records) + 1)})
 }
 
-func (s *store) asOf() int64 {
+func (s *store) asOf() cfvmirror.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return int64(len(s.records))
+	return cfvmirror.Revision(len(s.records))
 }
 
 // set changes fields of the store under its lock.
@@ -74,22 +74,22 @@
 	return nil
 }
 
-func (s *store) list(ctx context.Context) ([]cfvmirror.Record, int64, error) {
+func (s *store) list(ctx context.Context) ([]cfvmirror.Record, cfvmirror.Revision, error) {
 	if err := s.respond(ctx); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]cfvmirror.Record(nil), s.records...), int64(len(s.records)), nil
+	return append([]cfvmirror.Record(nil), s.records...), cfvmirror.Revision(len(s.records)), nil
 }
 
-func (s *store) watch(ctx context.Context, after int64, wait time.Duration) ([]cfvmirror.Record, int64, error) {
+func (s *store) watch(ctx context.Context, after cfvmirror.Revision, wait time.Duration) ([]cfvmirror.Record, cfvmirror.Revision, error) {
 	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 		if err := s.respond(ctx); err != nil {
 			return nil, 0, err
 		}
 		s.mu.Lock()
-		compacted, asOf := after < s.oldest, int64(len(s.records))
+		compacted, asOf := after < s.oldest, cfvmirror.Revision(len(s.records))
 		events := append([]cfvmirror.Record(nil), s.records[min(after, asOf):]...)
 		s.mu.Unlock()
 		if compacted {
@@ -157,7 +157,7 @@
 			time.Sleep(4 * time.Second)
 			s.set(func(s *store) { s.hung = false })
 		}, 2 * time.Second},
-		"after the history was compacted": {func(s *store) { s.set(func(s *store) { s.oldest = int64(len(s.records)) + 1 }) }, time.Second},
+		"after the history was compacted": {func(s *store) { s.set(func(s *store) { s.oldest = cfvmirror.Revision(len(s.records)) + 1 }) }, time.Second},
 		"in a burst of changes": {func(s *store) {
 			for i := range 50 {
 				s.write(fmt.Sprint("r", i))
