Let leases and fencing tokens end with the store's era

A restored key-value store loses all leases, and gives out again the revision of the item that names the leader and the identity of its lease. So a former leader's writes were accepted as the present one's, its renewals prolonged the other's lease, and two leaders could order endpoints with one fencing token (ONE), or with a lower one after a higher one. Where endpoints check no tokens, the pause between two leaders was missing, since the lease ends at once instead of running out.

The token is now the revision with its era, so that of a later leader is higher whatever the number. A leader steps down when its state is of a later era than its token, and does nothing while it is of an earlier one. The pause where no tokens are checked runs from the restore, plus the time for which the former leader may still send orders. The record of the last leader counts also if the store has lost it.

--- a/commands/hosted_loops.go
+++ b/commands/hosted_loops.go
@@ -113,6 +113,14 @@
 	return err
 }
 
+// lastLeader returns the record of the entry that last sent orders, also if a restored key-value store has lost it.
+func (h *hostedEntry) lastLeader() (cfvmirror.Record, bool) {
+	if r, ok := h.state.Lost(platform.KeyLastLeader); ok {
+		return r, true
+	}
+	return h.state.Record(platform.KeyLastLeader)
+}
+
 // isLeader reports whether the key-value store names this entry as the leader.
 func (h *hostedEntry) isLeader() bool {
 	leader, ok := h.currentLeader()
@@ -132,7 +140,7 @@
 		CutOff:        h.entry.CutOff,
 		HandoverPause: h.settings.Bounds.HandoverPause, Now: cfvclock.SinceBoot, Log: h.log.Component("duty"), Count: h.metrics.Count,
 		CurrentLeader: func() (cfvmirror.Record, bool) { return h.state.Record(platform.KeyLeader) },
-		LastLeader:    func() (cfvmirror.Record, bool) { return h.state.Record(platform.KeyLastLeader) },
+		LastLeader:    h.lastLeader,
 		Store: cfvleader.Store{
 			Grant: h.keyValueStore.GrantLease, Renew: h.keyValueStore.RenewLease, Revoke: h.keyValueStore.RevokeLease, LeaseNotFound: platform.ErrLeaseNotFound, Conflict: platform.ErrConflict,
 			Acquire: func(ctx context.Context, lease int64, leader []byte) (int64, error) {
--- a/io/cfvleader/leader.go
+++ b/io/cfvleader/leader.go
@@ -104,6 +104,8 @@
 	loadedSince      map[cfvfleet.DesiredWeights]time.Duration // time since which all endpoints run the weights
 	unusedScopes     unusedScopes
 	removals         removals
+	asOf             cfvmirror.Revision // of the state at the last tick; 0: there was none
+	restoredAt       time.Duration      // when this entry learned that the key-value store was restored; 0: never
 	results          chan orderResult
 }
 
@@ -153,6 +155,7 @@
 }
 
 func (l *Leader) tick(ctx context.Context) {
+	l.observeEra()
 	if l.cfg.CutOff() {
 		l.vacantSince = 0
 		if l.fencingToken != 0 {
@@ -167,6 +170,9 @@
 	}
 	l.renew(ctx)
 	l.processResults()
+	if cfvmirror.Revision(l.fencingToken).Era() > l.asOf.Era() { // the state is from before the restore after which this entry became the leader
+		return
+	}
 	if l.fencingToken != 0 && l.cfg.Now() < l.leaseExpires {
 		l.cfg.Rollouts(ctx, l.fencingToken)
 		if l.cfg.ReportUsage != nil {
@@ -181,6 +187,19 @@
 	l.freeParts(ctx)
 }
 
+// observeEra notices that the key-value store was restored from an older copy. The lease is gone then.
+func (l *Leader) observeEra() {
+	before := l.asOf
+	l.asOf = l.cfg.State.AsOf()
+	if before == 0 || l.asOf.Era() <= before.Era() {
+		return
+	}
+	l.restoredAt = l.cfg.Now()
+	if l.fencingToken != 0 && cfvmirror.Revision(l.fencingToken).Era() < l.asOf.Era() {
+		l.stepDown("the key-value store was restored from an older copy")
+	}
+}
+
 // canOrder reports whether orders may be sent.
 func (l *Leader) canOrder() bool { return l.fencingToken != 0 && l.cfg.Now() < l.orderDeadline() }
 
@@ -237,7 +256,11 @@
 
 // handoverWait returns how long to wait because the previous leader may have sent orders just
 // before.
-func (l *Leader) handoverWait(time.Duration) time.Duration {
+func (l *Leader) handoverWait(now time.Duration) time.Duration {
+	// The previous lease ended with a restore, of which its holder learned at the next renewal.
+	if wait := l.restoredAt + orderWindow + l.cfg.HandoverPause - now; l.cfg.HandoverPause > 0 && l.restoredAt > 0 && wait > 0 {
+		return wait
+	}
 	last, ok := l.cfg.LastLeader()
 	if !ok {
 		return 0
