Keep roll-outs as they are across a restore of the store

After the key-value store was restored from an older copy, a roll-out that had ended was running again, as in the copy: a version that was rolled back got requests. An order that the operator wrote again has another revision, by which its progress, its evidence, the requests that it may still get and its elapsed time were counted; so all of them began anew.

A roll-out that has ended stays ended at all entries that know it, and the leader records the end again, over what the store has now. An order with the same target and duration in a later era is the same order under another number. Another order that got the number of a lost one does not adopt its progress, since the target is compared too.

--- a/core/cfvfleet/rollout.go
+++ b/core/cfvfleet/rollout.go
@@ -51,6 +51,7 @@
 type Rollout struct {
 	RolloutOrder
 	Revision  int64         // number of the order's revision
+	Formerly  int64         // the number that the same order had before the key-value store lost it in a restore; 0: none
 	LearnedAt time.Duration // when this process learned of the order
 	NotBefore time.Duration // the order was not given before this time; 0: not known
 	// Progress is that of this order. Until the leader has recorded any, it is running with a share of 0.
@@ -61,6 +62,8 @@
 	Established bool
 	// RecordRevision is the revision of the service's record of progress, of whichever order; 0: there is none.
 	RecordRevision cfvmirror.Revision
+	// Unrecorded is set if the roll-out has ended and a restored key-value store has lost the record of that.
+	Unrecorded bool
 }
 
 // maxOwnLag is how late a process may have learned of an order whose time it tells better than the record of progress.
@@ -147,11 +150,13 @@
 type rolloutState struct {
 	order          RolloutOrder
 	revision       cfvmirror.Revision
+	formerly       int64
 	learnedAt      time.Duration
 	notBefore      time.Duration
 	progress       *RolloutProgress // nil: not recorded, or removed
 	progressAt     time.Duration
 	recordRevision cfvmirror.Revision
+	unrecorded     bool
 }
 
 func (v *View) applyRolloutOrder(now time.Duration, revision cfvmirror.Revision, o RolloutOrder) bool {
@@ -159,11 +164,20 @@
 	if revision <= s.revision {
 		return false
 	}
-	s.order, s.revision, s.learnedAt, s.notBefore = o, revision, now, 0
+	if o.Target != "" && o == s.order && revision.Era() > s.revision.Era() {
+		s.formerly, s.revision = s.revision.Number(), revision // the operator has written a lost order again
+	} else {
+		s.order, s.revision, s.formerly, s.learnedAt, s.notBefore = o, revision, 0, now, 0
+	}
 	v.rollouts[o.Service] = s
 	return true
 }
 
+// isOrder reports whether the number of a revision is that of the order, or was before a restore.
+func (s rolloutState) isOrder(number int64) bool {
+	return number == s.revision.Number() || number == s.formerly && number > 0
+}
+
 // SetRolloutsNotBefore records that the orders that this process learned of at time now were not given before
 // another time.
 func (v *View) SetRolloutsNotBefore(now, notBefore time.Duration) {
@@ -178,14 +192,31 @@
 // applyRolloutProgress applies a record of progress. One without a target was removed.
 func (v *View) applyRolloutProgress(now time.Duration, revision cfvmirror.Revision, p RolloutProgress) bool {
 	s := v.rollouts[p.Service]
-	s.progress, s.progressAt, s.recordRevision = &p, now, revision
+	lost := s.losesEnd(revision, p)
+	if !lost {
+		s.progress, s.progressAt = &p, now
+	}
+	s.recordRevision, s.unrecorded = revision, lost
 	if p.Target == "" {
-		s.progress, s.recordRevision = nil, 0
+		s.recordRevision = 0
+		if !lost {
+			s.progress = nil
+		}
 	}
 	v.rollouts[p.Service] = s
 	return true
 }
 
+// losesEnd reports whether a record of a restored key-value store is one from before the end of the roll-out that is known.
+// A roll-out that has ended stays as it is.
+func (s rolloutState) losesEnd(revision cfvmirror.Revision, p RolloutProgress) bool {
+	if s.progress == nil || s.progress.Phase == RolloutRunning || revision.Era() <= s.recordRevision.Era() && !s.unrecorded {
+		return false
+	}
+	sameOrder := p.OrderRevision == s.progress.OrderRevision || s.isOrder(p.OrderRevision) && s.isOrder(s.progress.OrderRevision)
+	return p.Target == "" || p.Phase == RolloutRunning && p.Target == s.progress.Target && sameOrder
+}
+
 // Rollout returns the newest roll-out of a service, which may have ended; nil if none is ordered.
 func (v *View) Rollout(service string) *Rollout {
 	s, ok := v.rollouts[service]
@@ -195,8 +226,11 @@
 	if s.order.Target == "" {
 		return s.ended()
 	}
-	r := &Rollout{RolloutOrder: s.order, Revision: s.revision.Number(), LearnedAt: s.learnedAt, NotBefore: s.notBefore, RecordRevision: s.recordRevision}
-	if s.progress != nil && s.progress.OrderRevision == s.revision.Number() {
+	r := &Rollout{
+		RolloutOrder: s.order, Revision: s.revision.Number(), Formerly: s.formerly, LearnedAt: s.learnedAt, NotBefore: s.notBefore,
+		RecordRevision: s.recordRevision, Unrecorded: s.unrecorded,
+	}
+	if s.progress != nil && s.isOrder(s.progress.OrderRevision) && s.progress.Target == s.order.Target {
 		r.Progress, r.ProgressAt = *s.progress, s.progressAt
 	}
 	r.Established = r.Progress.Phase == RolloutRunning && (r.Progress.Established || v.updateEstablished(service).names[r.Target])
@@ -211,7 +245,7 @@
 	}
 	return &Rollout{
 		RolloutOrder: RolloutOrder{Service: s.progress.Service, Target: s.progress.Target}, Revision: s.progress.OrderRevision,
-		Progress: *s.progress, ProgressAt: s.progressAt, RecordRevision: s.recordRevision,
+		Progress: *s.progress, ProgressAt: s.progressAt, RecordRevision: s.recordRevision, Unrecorded: s.unrecorded,
 	}
 }
 
--- a/core/cfvrollout/counter.go
+++ b/core/cfvrollout/counter.go
@@ -102,6 +102,7 @@
 
 // startOrder drops the evidence about an earlier order of the service.
 func (c *Counter) startOrder(r *cfvfleet.Rollout) {
+	c.renumber(r)
 	if c.orders[r.Service] == r.Revision {
 		return
 	}
@@ -113,6 +114,25 @@
 	}
 }
 
+// renumber keeps the evidence about an order that has got another revision.
+func (c *Counter) renumber(r *cfvfleet.Rollout) {
+	if r.Formerly == 0 {
+		return
+	}
+	if c.rejected[r.Service] == r.Formerly {
+		c.rejected[r.Service] = r.Revision
+	}
+	if c.orders[r.Service] != r.Formerly {
+		return
+	}
+	c.orders[r.Service] = r.Revision
+	for key, e := range c.evidence {
+		if key.service == r.Service {
+			e.Order = r.Revision
+		}
+	}
+}
+
 func (c *Counter) count(order int64, s Sample, slow bool) {
 	key := seriesKey{s.Service, s.Version, s.Route}
 	e := c.evidence[key]
@@ -162,6 +182,7 @@
 func (c *Counter) Evidence(rollouts []*cfvfleet.Rollout) (out []Evidence) {
 	running := make(map[string]int64, len(rollouts))
 	for _, r := range rollouts {
+		c.renumber(r)
 		if r.Progress.Phase == cfvfleet.RolloutRunning {
 			running[r.Service] = r.Revision
 		}
--- a/core/cfvrollout/exposure.go
+++ b/core/cfvrollout/exposure.go
@@ -102,6 +102,9 @@
 		return nil
 	}
 	c := x.counts[r.Service]
+	if c != nil && c.order == r.Formerly && r.Formerly > 0 {
+		c.order = r.Revision
+	}
 	if c == nil || c.order != r.Revision {
 		offset := x.offset(r, s)
 		c = &exposureCount{order: r.Revision, offset: offset, credit: min(offset, 1)}
--- a/core/cfvrollout/policy.go
+++ b/core/cfvrollout/policy.go
@@ -109,6 +109,9 @@
 // Revision returns the revision of the order.
 func (p *Policy) Revision() int64 { return p.revision }
 
+// Renumber adopts another revision of the same order.
+func (p *Policy) Renumber(revision int64) { p.revision, p.judge.order = revision, revision }
+
 // AddReport adds the evidence of an entry.
 func (p *Policy) AddReport(r Report) { p.judge.Add(r) }
 
--- a/io/cfventry/rollout.go
+++ b/io/cfventry/rollout.go
@@ -132,7 +132,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.rollouts.Rejected(service, r.Revision) {
+	if e.rollouts.Rejected(service, r.Revision) || e.rollouts.Rejected(service, r.Formerly) {
 		e.cfg.Metrics.Count("rollout.rejectedHere", 1)
 		return r, 0
 	}
--- a/io/cfvrollout/controller.go
+++ b/io/cfvrollout/controller.go
@@ -127,8 +127,8 @@
 	c.dropEnded(rollouts)
 	for i, r := range rollouts {
 		run := c.runOf(now, r)
-		run.overlay(r)
-		next, changed := run.policy.Next(now, r, fleets[i])
+		run.overlay(r, cfvmirror.Revision(fencingToken).Era())
+		next, changed := run.next(now, r, fleets[i])
 		if !changed || !run.mayWrite(now, next.Phase) {
 			continue
 		}
@@ -139,11 +139,21 @@
 	}
 }
 
-// readView returns the roll-outs that have not ended and the endpoints of their services.
+// next returns the progress to record, and false if the recorded one is to stay.
+func (n *run) next(now time.Duration, r *cfvfleet.Rollout, f cfvrollout.Fleet) (next cfvfleet.RolloutProgress, changed bool) {
+	if r.Unrecorded {
+		next = r.Progress
+		next.OrderRevision = r.Revision
+		return next, true
+	}
+	return n.policy.Next(now, r, f)
+}
+
+// readView returns the roll-outs that have not ended, or whose end is not recorded any more, and the endpoints of their services.
 func (c *Controller) readView(now time.Duration) (rollouts []*cfvfleet.Rollout, fleets []cfvrollout.Fleet) {
 	c.cfg.View(func(v *cfvfleet.View) {
 		for _, r := range v.Rollouts() {
-			if r.Progress.Phase == cfvfleet.RolloutRunning {
+			if r.Progress.Phase == cfvfleet.RolloutRunning || r.Unrecorded {
 				rollouts = append(rollouts, r)
 				fleets = append(fleets, fleetOf(now, v, r))
 			}
@@ -194,7 +204,8 @@
 // runOf returns the run of an order. Another order of the same service begins a new one. The caller must hold
 // the lock.
 func (c *Controller) runOf(now time.Duration, r *cfvfleet.Rollout) *run {
-	if have := c.runs[r.Service]; have != nil && have.policy.Revision() == r.Revision {
+	if have := c.runs[r.Service]; have != nil && (have.policy.Revision() == r.Revision || have.policy.Revision() == r.Formerly) {
+		have.policy.Renumber(r.Revision)
 		return have
 	}
 	n := &run{policy: cfvrollout.NewPolicy(now, c.cfg.Millis(), r, c.cfg.Limits), writing: make(map[cfvfleet.RolloutPhase]int)}
@@ -207,8 +218,16 @@
 	return n
 }
 
-// overlay replaces the recorded progress by one that this entry has written since.
-func (n *run) overlay(r *cfvfleet.Rollout) {
+// overlay replaces the recorded progress by one that this entry has written since. What it wrote in an earlier era of the
+// key-value store may be lost; an end is written again.
+func (n *run) overlay(r *cfvfleet.Rollout, era int64) {
+	if n.record.Era() < era {
+		n.record = 0
+		if ended := n.written.Phase != cfvfleet.RolloutRunning; ended && r.Progress.Phase == cfvfleet.RolloutRunning {
+			r.Progress, r.ProgressAt, r.Unrecorded = n.written, n.at, true
+		}
+		return
+	}
 	if n.record > r.RecordRevision {
 		r.Progress, r.ProgressAt, r.RecordRevision = n.written, n.at, n.record
 	}
