Tell the view of what a restored store has lost only later

The operators and endpoints write again what a restored key-value store has lost, but entries followed it into the past at once: requests went to a failure domain whose drain was lost (EVAC), to endpoints whose removal was lost (DRAIN) until the store removed them again, and an order of a roll-out was withdrawn and came back as a new one.

An endpoint whose removal was lost stays out of use until it announces itself. Roll-outs' progress and lost endpoints are told at once: the view has rules for them.

--- a/io/cfvstate/state.go
+++ b/io/cfvstate/state.go
@@ -27,8 +27,15 @@
 	mu     sync.Mutex
 	mirror *cfvmirror.Mirror
 	view   *cfvfleet.View
+
+	withheld      map[string]bool // keys whose loss the view has not been told of
+	withheldUntil time.Duration
 }
 
+// RestorePeriod is how long the view keeps what a restored key-value store has lost. Operators and endpoints write it again
+// within that time.
+const RestorePeriod = cfvfleet.RemovalGracePeriod
+
 // New returns an empty state.
 func New(cfg Config) *State {
 	if cfg.OnChange == nil {
@@ -52,10 +59,11 @@
 	}
 	s.view.Expire(now)
 	if after := s.mirror.Revision(); before > 0 && after.Era() > before.Era() {
-		s.view.KeyValueStoreRecovered(now)
-		s.cfg.Log.Warnw("the key-value store was restored from an older copy", "from", from, "before", int64(before), "after", int64(after), "changed", len(updated))
+		updated = s.withhold(now, updated)
+		s.cfg.Log.Warnw("the key-value store was restored from an older copy", "from", from, "before", int64(before), "after", int64(after), "withheld", len(s.withheld))
 	}
 	applied := s.applyToView(now, from, updated)
+	applied = append(applied, s.releaseWithheld(now)...)
 	if known {
 		s.view.SetRolloutsNotBefore(now, now-age)
 	}
@@ -74,6 +82,7 @@
 func (s *State) applyToView(now time.Duration, from string, records []cfvmirror.Record) (applied []cfvfleet.Change) {
 	age, known := s.mirror.Age(now)
 	for _, r := range records {
+		delete(s.withheld, r.Key)
 		c, err := s.cfg.Decode(r)
 		if err != nil {
 			s.cfg.Log.Warnw("could not decode a record, ignoring it", "key", r.Key, "revision", int64(r.Revision), "error", err.Error())
@@ -89,6 +98,50 @@
 	return applied
 }
 
+// withhold returns the changed records of a restored store that the view is told of at once. It is told later of those that
+// the store has lost or has only in an older version, unless they are written again. The caller must hold the lock.
+func (s *State) withhold(now time.Duration, changed []cfvmirror.Record) (rest []cfvmirror.Record) {
+	s.view.KeyValueStoreRecovered(now)
+	if s.withheld == nil {
+		s.withheld = make(map[string]bool)
+	}
+	s.withheldUntil = now + RestorePeriod
+	for _, r := range changed {
+		if _, lost := s.mirror.Lost(r.Key); lost && !s.appliesAtOnce(r) {
+			s.withheld[r.Key] = true
+			continue
+		}
+		rest = append(rest, r)
+	}
+	return rest
+}
+
+// appliesAtOnce reports whether the view deals with a lost record itself.
+func (s *State) appliesAtOnce(r cfvmirror.Record) bool {
+	c, _ := s.cfg.Decode(r) // an error is reported when the record is applied
+	return c.Endpoint != nil && r.Deleted || c.RolloutProgress != nil
+}
+
+// releaseWithheld tells the view of lost records that were not written again in time. An endpoint that had been removed
+// before the store was restored stays removed until it announces itself. The caller must hold the lock.
+func (s *State) releaseWithheld(now time.Duration) (applied []cfvfleet.Change) {
+	if len(s.withheld) == 0 || now < s.withheldUntil {
+		return nil
+	}
+	var records []cfvmirror.Record
+	for key := range s.withheld {
+		r, lost := s.mirror.Current(key), false
+		if have, ok := s.mirror.Lost(key); ok {
+			lost = have.Deleted
+		}
+		if c, _ := s.cfg.Decode(r); c.Endpoint == nil || !lost {
+			records = append(records, r)
+		}
+	}
+	s.withheld = nil
+	return s.applyToView(now, "restored store", records)
+}
+
 // logChange logs a change of the state. The state had the given age before, if it was known.
 func (s *State) logChange(from string, c cfvfleet.Change, age time.Duration, known bool) {
 	l := s.cfg.Log
@@ -191,9 +244,16 @@
 
 // Read calls f with the view under the lock. f must not retain the view.
 func (s *State) Read(f func(v *cfvfleet.View)) {
+	var released []cfvfleet.Change
+	defer func() { // runs after the lock is released
+		for _, c := range released {
+			s.cfg.OnChange(c)
+		}
+	}()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view.Expire(s.cfg.Now())
+	released = s.releaseWithheld(s.cfg.Now())
 	f(s.view)
 }
 
