Keep the record of usage that a restored store has lost

After the key-value store was restored from an older copy, the leader took the last window in the copy for the last recorded one, and counted and reported the windows since then once more. The platform got two reports of a window with different counts.

The lost record counts: its window has been recorded, and is reported with its counts. The next record replaces what the store has now.

--- a/commands/hosted_metering.go
+++ b/commands/hosted_metering.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"coltsfootvalve/common/cfvclock"
+	"coltsfootvalve/core/cfvmirror"
 	"coltsfootvalve/core/cfvusage"
 	"coltsfootvalve/io/cfvmetering"
 	"coltsfootvalve/platform"
@@ -71,20 +72,36 @@
 }
 
 // recordedUsage returns the record of usage as far as it is known, and false if none is newer than a revision. One that
-// can't be read counts as that of no window, so that it is replaced.
+// can't be read counts as that of no window, so that it is replaced. A window that a restored key-value store has lost may have
+// been reported with its counts, so it counts as recorded.
 func (h *hostedEntry) recordedUsage(after int64) (w cfvusage.Window, revision int64, ok bool) {
 	record, ok := h.state.Record(platform.KeyUsage)
-	if !ok || int64(record.Revision) <= after {
+	lost, isLost := h.state.Lost(platform.KeyUsage)
+	if isLost && !ok {
+		record.Revision = cfvmirror.NewRevision(h.state.AsOf().Era(), 0)
+	}
+	if !ok && !isLost || int64(record.Revision) <= after {
 		return w, 0, false
 	}
-	w, err := platform.DecodeUsage(record)
-	if err != nil {
-		h.metrics.Count("usage.recordUnreadable", 1)
-		return cfvusage.Window{}, int64(record.Revision), true
+	if ok {
+		w = h.decodeUsage(record)
+	}
+	if before := h.decodeUsage(lost); isLost && before.Number > w.Number {
+		w = before
 	}
 	return w, int64(record.Revision), true
 }
 
+// decodeUsage returns the window in a record; one that can't be read gives none.
+func (h *hostedEntry) decodeUsage(r cfvmirror.Record) cfvusage.Window {
+	w, err := platform.DecodeUsage(r)
+	if err != nil && len(r.Value) > 0 {
+		h.metrics.Count("usage.recordUnreadable", 1)
+		return cfvusage.Window{}
+	}
+	return w
+}
+
 // callInterval returns the minimum time between two duty calls; 0 if their rate is not limited.
 func callInterval(callsPerSecond float64) time.Duration {
 	if callsPerSecond <= 0 {
--- a/commands/hosted_metering_test.go
+++ b/commands/hosted_metering_test.go
@@ -78,3 +78,51 @@
 	_, recorded := f.keyValueStore.Get(platform.KeyUsage)
 	assert.Assert(t, !recorded)
 }
+
+// Guards against windows of usage that are reported with other counts, or never: a restored key-value store has lost the record of
+// the last window, and an earlier one or none is there again.
+func TestUsageIsReportedAcrossARestore(t *testing.T) {
+	t.Parallel()
+	for name, early := range map[string]bool{"the copy holds no record": true, "the copy holds an earlier record": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 0, cfvfakereplica.Config{}, cfvfakereplica.Config{StreamEvents: 3, Model: "m"})
+			duties := cfvfakeplatform.NewDuties(500 * time.Millisecond)
+			f.dutyAddr = f.serve(duties.Handler())
+			start := time.Now()
+			for i := range 2 {
+				f.startEntry(i, f.keyValueStoreAddr)
+				f.eventually("the entry is ready", func() bool { return f.ready(i) })
+			}
+			want := make(map[string]uint64)
+			send := func() {
+				for i := range 20 {
+					assert.Equal(t, f.send(i%2, http.MethodGet, "/look/up", shopKey, "").status, http.StatusOK)
+					want["of-"+shopKey]++
+				}
+			}
+			allAccepted := func() bool { return accepted(duties, start)["of-"+shopKey] == want["of-"+shopKey] }
+			c := f.keyValueStore.Copy()
+			for range 2 {
+				send()
+				f.eventually("the requests are reported", allAccepted)
+				if !early {
+					c = f.keyValueStore.Copy()
+					early = true
+				}
+			}
+			send() // is recorded, and perhaps reported, when the store is restored
+			windows := duties.Windows()
+			f.eventually("the window is recorded", func() bool { return duties.Windows() > windows })
+			f.keyValueStore.SetAway(true)
+			for _, lost := range f.keyValueStore.Restore(c) {
+				f.keyValueStore.WriteAgain(lost)
+			}
+			f.keyValueStore.SetAway(false)
+			send()
+			f.eventually("the requests are reported after the restore", allAccepted)
+			assert.DeepEqual(t, accepted(duties, start), want)
+			assert.DeepEqual(t, duties.Violations(), []string{})
+		})
+	}
+}
