Soak: restore the key-value store from older copies

Between the other changes of the operator, the stand-in for the platform's key-value store is now copied, and restored from the last copy after it was away for up to 0.7 s. What was lost is written again before it responds, or up to 0.8 s later.

--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -190,6 +190,17 @@
 	return f.activeKeys[rnd.IntN(len(f.activeKeys))]
 }
 
+// removedAgain records that the keys that were removed since a time have been removed again.
+func (f *fleet) removedAgain(since time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for k, at := range f.removedAt {
+		if at.After(since) {
+			f.removedAt[k] = time.Now()
+		}
+	}
+}
+
 // removedBefore reports whether a key had been removed for longer than maxRevokeDelay when
 // the request was sent.
 func (f *fleet) removedBefore(key string, sent time.Time) bool {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"coltsfootvalve/standins/cfvfakeplatform"
 	"coltsfootvalve/standins/cfvfault"
 
 	"gotest.tools/v3/assert"
@@ -216,12 +217,13 @@
 	r.start(p)
 }
 
-// changeSettings changes keys and weights versions and compacts the key-value store.
+// changeSettings changes keys and weights versions, compacts the key-value store and restores it from copies.
 func (r *run) changeSettings(ctx context.Context, rnd *rand.Rand) {
 	next, weights := 2, 1
+	copied, copiedAt := r.kvStore.Copy(), time.Now()
 	for ctx.Err() == nil {
 		r.sleep(ctx, time.Duration(200+rnd.IntN(900))*time.Millisecond)
-		switch rnd.IntN(3) {
+		switch rnd.IntN(5) {
 		case 0:
 			r.writeConfig(fmt.Sprint("key-", next-1), fmt.Sprint("key-", next))
 			next++
@@ -230,10 +232,31 @@
 			r.putRecord("op/version/m", map[string]any{"model": "m", "version": weights})
 		case 2:
 			r.kvStore.Compact()
+		case 3:
+			copied, copiedAt = r.kvStore.Copy(), time.Now()
+		case 4:
+			r.restoreStore(ctx, rnd, copied, copiedAt)
 		}
 	}
 }
 
+// restoreStore lets the key-value store be away for a moment and come back from a copy. Operator and endpoints write what was lost
+// again, before it responds or a moment later.
+func (r *run) restoreStore(ctx context.Context, rnd *rand.Rand, copied cfvfakeplatform.Copy, copiedAt time.Time) {
+	r.kvStore.SetAway(true)
+	r.sleep(ctx, time.Duration(100+rnd.IntN(600))*time.Millisecond)
+	lost := r.kvStore.Restore(copied)
+	if rnd.IntN(2) == 0 {
+		r.kvStore.SetAway(false)
+		r.sleep(ctx, time.Duration(rnd.IntN(800))*time.Millisecond)
+	}
+	for _, c := range lost {
+		r.kvStore.WriteAgain(c)
+	}
+	r.removedAgain(copiedAt)
+	r.kvStore.SetAway(false)
+}
+
 // clearFaults ends all faults.
 func (r *run) clearFaults() {
 	r.kvStore.SetFault(cfvfault.Fault{})
