Count a request whose plain answer breaks off

Cause: what the end of an attempt shows was recorded at five places, and each of them recorded some of it. An answer that broke off before its head, and a stream, counted against the request and the parts of its prompt; a plain answer after its head against the parts alone, and one that was forwarded while it arrived against neither. So the quarantine of requests never heard of it. Evidence: the table of ends (brokenOff in the test) against what the quarantine holds; the rows of plain answers after the head were empty, whatever the framing, the length, the status and the kind of route.

recordEnd records now what any end shows: the answer was whole, the endpoint broke off, or the end doesn't tell. Ends that the caller, the time limit, a hedge or the entry's own links brought about don't come there, as before.

--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -317,7 +317,7 @@
 	if !wasSent {
 		return outcomeNotRun
 	}
-	q.recordCrash(ep)
+	q.recordEnd(ep, nil, endBrokenOff)
 	q.recordFailure(ep)
 	return outcomeFailed
 }
--- a/io/cfventry/parts.go
+++ b/io/cfventry/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"time"
 
 	"coltsfootvalve/common/cfverror"
@@ -48,26 +47,9 @@
 // incarnation identifies one start of an endpoint.
 func incarnation(ep *cfvfleet.Endpoint) string { return fmt.Sprintf("%s/%d", ep.ID, ep.StartMillis) }
 
-// logCrash logs and counts that an endpoint broke off the request.
-func (q *request) logCrash(ep *cfvfleet.Endpoint) {
-	q.entry.cfg.Metrics.Count("endpoints.brokenOff", 1)
-	q.logAttempt(ep, "an endpoint broke off a request",
-		"service", q.service.Name, "incarnation", incarnation(ep), "parts", q.sharedPartIDs(), "batches", q.answer.batches)
-}
-
-// recordPartsCrash records that an endpoint went down while it ran the request.
-func (q *request) recordPartsCrash(ep *cfvfleet.Endpoint) {
-	q.logCrash(ep)
-	e := q.entry
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	q.answer.crashed = q.answer.batches <= 1
-	e.parts.RecordCrash(e.cfg.Now(), q.service.Name, q.sharedPartIDs(), incarnation(ep), !q.answer.crashed)
-}
-
 // recordPartsAnswered records that the endpoint survived the begin of its answer.
 func (q *request) recordPartsAnswered() {
-	if len(q.meta.Prompt.Parts) == 0 || q.answer.recorded {
+	if len(q.meta.Prompt.Parts) == 0 || q.answer.recorded || q.answer.began == 0 {
 		return
 	}
 	q.answer.recorded = true
@@ -89,20 +71,6 @@
 	}
 }
 
-// recordStreamEnd records what the end of a stream shows about the parts of its prompt. If the response
-// has neither a length nor chunks, it also ends like this when the endpoint goes down.
-func (q *request) recordStreamEnd(ep *cfvfleet.Endpoint, resp *http.Response, remainder []byte) {
-	framed := isFramed(resp)
-	switch {
-	case len(remainder) == 0 && (q.answer.batches > 1 || framed && q.answer.batches > 0):
-		q.recordPartsAnswered()
-	case !framed && len(remainder) == 0 && q.answer.batches > 0:
-		q.recordDoubtfulEnd(ep)
-	case !framed:
-		q.recordPartsCrash(ep)
-	}
-}
-
 // recordDoubtfulEnd keeps the end of a stream that may be whole or may have been broken off.
 func (q *request) recordDoubtfulEnd(ep *cfvfleet.Endpoint) {
 	e := q.entry
@@ -139,19 +107,6 @@
 	}
 }
 
-// recordPlainResponse records a complete response that is no stream. It shows something only if the
-// response has a length or chunks.
-func (q *request) recordPlainResponse(resp *http.Response) {
-	if resp.StatusCode/100 == 2 && isFramed(resp) {
-		q.recordPartsAnswered()
-	}
-}
-
-// isFramed reports whether a response has a length or chunks.
-func isFramed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
 // partRefusal returns a refusal if a part of the prompt crashes endpoints.
 func (q *request) partRefusal() *httpRefusal {
 	q.entry.mu.Lock()
--- a/io/cfventry/parts_test.go
+++ b/io/cfventry/parts_test.go
@@ -119,6 +119,8 @@
 	now := func() time.Duration { return time.Since(start) + time.Hour }
 	config := cfvfleet.Change{Config: &cfvfleet.Config{Version: 1, Services: []cfvfleet.Service{{Name: "s"}}, Routes: []cfvfleet.Route{
 		{Name: "ask", Host: "h", PathPrefix: "/ask/", Kind: cfvfleet.Streaming, Service: "s", MaxAttempts: 1, LatencyObjective: time.Second, Patience: 4 * time.Second},
+		{Name: "book", Host: "h", PathPrefix: "/book/", Kind: cfvfleet.Unsafe, Service: "s", MaxAttempts: 1, LatencyObjective: 5 * time.Second},
+		{Name: "look", Host: "h", PathPrefix: "/look/", Kind: cfvfleet.Safe, Service: "s", MaxAttempts: 2, LatencyObjective: 5 * time.Second},
 	}}}
 	decode := func(r cfvmirror.Record) (cfvfleet.Change, error) {
 		if r.Key == "config" {
@@ -159,9 +161,14 @@
 
 // askWithParts sends a request with its own body and the given parts before its own one.
 func askWithParts(e *Entry, id string, parts ...string) (r *httptest.ResponseRecorder) {
-	req := httptest.NewRequest(http.MethodPost, "http://h/ask/", strings.NewReader("body of "+id))
+	return send(e, "/ask/", id, "body of "+id, append(parts, id)...)
+}
+
+// send sends a request with a body and parts.
+func send(e *Entry, path, id, body string, parts ...string) (r *httptest.ResponseRecorder) {
+	req := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader(body))
 	req.Header.Set(testRequestID, id)
-	req.Header.Set(testParts, strings.Join(append(parts, id), ","))
+	req.Header.Set(testParts, strings.Join(parts, ","))
 	r = httptest.NewRecorder()
 	defer func() {
 		if p := recover(); p != nil {
--- a/io/cfventry/response.go
+++ b/io/cfventry/response.go
@@ -32,18 +32,20 @@
 		case !q.entry.ReachesEndpoints(q.r.Context()):
 			return outcomeFailed
 		default:
-			q.recordPartsCrash(ep)
+			q.recordEnd(ep, resp, endBrokenOff)
 		}
 		q.excluded[ep.ID] = true
 		q.recordFailure(ep)
 		return outcomeFailed
 	}
-	q.recordPlainResponse(resp)
 	serverError := resp.StatusCode >= http.StatusInternalServerError
 	long := noRoom || body.size > maxBufferedResponse
 	if serverError || !long {
 		q.recordOutcome(ep, serverError)
 	}
+	if !long {
+		q.recordEnd(ep, resp, plainEnd(resp))
+	}
 	if serverError && q.canRetryElsewhere(ep) {
 		return outcomeFailed
 	}
@@ -111,11 +113,13 @@
 	defer first.Close()
 	if _, err := io.Copy(q.w, io.MultiReader(first, rest)); err != nil {
 		q.logAttempt(ep, "a long response was incomplete", "error", err.Error())
-		if rest.failed && !q.callerGone() && !q.ended() {
+		if rest.failed && !q.callerGone() && !q.ended() && q.entry.ReachesEndpoints(q.r.Context()) {
+			q.recordEnd(ep, resp, endBrokenOff)
 			q.recordFailure(ep)
 		}
 		panic(http.ErrAbortHandler)
 	}
+	q.recordEnd(ep, resp, plainEnd(resp))
 	if resp.StatusCode < http.StatusInternalServerError {
 		q.recordOutcome(ep, false)
 	}
--- a/io/cfventry/stream.go
+++ b/io/cfventry/stream.go
@@ -145,7 +145,7 @@
 			return q.finishStream(ep, resp, events.remainder())
 		}
 		if err != nil {
-			return q.handleStreamError(ep, hedge.fired() || dog.Expired(), err)
+			return q.handleStreamError(ep, resp, hedge.fired() || dog.Expired(), err)
 		}
 		hedge.stop()
 		prefillDone()
@@ -183,10 +183,10 @@
 // broken off, with or without chunks.
 func (q *request) finishStream(ep *cfvfleet.Endpoint, resp *http.Response, remainder []byte) outcome {
 	if len(remainder) > 0 {
-		return q.handleStreamError(ep, false, errors.New("the stream ended in the middle of an event"))
+		return q.handleStreamError(ep, resp, false, errors.New("the stream ended in the middle of an event"))
 	}
 	q.meter() // a stream without events
-	q.recordStreamEnd(ep, resp, remainder)
+	q.recordEnd(ep, resp, q.streamEnd(resp))
 	if !q.stream.started {
 		q.copyHeaders(resp)
 		q.w.WriteHeader(resp.StatusCode)
@@ -209,7 +209,7 @@
 
 // handleStreamError handles a stream that failed before it was complete. The argument cancelled reports
 // whether this entry gave up on the endpoint.
-func (q *request) handleStreamError(ep *cfvfleet.Endpoint, cancelled bool, err error) outcome {
+func (q *request) handleStreamError(ep *cfvfleet.Endpoint, resp *http.Response, cancelled bool, err error) outcome {
 	if !q.callerGone() && !q.ended() {
 		q.entry.recordReach(ep.ID, cfvreach.NoResponse, false)
 	}
@@ -231,7 +231,7 @@
 		return outcomeFailed
 	default:
 		q.entry.markUnavailable(ep, q.service)
-		q.recordCrash(ep)
+		q.recordEnd(ep, resp, endBrokenOff)
 	}
 	q.excluded[ep.ID] = true
 	q.recordFailure(ep)
