--- a/io/cfvexchange/fleet_test.go
+++ b/io/cfvexchange/fleet_test.go
@@ -64,6 +64,7 @@
 	start   time.Time
 	mu      sync.Mutex
 	entries map[string]*simEntry // by peer address
+	release simRelease           // of the entries that are added
 	era     int64                // of the store
 	away    bool                 // the store does not respond
 	records []cfvmirror.Record
@@ -227,7 +228,7 @@
 
 // add starts an entry.
 func (f *simFleet) add(name, domain string) *simEntry {
-	e := &simEntry{Entry: cfvfleet.Entry{Name: name, Addr: name + ".example:1", Domain: domain}, faultyAt: f.now()}
+	e := &simEntry{Entry: cfvfleet.Entry{Name: name, Addr: name + ".example:1", Domain: domain}, faultyAt: f.now(), release: f.release}
 	e.state = cfvstate.New(cfvstate.Config{Now: f.now, Log: cfvlog.Discard(), Decode: func(r cfvmirror.Record) (c cfvfleet.Change, err error) {
 		if name, ok := strings.CutPrefix(r.Key, "entries/"); ok {
 			c.Entry = &cfvfleet.EntryChange{Name: name}
--- a/io/cfvexchange/restore_test.go
+++ b/io/cfvexchange/restore_test.go
@@ -212,9 +212,10 @@
 					f := newSimFleet()
 					f.era = era
 					for i := range 8 {
-						if e := f.add(fmt.Sprintf("entry-%03d", i), fmt.Sprint("domain-", i%3)); isOld(i) {
-							e.release = simEraless
+						if f.release = simCurrent; isOld(i) {
+							f.release = simEraless
 						}
+						f.add(fmt.Sprintf("entry-%03d", i), fmt.Sprint("domain-", i%3))
 					}
 					time.Sleep(4 * time.Second)
 					defer f.close()
