Let no answer that ends with its connection clear a suspicion

An answer with neither a length nor chunks ends like a whole one when its endpoint goes down. Such an end cleared the suspicion against the request, and against the parts of the prompt if two batches of events had come, so a request or a part that crashes endpoints in such an answer was never refused (BUDGET).

Cause: an end that doesn't tell was taken for a whole answer. It is kept as doubtful now, until the endpoint is found down or has shown that it survived: by an answer over a connection that is older than the end, by one so soon that it can't have started again, or by the state of the fleet some seconds later. Then it counts as a crash, or as an answer. Both count against request and parts. The answers must not be lost: a sound request that many callers send is in progress at each endpoint that ends for other reasons.

--- a/commands/hosted_entry.go
+++ b/commands/hosted_entry.go
@@ -81,8 +81,8 @@
 			return h.reserver.Reserve(ctx, r)
 		},
 		Settle:          func(g cfvreserve.Grant, request string, over bool) { h.reserver.Settle(g, request, over) },
-		EvidenceCurrent: func() bool { return h.reporter.Current() },
-		CountRun:        h.metering.countRun(),
+		EvidenceCurrent: func() bool { return h.reporter.Current() }, SilenceTime: silenceTime(settings.HeartbeatInterval),
+		CountRun: h.metering.countRun(),
 	})
 	h.reserver = cfvreserve.New(cfvreserve.Config{
 		Self: settings.Node, Relays: func() []cfvfleet.Entry { return h.roster().Relays() }, Place: h.entry.Place, Settle: h.entry.Settle, Now: cfvclock.SinceBoot,
@@ -99,6 +99,15 @@
 	return h
 }
 
+// silenceTime returns after which time an endpoint that went down is no longer announced. The platform removes it after three heartbeats
+// without one, and entries learn of that within a second; 0: it has no heartbeats.
+func silenceTime(heartbeat time.Duration) time.Duration {
+	if heartbeat <= 0 {
+		return 0
+	}
+	return 3*heartbeat + time.Second
+}
+
 // run serves until SIGTERM or an interrupt. On SIGHUP it calls reload.
 func (h *hostedEntry) run() error {
 	signals := make(chan os.Signal, 4)
--- a/core/cfvdispatch/health.go
+++ b/core/cfvdispatch/health.go
@@ -163,6 +163,12 @@
 	return max(s.unavailableUntil-now, 0), s.backoff > 0
 }
 
+// FailedSince reports whether a connection to an endpoint failed at or after a time.
+func (d *Dispatcher) FailedSince(id string, since time.Duration) bool {
+	s := d.states[id]
+	return s != nil && s.failedAt > 0 && s.failedAt >= since
+}
+
 // Failing reports whether a connection to an endpoint has failed and it has not been available since.
 func (d *Dispatcher) Failing(id string) bool {
 	s := d.states[id]
--- a/core/cfvlimit/quarantine.go
+++ b/core/cfvlimit/quarantine.go
@@ -64,11 +64,13 @@
 	}
 }
 
-// RecordResponse records that an endpoint responded to the request, so the request did not
-// cause the earlier crashes.
-func (q *Quarantine) RecordResponse(now time.Time, fingerprint string) {
-	q.rotate(now)
-	q.answered[fingerprint] = now
+// RecordResponse records that an endpoint responded to the request at a time, so the request did not
+// cause the crashes of that time.
+func (q *Quarantine) RecordResponse(at time.Time, fingerprint string) {
+	q.rotate(at)
+	if at.After(q.answeredAt(fingerprint)) {
+		q.answered[fingerprint] = at
+	}
 	if _, ok := q.byFingerprint[fingerprint]; ok {
 		q.clear(fingerprint)
 	}
--- a/io/cfventry/answer_end.go
+++ b/io/cfventry/answer_end.go
@@ -30,10 +30,7 @@
 			q.recordPartsAnswered()
 		}
 	default:
-		q.recordAnswered()
-		if q.answer.batches > 0 {
-			q.recordDoubtfulEnd(ep)
-		}
+		q.recordDoubtfulEnd(ep, resp.StatusCode/100 == 2)
 	}
 }
 
@@ -49,9 +46,9 @@
 // was broken off.
 func (q *request) streamEnd(resp *http.Response) answerEnd {
 	switch {
-	case isFramed(resp) || q.answer.batches > 1:
+	case isFramed(resp):
 		return endWhole
-	case q.answer.batches == 1:
+	case q.answer.batches > 0:
 		return endDoubtful
 	}
 	return endBrokenOff
--- a/io/cfventry/answer_end_test.go
+++ b/io/cfventry/answer_end_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,12 +18,14 @@
 	chunkedHead  = streamHead + "Transfer-Encoding: chunked\r\n\r\n"
 	unframedHead = streamHead + "Connection: close\r\n\r\n"
 	oneEvent     = "id:1\n\n"
-	twoEvents    = oneEvent + "id:2\n\n"
 )
 
 // chunk returns a chunk of a body.
 func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
 
+// retryLimits allow all repeats of the tests.
+var retryLimits = Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second}
+
 // longBody is longer than a response that is kept until it is complete.
 var longBody = strings.Repeat("x", maxBufferedResponse+10)
 
@@ -62,8 +65,9 @@
 // checkRefused sends a request that takes endpoints down again and again, beside sound ones, and checks that few of them reach endpoints.
 func checkRefused(t *testing.T, path, sent string, allowed int) {
 	fleet := newPartFleet(sent)
+	fleet.inOrder = true
 	e := newPartEntry(fleet)
-	e.cfg.Limits = Limits{RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second}
+	e.cfg.Limits = retryLimits
 	for i := range 30 {
 		r := send(e, path, fmt.Sprint("d", i), "the same body", deadlyPart)
 		assert.Check(t, r.Code != http.StatusServiceUnavailable || r.Header().Get("Retry-After") != "")
@@ -80,3 +84,68 @@
 	assert.Assert(t, seen <= allowed, "%d requests reached endpoints", seen)
 	assert.Assert(t, seen >= quarantineCrashes, "only %d requests reached endpoints", seen)
 }
+
+// Guards against a request that is answered without length or chunks: its endpoint's end looked like that of a whole answer, and cleared
+// the suspicion against the request (BUDGET).
+func TestRequestThatEndsUnframedAnswersIsRefused(t *testing.T) {
+	const allowed = quarantineCrashes + 3
+	for name, sent := range map[string]string{"the head": unframedHead, "a part of the body": unframedHead + "xx", "a long part of the body": unframedHead + longBody} {
+		for _, path := range []string{"/book/", "/look/"} {
+			t.Run(path+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { checkRefused(t, path, sent, allowed) })
+			})
+		}
+	}
+	for name, sent := range map[string]string{"an event": unframedHead + oneEvent, "two events": unframedHead + oneEvent + pauseMark + "id:2\n\n"} {
+		t.Run("/ask/"+name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkRefused(t, "/ask/", sent, allowed) })
+		})
+	}
+}
+
+// Guards against sound requests that are refused because they were in progress at endpoints that ended for other reasons (LOST): a
+// request that many callers send is answered all the while, also without length or chunks, and at few endpoints.
+func TestPopularRequestIsNotRefusedWithItsEndpoints(t *testing.T) {
+	answers := map[string]string{
+		"length": strings.Replace(lengthHead, "2000000", "2", 1) + "ok", "chunks": chunkedHead + chunk("ok") + "0\r\n\r\n", "neither": unframedHead + "ok",
+	}
+	for name, answer := range answers {
+		for _, interval := range []time.Duration{50 * time.Millisecond, 700 * time.Millisecond} { // between two of its requests
+			t.Run(fmt.Sprint(name, " every ", interval), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fleet := newPartFleet("")
+					fleet.answer, fleet.hangUp, fleet.inOrder, fleet.work = answer, name == "neither", true, 300*time.Millisecond
+					e := newPartEntry(fleet)
+					e.cfg.Limits = retryLimits
+					go func() {
+						for i := range 20 { // an endpoint ends every two seconds
+							time.Sleep(2 * time.Second)
+							fleet.crash(fmt.Sprintf("e%d:1", i%partEndpoints))
+						}
+					}()
+					codes := make(map[int]int)
+					var mu sync.Mutex
+					var wg sync.WaitGroup
+					for i := range int(50 * time.Second / interval) {
+						wg.Go(func() {
+							r := send(e, "/book/", fmt.Sprint("p", i), "the same body", "own")
+							mu.Lock()
+							defer mu.Unlock()
+							codes[r.Code]++
+						})
+						if time.Sleep(interval); i%10 == 0 {
+							e.cleanUp()
+							e.cfg.State.Confirm(e.cfg.State.AsOf(), e.cfg.Now())
+						}
+					}
+					wg.Wait()
+					fleet.close()
+					e.connPools.retain(nil)
+					time.Sleep(time.Minute) // lets the endpoints end
+					assert.Equal(t, codes[http.StatusServiceUnavailable], 0, "%v", codes)
+					assert.Check(t, codes[http.StatusOK] > 0)
+				})
+			})
+		}
+	}
+}
--- a/io/cfventry/attempt.go
+++ b/io/cfventry/attempt.go
@@ -353,6 +353,9 @@
 	e := q.entry
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if meta.RequestID == q.meta.ID && !meta.Misdirected {
+		e.recordAlive(ep, q.times.connectedAt, q.times.sentAt)
+	}
 	if meta.WeightVersion > 0 && q.meta.Prompt.Model != "" && (meta.EndpointID == "" || meta.EndpointID == ep.ID) {
 		e.dispatcher.RecordWeights(ep, q.meta.Prompt.Model, meta.WeightVersion)
 	}
--- a/io/cfventry/entry.go
+++ b/io/cfventry/entry.go
@@ -78,8 +78,9 @@
 	Dial            func(ctx context.Context, network, addr string) (net.Conn, error) // connects to endpoints, also for health probes; nil: over TCP
 	Log             cfvlog.Logger
 	Metrics         *cfvmetric.Registry
-	LogSuccessEvery int  // logs every nth served request; 0 logs none
-	LearnedCapacity bool // places requests by the measured speed of endpoints
+	SilenceTime     time.Duration // after which an endpoint that went down has announced another process, or is no longer announced; 0: 5 s
+	LogSuccessEvery int           // logs every nth served request; 0 logs none
+	LearnedCapacity bool          // places requests by the measured speed of endpoints
 }
 
 // Entry accepts requests of callers and forwards them to endpoints. It is safe for concurrent
@@ -131,6 +132,9 @@
 
 // New returns an entry. Start makes it listen.
 func New(cfg Config) *Entry {
+	if cfg.SilenceTime == 0 {
+		cfg.SilenceTime = defaultSilence
+	}
 	e := &Entry{
 		cfg: cfg, dispatcher: cfvdispatch.New(cfg.Name), quarantine: cfvlimit.NewQuarantineWith(cfvlimit.QuarantineConfig{CrashThreshold: quarantineCrashes, Duration: suspicionTTL, AnsweredTTL: answeredTTL}),
 		parts:  cfvlimit.NewPartQuarantine(cfvlimit.DefaultPartConfig()),
--- a/io/cfventry/outcome.go
+++ b/io/cfventry/outcome.go
@@ -23,8 +23,9 @@
 		e.baselines[q.route.Name] = baseline
 	}
 	e.dispatcher.RecordOutcome(e.cfg.Now(), ep, baseline.Add(failed))
-	if !failed {
-		e.dispatcher.RecordResponse(q.times.connectedAt, q.times.sentAt, ep, q.service.ColdFor)
-		e.notices.RecordRun(ep.Incarnation(), e.cfg.Now()-q.times.sentAt)
+	if failed || q.answer.unframed && e.dispatcher.FailedSince(ep.ID, e.cfg.Now()-crashSpread) { // its end tells nothing then
+		return
 	}
+	e.dispatcher.RecordResponse(q.times.connectedAt, q.times.sentAt, ep, q.service.ColdFor)
+	e.notices.RecordRun(ep.Incarnation(), e.cfg.Now()-q.times.sentAt)
 }
--- a/io/cfventry/parts.go
+++ b/io/cfventry/parts.go
@@ -12,26 +12,13 @@
 // minAnswerTime is how long an answer must go on until it shows that its endpoint survived the begin.
 const minAnswerTime = 500 * time.Millisecond
 
-// Limits of what is kept of streams whose end doesn't show whether their endpoint went down.
-const (
-	doubtTime            = 3 * time.Second // in which the endpoint must be found to be down
-	maxDoubtfulEnds      = 4               // the last ones, for each incarnation of an endpoint
-	maxDoubtfulEndpoints = 1024
-)
-
-// doubtfulEnd is a stream without length or chunks that ended with its connection after one batch of whole events.
-type doubtfulEnd struct {
-	at      time.Duration
-	service string
-	parts   []string
-}
-
 // answerProgress is the progress of the answer that an attempt receives.
 type answerProgress struct {
 	began    time.Duration
 	batches  int  // batches of events
 	recorded bool // the answer has cleared the parts of the prompt
 	crashed  bool // the last endpoint that went down did so before the answer had gone on
+	unframed bool // it has neither a length nor chunks, so it ends like one whose endpoint goes down
 }
 
 // sharedPartIDs returns the IDs of the parts of the prompt that other requests may have.
@@ -71,42 +58,6 @@
 	}
 }
 
-// recordDoubtfulEnd keeps the end of a stream that may be whole or may have been broken off.
-func (q *request) recordDoubtfulEnd(ep *cfvfleet.Endpoint) {
-	e := q.entry
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	id := incarnation(ep)
-	if _, ok := e.doubtfulEnds[id]; !ok && len(e.doubtfulEnds) >= maxDoubtfulEndpoints {
-		return
-	}
-	e.doubtfulEnds[id] = append(e.doubtfulEnds[id], doubtfulEnd{at: e.cfg.Now(), service: q.service.Name, parts: q.sharedPartIDs()})
-	if list := e.doubtfulEnds[id]; len(list) > maxDoubtfulEnds {
-		e.doubtfulEnds[id] = list[1:]
-	}
-}
-
-// confirmDoubtfulEnds records the last streams that an endpoint ended as broken off, since it is down. The caller
-// must hold e.mu.
-func (e *Entry) confirmDoubtfulEnds(ep *cfvfleet.Endpoint) {
-	id, now := incarnation(ep), e.cfg.Now()
-	for _, d := range e.doubtfulEnds[id] {
-		if now-d.at <= doubtTime {
-			e.parts.RecordCrash(now, d.service, d.parts, id, false)
-		}
-	}
-	delete(e.doubtfulEnds, id)
-}
-
-// expireDoubtfulEnds deletes the ends that can no longer be confirmed. The caller must hold e.mu.
-func (e *Entry) expireDoubtfulEnds() {
-	for id, list := range e.doubtfulEnds {
-		if e.cfg.Now()-list[len(list)-1].at > doubtTime {
-			delete(e.doubtfulEnds, id)
-		}
-	}
-}
-
 // partRefusal returns a refusal if a part of the prompt crashes endpoints.
 func (q *request) partRefusal() *httpRefusal {
 	q.entry.mu.Lock()
@@ -150,10 +101,10 @@
 
 // cleanUpParts removes evidence that no longer counts, and logs which parts are blocked and which no longer.
 func (e *Entry) cleanUpParts() {
+	e.settleDoubtfulEnds()
 	now := e.cfg.Now()
 	e.mu.Lock()
 	e.parts.Expire(now)
-	e.expireDoubtfulEnds()
 	list := e.parts.BlockedParts(now)
 	before := e.blockedParts
 	e.blockedParts = make(map[cfvlimit.PartKey]bool, len(list))
--- a/io/cfventry/parts_test.go
+++ b/io/cfventry/parts_test.go
@@ -31,13 +31,16 @@
 	partEndpoints = 12
 	deadlyPart    = "deadly"
 	chunkedPart   = "chunked" // always answered with chunks
+	pauseMark     = "|"
 )
 
 // partFleet is a number of endpoints that go down when they begin to answer a request with the deadly part.
 type partFleet struct {
-	breakOff string // sent before an endpoint goes down; %s is the id of the request
-	answer   string // to any other request
-	hangUp   bool   // close the connection after each answer without chunks
+	breakOff string        // sent, with pauses at each pauseMark, before an endpoint goes down; %s is the id of the request
+	answer   string        // to any other request
+	hangUp   bool          // close the connection after each answer without chunks
+	work     time.Duration // until an answer begins
+	inOrder  bool          // the connections of an endpoint that goes down end in good order, as those of a process that ends
 	restart  func(addr string)
 	mu       sync.Mutex
 	deadly   int // requests with the deadly part that have arrived
@@ -68,10 +71,14 @@
 			}
 			_, _ = io.Copy(io.Discard, req.Body)
 			if strings.Contains(req.Header.Get(testParts), deadlyPart) {
-				_, _ = io.WriteString(far, strings.ReplaceAll(f.breakOff, "%s", req.Header.Get(testRequestID)))
+				for i, sent := range strings.Split(f.breakOff, pauseMark) {
+					time.Sleep(time.Duration(min(i, 1)) * 30 * time.Millisecond)
+					_, _ = io.WriteString(far, strings.ReplaceAll(sent, "%s", req.Header.Get(testRequestID)))
+				}
 				f.crash(addr)
 				return
 			}
+			time.Sleep(f.work)
 			answer := f.answer
 			if strings.Contains(req.Header.Get(testParts), chunkedPart) {
 				answer = chunkedAnswer
@@ -91,8 +98,10 @@
 	defer f.mu.Unlock()
 	f.deadly++
 	f.down[addr] = true
-	for _, c := range f.conns[addr] {
-		_ = c.Close()
+	for i, c := range f.conns[addr] {
+		if near := i%2 == 0; !near || !f.inOrder {
+			_ = c.Close()
+		}
 	}
 	delete(f.conns, addr)
 	time.AfterFunc(3*time.Second, func() {
@@ -126,6 +135,9 @@
 		if r.Key == "config" {
 			return config, nil
 		}
+		if r.Deleted {
+			return cfvfleet.Change{Endpoint: &cfvfleet.EndpointChange{ID: r.Key}}, nil
+		}
 		ep := &cfvfleet.Endpoint{ID: r.Key, Service: "s", Addr: r.Key, Slots: 4, StartMillis: int64(r.Revision)}
 		return cfvfleet.Change{Endpoint: &cfvfleet.EndpointChange{ID: r.Key, Endpoint: ep}}, nil
 	}
@@ -189,7 +201,8 @@
 func TestRequestsWithDeadlyPartAreRefused(t *testing.T) {
 	tests := map[string]struct {
 		breakOff string
-		most     int // requests with the part that reach endpoints
+		most     int  // requests with the part that reach endpoints
+		inOrder  bool // the connections end in good order, and no answer has a length or chunks
 	}{
 		"nothing is sent":                    {most: 4},
 		"the head is sent":                   {most: 4, breakOff: streamHead + "Transfer-Encoding: chunked\r\n\r\n"},
@@ -198,12 +211,18 @@
 		"the head, without chunks":           {most: 4, breakOff: streamHead + "Connection: close\r\n\r\n"},
 		"one event is sent, without chunks":  {most: 4, breakOff: streamHead + "Connection: close\r\n\r\nid:1\n\n"},
 		"a part of an event, without chunks": {most: 4, breakOff: streamHead + "Connection: close\r\n\r\nid:"},
+		"one event, ended in good order":     {most: 4, inOrder: true, breakOff: unframedHead + oneEvent},
+		"two events, ended in good order":    {most: 5 + 3, inOrder: true, breakOff: unframedHead + oneEvent + pauseMark + "id:2\n\n"}, // three may come after the fifth crash
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fleet := newPartFleet(tt.breakOff)
+				if fleet.inOrder = tt.inOrder; tt.inOrder {
+					fleet.answer, fleet.hangUp = unframedHead+oneEvent+"id:2\n\n", true
+				}
 				e := newPartEntry(fleet)
+				e.cfg.Limits = retryLimits
 				refused := 0
 				for i := range 30 {
 					r := askWithParts(e, fmt.Sprint("d", i), "first", fmt.Sprint("subject", i%2), deadlyPart)
--- a/io/cfventry/response.go
+++ b/io/cfventry/response.go
@@ -13,7 +13,7 @@
 // forwardResponse reads the whole response and sends it to the caller. A longer one than
 // maxBufferedResponse is forwarded while it arrives, and so is one for which there is no memory.
 func (q *request) forwardResponse(ep *cfvfleet.Endpoint, resp *http.Response, hedge *hedgeTimer) outcome {
-	q.answer.began = q.entry.cfg.Now()
+	q.answer.began, q.answer.unframed = q.entry.cfg.Now(), !isFramed(resp)
 	body := &bodyBuffer{budget: q.entry.cfg.BodyBudget}
 	defer body.release()
 	err := body.readResponse(resp)
--- a/io/cfventry/stream.go
+++ b/io/cfventry/stream.go
@@ -135,6 +135,7 @@
 	if q.stream == nil {
 		q.stream = &streamState{}
 	}
+	q.answer.unframed = !isFramed(resp)
 	events := &eventReader{r: resp.Body, budget: q.entry.cfg.BodyBudget}
 	defer events.release()
 	for {
