Count no end of a leaving endpoint as a crash

An endpoint that leaves ends with the requests that it still runs. Each of these counted as one that had taken it down, so that a sound request that was in progress at three endpoints which were replaced within a minute could be refused (LOST), and the parts of prompts likewise.

An endpoint leaves if it says so in its announcement or a response, or if its announcement was removed. recordEnd and the doubtful ends ask for that.

--- a/core/cfvnotice/board.go
+++ b/core/cfvnotice/board.go
@@ -164,6 +164,9 @@
 	return true
 }
 
+// Leaving reports whether an endpoint has said that it is leaving.
+func (b *Board) Leaving(id cfvfleet.Incarnation) bool { return b.leaving[id] != 0 }
+
 // never is the wait for an endpoint that this entry will send nothing to.
 const never = time.Duration(math.MaxInt64)
 
--- a/io/cfventry/answer_end.go
+++ b/io/cfventry/answer_end.go
@@ -21,6 +21,8 @@
 // comes here. The response is nil if none had begun.
 func (q *request) recordEnd(ep *cfvfleet.Endpoint, resp *http.Response, end answerEnd) {
 	switch {
+	case end == endBrokenOff && q.entry.leaves(ep):
+		q.logAttempt(ep, "an endpoint that is leaving broke off a request")
 	case end == endBrokenOff:
 		q.recordCrash(ep)
 	case resp.StatusCode >= http.StatusInternalServerError:
@@ -34,6 +36,18 @@
 	}
 }
 
+// leaves reports whether an endpoint is leaving, or has left as far as is known. It ends then with the requests that it still runs.
+func (e *Entry) leaves(ep *cfvfleet.Endpoint) bool {
+	var current *cfvfleet.Endpoint
+	e.cfg.State.Read(func(v *cfvfleet.View) { current = v.Endpoint(ep.ID) })
+	if current == nil || current.Incarnation() == ep.Incarnation() && current.Leaving {
+		return true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.notices.Leaving(ep.Incarnation())
+}
+
 // plainEnd returns what the end of a response shows that is no stream.
 func plainEnd(resp *http.Response) answerEnd {
 	if isFramed(resp) {
--- a/io/cfventry/answer_end_test.go
+++ b/io/cfventry/answer_end_test.go
@@ -9,6 +9,10 @@
 	"testing/synctest"
 	"time"
 
+	"coltsfootvalve/core/cfvfleet"
+	"coltsfootvalve/core/cfvmirror"
+	"coltsfootvalve/core/cfvnotice"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -149,3 +153,62 @@
 		}
 	}
 }
+
+// lastEndpoint returns the endpoint that got the last request.
+func (f *partFleet) lastEndpoint(e *Entry) (ep *cfvfleet.Endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e.cfg.State.Read(func(v *cfvfleet.View) { ep = v.Endpoint(f.last) })
+	return ep
+}
+
+// Guards against sound requests that are refused since planned replacements ended under them: an endpoint that is leaving, or was removed,
+// ends with the requests that it still runs, whatever these are.
+func TestEndOfALeavingEndpointIsNoCrash(t *testing.T) {
+	const staying = "staying"
+	apply := func(e *Entry, r cfvmirror.Record) {
+		r.Revision = e.cfg.State.AsOf() + 1
+		e.cfg.State.Apply("test", []cfvmirror.Record{r}, r.Revision, false)
+	}
+	leave := map[string]func(e *Entry, ep *cfvfleet.Endpoint){
+		staying:   func(*Entry, *cfvfleet.Endpoint) {},
+		"removed": func(e *Entry, ep *cfvfleet.Endpoint) { apply(e, cfvmirror.Record{Key: ep.ID, Deleted: true}) },
+		"announced as leaving": func(e *Entry, ep *cfvfleet.Endpoint) {
+			apply(e, cfvmirror.Record{Key: ep.ID, Value: fmt.Append(nil, leavingSince, ep.StartMillis)})
+		},
+		"said in a response": func(e *Entry, ep *cfvfleet.Endpoint) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.notices.Observe(e.cfg.Now(), e.cfg.Now(), ep.Incarnation(), cfvnotice.Notice{Leaving: true})
+		},
+	}
+	for how := range leave {
+		for name, sent := range map[string]string{"nothing": "", "a part of a length": lengthHead + "xx", "without length or chunks": unframedHead + "xx"} {
+			t.Run(how+", "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fleet := newPartFleet(sent)
+					fleet.inOrder, fleet.work = true, time.Second
+					e := newPartEntry(fleet)
+					for i := range quarantineCrashes {
+						done := make(chan int)
+						go func() { done <- send(e, "/book/", fmt.Sprint("d", i), "the same body", deadlyPart).Code }()
+						time.Sleep(500 * time.Millisecond)
+						leave[how](e, fleet.lastEndpoint(e))
+						assert.Check(t, <-done != http.StatusServiceUnavailable)
+						time.Sleep(defaultSilence + time.Second)
+						e.cfg.State.Confirm(e.cfg.State.AsOf(), e.cfg.Now())
+						e.cleanUp()
+					}
+					fleet.close()
+					e.connPools.retain(nil)
+					blocked := 0
+					for _, s := range e.Suspicions() {
+						blocked = max(blocked, len(s.Endpoints))
+					}
+					time.Sleep(time.Minute) // lets the endpoints end
+					assert.Equal(t, blocked >= quarantineCrashes, how == staying, "%d crashes", blocked)
+				})
+			})
+		}
+	}
+}
--- a/io/cfventry/doubtful_end.go
+++ b/io/cfventry/doubtful_end.go
@@ -36,6 +36,9 @@
 // recordDoubtfulEnd keeps the end of an answer that may be whole or may have been broken off.
 func (q *request) recordDoubtfulEnd(ep *cfvfleet.Endpoint, ok bool) {
 	e := q.entry
+	if e.leaves(ep) {
+		return
+	}
 	d := doubtfulEnd{endpoint: ep, at: e.cfg.Now(), service: q.service.Name, fingerprint: q.fingerprint, parts: q.sharedPartIDs(), answering: q.answer.batches > 1}
 	if ok && len(q.meta.Prompt.Parts) > 0 && !q.answer.recorded {
 		d.began = q.answer.began
--- a/io/cfventry/parts_test.go
+++ b/io/cfventry/parts_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -32,6 +33,7 @@
 	deadlyPart    = "deadly"
 	chunkedPart   = "chunked" // always answered with chunks
 	pauseMark     = "|"
+	leavingSince  = "leaving, started at " // value of the record of an endpoint that is leaving
 )
 
 // partFleet is a number of endpoints that go down when they begin to answer a request with the deadly part.
@@ -43,7 +45,8 @@
 	inOrder  bool          // the connections of an endpoint that goes down end in good order, as those of a process that ends
 	restart  func(addr string)
 	mu       sync.Mutex
-	deadly   int // requests with the deadly part that have arrived
+	deadly   int    // requests with the deadly part that have arrived
+	last     string // address of the endpoint that got the last request
 	down     map[string]bool
 	conns    map[string][]net.Conn
 }
@@ -70,6 +73,10 @@
 				return
 			}
 			_, _ = io.Copy(io.Discard, req.Body)
+			f.mu.Lock()
+			f.last = addr
+			f.mu.Unlock()
+			time.Sleep(f.work)
 			if strings.Contains(req.Header.Get(testParts), deadlyPart) {
 				for i, sent := range strings.Split(f.breakOff, pauseMark) {
 					time.Sleep(time.Duration(min(i, 1)) * 30 * time.Millisecond)
@@ -78,7 +85,6 @@
 				f.crash(addr)
 				return
 			}
-			time.Sleep(f.work)
 			answer := f.answer
 			if strings.Contains(req.Header.Get(testParts), chunkedPart) {
 				answer = chunkedAnswer
@@ -139,6 +145,10 @@
 			return cfvfleet.Change{Endpoint: &cfvfleet.EndpointChange{ID: r.Key}}, nil
 		}
 		ep := &cfvfleet.Endpoint{ID: r.Key, Service: "s", Addr: r.Key, Slots: 4, StartMillis: int64(r.Revision)}
+		if start, ok := strings.CutPrefix(string(r.Value), leavingSince); ok {
+			ep.Leaving = true
+			ep.StartMillis, _ = strconv.ParseInt(start, 10, 64)
+		}
 		return cfvfleet.Change{Endpoint: &cfvfleet.EndpointChange{ID: r.Key, Endpoint: ep}}, nil
 	}
 	state := cfvstate.New(cfvstate.Config{Now: now, Log: cfvlog.Discard(), Decode: decode})
