Know a roll-out's order after several restores, and read the change once more

An order that was written again after two restores had a third number, and the record of its end, under the first one, was not taken for its own: the roll-out would have run again. All former numbers count now ("order and progress are lost twice" in TestRolloutAcrossARestore).

Entries without contact to peers don't wait for them before they list the store. A process that learns of the era only from the store, after the state of a peer of an earlier release, no longer logs a restore.

--- a/core/cfvfleet/restore_test.go
+++ b/core/cfvfleet/restore_test.go
@@ -63,6 +63,10 @@
 			[]Change{order(1, 5, "v2"), progress(1, 8, 5, rolledBack, "v2"), removed(2, 6), order(2, 7, "v2"), progress(2, 8, 7, rolledBack, "v2")},
 			want{"v2", rolledBack, 0.5, 7, time.Second, false, cfvmirror.NewRevision(2, 8)},
 		},
+		"order and progress are lost twice": {
+			[]Change{order(1, 5, "v2"), progress(1, 8, 5, rolledBack, "v2"), order(2, 7, "v2"), progress(2, 6, 5, running, "v2"), order(3, 9, "v2"), progress(3, 6, 5, running, "v2")},
+			want{"v2", rolledBack, 0.5, 9, time.Second, true, cfvmirror.NewRevision(3, 6)},
+		},
 		"a running one goes back": {
 			[]Change{order(1, 5, "v2"), progress(1, 8, 5, running, "v2"), removed(2, 6)},
 			want{"v2", running, 0, 5, time.Second, false, 0},
--- a/core/cfvfleet/rollout.go
+++ b/core/cfvfleet/rollout.go
@@ -51,7 +51,7 @@
 type Rollout struct {
 	RolloutOrder
 	Revision  int64         // number of the order's revision
-	Formerly  int64         // the number that the same order had before the key-value store lost it in a restore; 0: none
+	Formerly  int64         // the number that the same order had before the key-value store last lost it in a restore; 0: none
 	LearnedAt time.Duration // when this process learned of the order
 	NotBefore time.Duration // the order was not given before this time; 0: not known
 	// Progress is that of this order. Until the leader has recorded any, it is running with a share of 0.
@@ -150,7 +150,7 @@
 type rolloutState struct {
 	order          RolloutOrder
 	revision       cfvmirror.Revision
-	formerly       int64
+	former         []int64 // numbers that the order had before restores of the store
 	learnedAt      time.Duration
 	notBefore      time.Duration
 	progress       *RolloutProgress // nil: not recorded, or removed
@@ -165,9 +165,9 @@
 		return false
 	}
 	if o.Target != "" && o == s.order && revision.Era() > s.revision.Era() {
-		s.formerly, s.revision = s.revision.Number(), revision // the operator has written a lost order again
+		s.former, s.revision = append(slices.Clone(s.former), s.revision.Number()), revision // the operator has written a lost order again
 	} else {
-		s.order, s.revision, s.formerly, s.learnedAt, s.notBefore = o, revision, 0, now, 0
+		s.order, s.revision, s.former, s.learnedAt, s.notBefore = o, revision, nil, now, 0
 	}
 	v.rollouts[o.Service] = s
 	return true
@@ -175,7 +175,7 @@
 
 // isOrder reports whether the number of a revision is that of the order, or was before a restore.
 func (s rolloutState) isOrder(number int64) bool {
-	return number == s.revision.Number() || number == s.formerly && number > 0
+	return number == s.revision.Number() || slices.Contains(s.former, number)
 }
 
 // SetRolloutsNotBefore records that the orders that this process learned of at time now were not given before
@@ -227,9 +227,12 @@
 		return s.ended()
 	}
 	r := &Rollout{
-		RolloutOrder: s.order, Revision: s.revision.Number(), Formerly: s.formerly, LearnedAt: s.learnedAt, NotBefore: s.notBefore,
+		RolloutOrder: s.order, Revision: s.revision.Number(), LearnedAt: s.learnedAt, NotBefore: s.notBefore,
 		RecordRevision: s.recordRevision, Unrecorded: s.unrecorded,
 	}
+	if n := len(s.former); n > 0 {
+		r.Formerly = s.former[n-1]
+	}
 	if s.progress != nil && s.isOrder(s.progress.OrderRevision) && s.progress.Target == s.order.Target {
 		r.Progress, r.ProgressAt = *s.progress, s.progressAt
 	}
--- a/io/cfvstate/state.go
+++ b/io/cfvstate/state.go
@@ -60,7 +60,7 @@
 	s.view.Expire(now)
 	if after := s.mirror.Revision(); before > 0 && after.Era() > before.Era() {
 		updated = s.withhold(now, updated)
-		s.cfg.Log.Warnw("the key-value store was restored from an older copy", "from", from, "before", int64(before), "after", int64(after), "withheld", len(s.withheld))
+		s.logEra(from, before, after)
 	}
 	applied := s.applyToView(now, from, updated)
 	applied = append(applied, s.releaseWithheld(now)...)
@@ -116,6 +116,16 @@
 	return rest
 }
 
+// logEra logs that the state is of a later era. The state of a peer of an earlier release tells none.
+func (s *State) logEra(from string, before, after cfvmirror.Revision) {
+	fields := []any{"from", from, "before", int64(before), "after", int64(after), "withheld", len(s.withheld)}
+	if before.Era() == 0 {
+		s.cfg.Log.Infow("the key-value store tells its era", fields...)
+		return
+	}
+	s.cfg.Log.Warnw("the key-value store was restored from an older copy", fields...)
+}
+
 // appliesAtOnce reports whether the view deals with a lost record itself.
 func (s *State) appliesAtOnce(r cfvmirror.Record) bool {
 	c, _ := s.cfg.Decode(r) // an error is reported when the record is applied
--- a/io/cfvwatch/watcher.go
+++ b/io/cfvwatch/watcher.go
@@ -121,7 +121,7 @@
 			cfvclock.Sleep(ctx, ageCheckInterval)
 			continue
 		}
-		if w.relist && !w.cfg.IsWatcher() && w.updatedByPeers(ctx) {
+		if w.relist && !w.cfg.IsWatcher() && !w.cfg.NoContact() && w.updatedByPeers(ctx) {
 			w.relist = false
 			continue
 		}
