--- a/io/cfvstate/state.go
+++ b/io/cfvstate/state.go
@@ -140,13 +140,12 @@
 	}
 	var records []cfvmirror.Record
 	for key := range s.withheld {
-		r, lost := s.mirror.Current(key), false
-		if have, ok := s.mirror.Lost(key); ok {
-			lost = have.Deleted
-		}
-		if c, _ := s.cfg.Decode(r); c.Endpoint == nil || !lost {
-			records = append(records, r)
+		r := s.mirror.Current(key)
+		before, _ := s.mirror.Lost(key)
+		if c, _ := s.cfg.Decode(r); c.Endpoint != nil && before.Deleted {
+			continue
 		}
+		records = append(records, r)
 	}
 	s.withheld = nil
 	return s.applyToView(now, "restored store", records)
